--- /dev/null
+++ b/src/lib.rs
@@ -0,0 +1,25 @@
+//! The decisions of a reverse proxy that spreads requests over HTTP servers.
+//!
+//! The crate does no input or output and reads no clock: the proxy hands each event with its time to a
+//! [`Balancer`] and carries out the actions that it writes into the sink.
+//!
+//! ```
+//! use yarrowfield::interface::{Action, Endpoint, Event, ListKind, Phase, Request, Settings, Server};
+//! use yarrowfield::Balancer;
+//!
+//! let mut balancer = Balancer::new(Settings::single_class(400_000_000, 800_000_000), 7).unwrap();
+//! let mut actions = Vec::new();
+//! let server = Server::warm(Endpoint { address: [10, 0, 0, 1], port: 8080 });
+//! balancer.handle(0, Event::List { kind: ListKind::Full, servers: vec![server] }, &mut actions);
+//! actions.clear();
+//! let request = Request::new(1, 1_000_000 + 800_000_000);
+//! balancer.handle(1_000_000, Event::Request(request), &mut actions);
+//! assert!(actions.iter().any(|a| matches!(a, Action::Send { request: 1, .. })));
+//! assert_eq!(server.phase, Phase::Ready);
+//! ```
+
+mod balance;
+pub mod interface;
+pub mod settings;
+
+pub use balance::Balancer;
--- /dev/null
+++ b/src/main.rs
@@ -0,0 +1,107 @@
+//! One load-balancing node: configuration, runtime, signals.
+
+mod net;
+
+use net::clients::Clients;
+use net::config::{Config, ConfigError};
+use net::discovery::Watcher;
+use net::gateway::Gateway;
+use std::process::ExitCode;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+use tokio::net::{TcpListener, TcpSocket};
+use tokio::signal::unix::{signal, SignalKind};
+use tokio::sync::{mpsc, Notify};
+use tokio::task::{spawn_local, LocalSet};
+
+/// Connections that the kernel may hold for us while we are busy; it cuts this down to what it allows.
+const BACKLOG: u32 = 4096;
+/// From the start, a node with no word from discovery serves by the list in its configuration after this ...
+const READY_KNOWN: Duration = Duration::from_millis(700);
+/// At a planned restart new connections go on coming for a while, and SIGKILL follows the longest deadline.
+const STILL_ACCEPT: Duration = Duration::from_millis(500);
+const LEAVE_WITHIN: Duration = Duration::from_millis(3600);
+
+#[derive(Debug, thiserror::Error)]
+enum StartError {
+    #[error("{0}")]
+    Config(#[from] ConfigError),
+    #[error("settings: {0}")]
+    Settings(#[from] yarrowfield::interface::SettingsError),
+    #[error("cannot listen on {address}: {error}")]
+    Listen { address: std::net::SocketAddr, error: std::io::Error },
+    #[error("{0}")]
+    System(#[from] std::io::Error),
+}
+
+fn main() -> ExitCode {
+    match start() {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("yarrowfield: {error}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn start() -> Result<(), StartError> {
+    let config = Config::load()?;
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+    LocalSet::new().block_on(&runtime, run(config))
+}
+
+fn listen(address: std::net::SocketAddr) -> std::io::Result<TcpListener> {
+    let socket = TcpSocket::new_v4()?;
+    socket.set_reuseaddr(true)?;
+    socket.bind(address)?;
+    socket.listen(BACKLOG)
+}
+
+async fn run(config: Config) -> Result<(), StartError> {
+    let mut terminate = signal(SignalKind::terminate())?;
+    let address = config.listen;
+    let (push, known) =
+        (!config.settings.must_subscribe, config.known.as_ref().is_some_and(|k| !k.hosts.is_empty()));
+    let (list_calls, calls) = mpsc::unbounded_channel();
+    let gateway = Gateway::new(config, list_calls)?;
+    let listener = listen(address).map_err(|error| StartError::Listen { address, error })?;
+    net::log(format_args!("listening on {}", listener.local_addr()?));
+    let watcher = Watcher::new(gateway.clone());
+    if push {
+        spawn_local(watcher.follow());
+    } else {
+        spawn_local(watcher.obey(calls));
+    }
+    spawn_local(gateway.clone().run_timers());
+    let clients = Clients::new(gateway.clone());
+    let stop = Rc::new(Notify::new());
+    let accepting = spawn_local(clients.clone().accept(listener, stop.clone()));
+    let ready = gateway.clone();
+    spawn_local(async move {
+        tokio::time::sleep(READY_KNOWN).await;
+        ready.ready.set(ready.ready.get() || known);
+    });
+    spawn_local(sweep(gateway.clone(), clients.clone()));
+
+    terminate.recv().await;
+    let told = Instant::now();
+    gateway.leaving.set(true);
+    tokio::time::sleep(STILL_ACCEPT).await;
+    stop.notify_one();
+    let _ = accepting.await;
+    while clients.close_idle() > 0 && told.elapsed() < LEAVE_WITHIN {
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+    Ok(())
+}
+
+async fn sweep(gateway: Rc<Gateway>, clients: Rc<Clients>) {
+    loop {
+        for _ in 0..5 {
+            tokio::time::sleep(Duration::from_millis(200)).await;
+            clients.cut_heads();
+        }
+        clients.sweep();
+        gateway.fleet(|f| f.sweep(gateway.clock.now()));
+    }
+}
--- /dev/null
+++ b/src/net/budget.rs
@@ -0,0 +1,113 @@
+//! What the node may hold: file descriptors and bytes of bodies.
+
+use std::cell::Cell;
+use std::rc::Rc;
+
+/// Descriptors that are neither a client's nor a server's: standard streams, listener, poller, discovery.
+const OWN_SOCKETS: usize = 24;
+/// Part of the rest that clients may hold. A server connection carries a request, a client's may stand idle.
+const CLIENT_PART: f64 = 0.55;
+/// Part of the memory limit that bodies may fill; connection buffers and the heap's slack need the rest.
+const BODY_PART: f64 = 0.35;
+/// Bookkeeping for one piece of a body: without it a body of one-byte chunks would cost far more than counted.
+const PIECE: usize = 64;
+
+/// Counts what is held against the limits of the configuration.
+#[derive(Debug)]
+pub struct Budget {
+    /// Connections that clients may hold before new ones are refused.
+    pub most_clients: usize,
+    /// Connections that may be open to servers.
+    pub most_servers: usize,
+    most_bytes: usize,
+    clients: Cell<usize>,
+    servers: Cell<usize>,
+    bytes: Cell<usize>,
+}
+
+impl Budget {
+    pub fn new(sockets: usize, memory_mb: u64) -> Rc<Self> {
+        let rest = sockets.saturating_sub(OWN_SOCKETS).max(8);
+        // One in eight of the clients' is kept for those that are only told to come back.
+        let clients = (rest as f64 * CLIENT_PART) as usize;
+        Rc::new(Budget {
+            most_clients: (clients - clients / 8).max(1),
+            most_servers: rest - clients,
+            most_bytes: (memory_mb as f64 * BODY_PART) as usize * 1024 * 1024,
+            clients: Cell::new(0),
+            servers: Cell::new(0),
+            bytes: Cell::new(0),
+        })
+    }
+
+    pub fn clients(&self) -> usize {
+        self.clients.get()
+    }
+
+    /// No further client may even be turned away: the backlog has to hold it.
+    pub fn clients_exhausted(&self) -> bool {
+        self.clients.get() >= self.most_clients + self.most_clients / 8
+    }
+
+    pub fn client(self: &Rc<Self>) -> Slot {
+        Slot::take(self, |b| &b.clients)
+    }
+
+    /// A place for one more connection to a server, if there is any.
+    pub fn server(self: &Rc<Self>) -> Option<Slot> {
+        (self.servers.get() < self.most_servers).then(|| Slot::take(self, |b| &b.servers))
+    }
+
+    /// Nothing held yet; it grows with `Lease::grow`.
+    pub fn lease(self: &Rc<Self>) -> Lease {
+        Lease { budget: self.clone(), held: 0 }
+    }
+}
+
+/// One descriptor in use, given back when dropped.
+#[derive(Debug)]
+pub struct Slot {
+    budget: Rc<Budget>,
+    counter: fn(&Budget) -> &Cell<usize>,
+}
+
+impl Slot {
+    fn take(budget: &Rc<Budget>, counter: fn(&Budget) -> &Cell<usize>) -> Self {
+        counter(budget).set(counter(budget).get() + 1);
+        Slot { budget: budget.clone(), counter }
+    }
+}
+
+impl Drop for Slot {
+    fn drop(&mut self) {
+        let counter = (self.counter)(&self.budget);
+        counter.set(counter.get() - 1);
+    }
+}
+
+/// Bytes of one body, given back when dropped.
+#[derive(Debug)]
+pub struct Lease {
+    budget: Rc<Budget>,
+    held: usize,
+}
+
+impl Lease {
+    /// Takes one more piece into account; false where the budget has no room for it.
+    pub fn grow(&mut self, bytes: usize) -> bool {
+        let cost = bytes + PIECE;
+        let sum = self.budget.bytes.get() + cost;
+        if sum > self.budget.most_bytes {
+            return false;
+        }
+        self.budget.bytes.set(sum);
+        self.held += cost;
+        true
+    }
+}
+
+impl Drop for Lease {
+    fn drop(&mut self) {
+        self.budget.bytes.set(self.budget.bytes.get() - self.held);
+    }
+}
--- /dev/null
+++ b/src/net/clients.rs
@@ -0,0 +1,406 @@
+//! Towards the clients: the listener, requests coming in, final answers going out.
+
+use super::body::{AnswerBody, Broken, PieceBody, Pieces};
+use super::budget::Slot;
+use super::gateway::{Answer, Gateway, Message};
+use super::io::{exhausted, Socket, SocketIo};
+use super::servers::{self, TIMEOUT};
+use bytes::Bytes;
+use http_body_util::BodyExt;
+use hyper::body::{Body, Frame, Incoming, SizeHint};
+use hyper::header::{self, HeaderMap, HeaderValue};
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper::{Method, Request, Response, StatusCode, Uri};
+use hyper_util::rt::TokioIo;
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::convert::Infallible;
+use std::io;
+use std::pin::{pin, Pin};
+use std::rc::Rc;
+use std::task::{Context, Poll};
+use std::time::Duration;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::Notify;
+use yarrowfield::interface::{self, Nanos};
+
+/// The most that a body may hold.
+const MOST_BODY: u64 = 32_000_000;
+/// Read buffer of a client's connection and the longest head; it bounds what 1,000 connections hold.
+const BUFFER: usize = 16 * 1024;
+/// A connection without a request is closed after this many seconds, one that stands still in the middle of a
+/// request or of an answer after fewer: a slow client still moves.
+const IDLE_S: u32 = 90;
+const STUCK_S: u32 = 20;
+/// A client may take 2 s to write a head; the rest is for what was late on the way.
+const LONGEST_HEAD: Duration = Duration::from_millis(2200);
+/// The log tells of full tables this often at most.
+const REPORT_EVERY: Nanos = 5_000_000_000;
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Stage {
+    /// Between requests, or in a head.
+    Idle,
+    /// In a body.
+    Reading,
+    /// The request is with the gateway, whose deadline bounds it.
+    Waiting,
+    /// The answer is on its way.
+    Writing,
+}
+
+struct Client {
+    socket: Rc<Socket>,
+    stage: Cell<Stage>,
+    idle_since: Cell<Nanos>,
+    still_s: Cell<u32>,
+    /// It came when there was no place left: it is only told to come back.
+    surplus: bool,
+    cut: Cell<bool>,
+    closing: Cell<bool>,
+    close: Notify,
+    _slot: Slot,
+}
+
+impl Client {
+    fn idle(&self) -> bool {
+        self.resting() && !self.closing.get() && self.socket.quiet()
+    }
+
+    /// Between requests, as far as has been read.
+    fn resting(&self) -> bool {
+        self.stage.get() == Stage::Idle && self.socket.heard.get().is_none()
+    }
+
+    fn dawdles(&self) -> bool {
+        let begun = self.socket.heard.get().filter(|_| self.stage.get() == Stage::Idle);
+        begun.is_some_and(|at| at.elapsed() > LONGEST_HEAD) && !self.closing.get()
+    }
+
+    fn stop(&self, cut: bool) {
+        self.closing.set(true);
+        self.cut.set(cut);
+    }
+}
+
+/// All clients' connections; bounded by the budget.
+pub struct Clients {
+    gateway: Rc<Gateway>,
+    open: RefCell<HashMap<u64, Rc<Client>>>,
+    next: Cell<u64>,
+    left: Notify,
+    reported_at: Cell<Nanos>,
+}
+
+impl Clients {
+    pub fn new(gateway: Rc<Gateway>) -> Rc<Self> {
+        Rc::new(Clients {
+            gateway,
+            open: RefCell::default(),
+            next: Cell::new(0),
+            left: Notify::new(),
+            reported_at: Cell::new(0),
+        })
+    }
+
+    /// Accepts until told to stop, and then what the kernel has accepted for us by then.
+    pub async fn accept(self: Rc<Self>, listener: TcpListener, stop: Rc<Notify>) {
+        let mut stop = pin!(stop.notified());
+        loop {
+            while self.gateway.budget.clients_exhausted() {
+                if !self.make_room() {
+                    self.report();
+                }
+                let _ = tokio::time::timeout(Duration::from_millis(20), self.left.notified()).await;
+            }
+            tokio::select! {
+                biased;
+                accepted = listener.accept() => self.accepted(accepted.map(|(stream, _)| stream)).await,
+                _ = &mut stop => return,
+            }
+        }
+    }
+
+    async fn accepted(self: &Rc<Self>, accepted: io::Result<TcpStream>) {
+        match accepted {
+            Ok(stream) => self.open(stream),
+            Err(e) if exhausted(&e) => {
+                self.make_room();
+                tokio::time::sleep(Duration::from_millis(10)).await;
+            }
+            // A client that left while it waited: nothing to do with the next one.
+            Err(_) => tokio::task::yield_now().await,
+        }
+    }
+
+    fn open(self: &Rc<Self>, stream: TcpStream) {
+        let budget = &self.gateway.budget;
+        let surplus = budget.clients() >= budget.most_clients && !self.make_room();
+        let client = Rc::new(Client {
+            socket: Socket::new(stream),
+            stage: Cell::new(Stage::Idle),
+            idle_since: Cell::new(self.gateway.clock.now()),
+            still_s: Cell::new(0),
+            surplus,
+            cut: Cell::new(false),
+            closing: Cell::new(false),
+            close: Notify::new(),
+            _slot: budget.client(),
+        });
+        let id = self.next.get();
+        self.next.set(id + 1);
+        self.open.borrow_mut().insert(id, client.clone());
+        let clients = self.clone();
+        tokio::task::spawn_local(async move {
+            serve(&clients.gateway, client).await;
+            clients.open.borrow_mut().remove(&id);
+            clients.left.notify_one();
+        });
+    }
+
+    fn make_room(&self) -> bool {
+        let open = self.open.borrow();
+        let mut idle: Vec<_> = open.values().filter(|c| c.stage.get() == Stage::Idle).collect();
+        idle.sort_unstable_by_key(|c| c.idle_since.get());
+        idle.into_iter().find(|c| c.idle()).inspect(|c| c.stop(false)).is_some()
+    }
+
+    /// Says what the connections are doing that leave no room, now and then.
+    fn report(&self) {
+        let now = self.gateway.clock.now();
+        if now.saturating_sub(self.reported_at.get()) < REPORT_EVERY {
+            return;
+        }
+        self.reported_at.set(now);
+        let open = self.open.borrow();
+        let count = |stage| open.values().filter(|c| c.stage.get() == stage).count();
+        let idle = open.values().filter(|c| c.resting()).count();
+        super::log(format_args!(
+            "no room for clients: {} open, {idle} idle, {} in a head, {} in a body, {} waiting, {} being answered",
+            open.len(),
+            count(Stage::Idle) - idle,
+            count(Stage::Reading),
+            count(Stage::Waiting),
+            count(Stage::Writing),
+        ));
+    }
+
+    /// Cuts off those that have been at their head for too long.
+    pub fn cut_heads(&self) {
+        self.open.borrow().values().filter(|c| c.dawdles()).for_each(|c| c.stop(true));
+    }
+
+    /// Once a second: closes what stands still. No client may hold a descriptor for good.
+    pub fn sweep(&self) {
+        for client in self.open.borrow().values() {
+            let still = if client.socket.moved.replace(false) { 0 } else { client.still_s.get() + 1 };
+            client.still_s.set(still);
+            let resting = client.resting();
+            match client.stage.get() {
+                Stage::Waiting => client.still_s.set(0),
+                _ if resting && still >= IDLE_S && client.socket.quiet() => client.stop(false),
+                _ if !resting && still >= STUCK_S => client.stop(true),
+                _ => {}
+            }
+        }
+    }
+
+    /// Closes all connections that are between requests; the number of those that are left.
+    pub fn close_idle(&self) -> usize {
+        let open = self.open.borrow();
+        open.values().filter(|c| c.idle()).for_each(|c| c.stop(false));
+        open.len()
+    }
+}
+
+async fn serve(gateway: &Rc<Gateway>, client: Rc<Client>) {
+    let mut builder = http1::Builder::new();
+    builder.max_buf_size(BUFFER).timer(hyper_util::rt::TokioTimer::new()).header_read_timeout(None);
+    let service = service_fn(|request| respond(gateway, &client, request));
+    let io = TokioIo::new(SocketIo(client.socket.clone()));
+    let mut connection = pin!(builder.serve_connection(io, service));
+    loop {
+        tokio::select! {
+            biased;
+            // What goes wrong here is the client's: it has gone, or was told 400.
+            _ = connection.as_mut() => return,
+            _ = client.close.notified() => {
+                if client.cut.get() {
+                    return;
+                }
+                connection.as_mut().graceful_shutdown();
+            }
+        }
+    }
+}
+
+/// An answer that keeps its connection from counting as idle until hyper has taken all of it.
+struct Outgoing {
+    body: AnswerBody,
+    gateway: Rc<Gateway>,
+    client: Rc<Client>,
+}
+
+impl Body for Outgoing {
+    type Data = Bytes;
+    type Error = Broken;
+
+    fn poll_frame(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<Option<Result<Frame<Bytes>, Broken>>> {
+        Pin::new(&mut self.get_mut().body).poll_frame(cx)
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.body.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.body.size_hint()
+    }
+}
+
+impl Drop for Outgoing {
+    fn drop(&mut self) {
+        self.client.stage.set(Stage::Idle);
+        self.client.idle_since.set(self.gateway.clock.now());
+        self.client.socket.heard.set(None);
+    }
+}
+
+async fn respond(
+    gateway: &Rc<Gateway>,
+    client: &Rc<Client>,
+    request: Request<Incoming>,
+) -> Result<Response<Outgoing>, Infallible> {
+    client.stage.set(Stage::Reading);
+    let mut response = answer(gateway, client, request).await;
+    client.stage.set(Stage::Writing);
+    if gateway.leaving.get() || client.surplus {
+        response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
+    }
+    Ok(response.map(|body| Outgoing { body, gateway: gateway.clone(), client: client.clone() }))
+}
+
+async fn answer(gateway: &Rc<Gateway>, client: &Client, request: Request<Incoming>) -> Response<AnswerBody> {
+    let (head, body) = request.into_parts();
+    if head.uri.path() == "/up" && head.method == Method::GET {
+        let up = gateway.ready.get() && !gateway.leaving.get();
+        return text(if up { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE }, "");
+    }
+    if head.headers.contains_key(header::TRANSFER_ENCODING) && client.socket.said("\ncontent-length:") {
+        return closing(text(StatusCode::BAD_REQUEST, "two lengths\n"));
+    }
+    let name = head.uri.path().split('/').nth(1).unwrap_or_default();
+    let Some(class) = gateway.config.classes.iter().position(|c| c == name) else {
+        return closing(text(StatusCode::NOT_FOUND, "no such class of requests\n"));
+    };
+    let body = match take(gateway, client.surplus, body).await {
+        Ok(body) => Rc::new(body),
+        Err(BodyError::TooLarge) => return closing(text(StatusCode::PAYLOAD_TOO_LARGE, "over 32 MB\n")),
+        Err(BodyError::NoRoom) => return closing(refused(interface::Nanos::MAX, gateway)),
+        Err(BodyError::Broken) => return closing(text(StatusCode::BAD_REQUEST, "the body broke off\n")),
+    };
+    client.stage.set(Stage::Waiting);
+    let now = gateway.clock.now();
+    let longest = gateway.config.settings.classes[class].give_up;
+    let number =
+        |name: &str| head.headers.get(name).and_then(|v| v.to_str().ok()?.trim().parse::<f64>().ok());
+    let wait = head.headers.get(TIMEOUT).and_then(|v| v.to_str().ok()?.trim().parse::<u64>().ok());
+    // No client waits longer than its class: a longer figure would only hold memory.
+    let give_up_at = now + wait.map_or(longest, |ms| ms.saturating_mul(1_000_000).min(longest));
+    let tenant = head.headers.get("x-tenant-id").map(HeaderValue::as_bytes);
+    let tenant = gateway.config.tenants.iter().position(|t| Some(t.as_bytes()) == tenant);
+    let request = interface::Request {
+        class: class as u8,
+        tenant: tenant.map_or(u32::MAX, |t| t as u32),
+        key: head.headers.get("x-route-key").map_or(0, |k| route_key(k.as_bytes())),
+        work_hint: number("x-cost").filter(|us| *us > 0.0).map(|us| (us * 1000.0) as Nanos),
+        is_retry: head.headers.get("x-retried").is_some_and(|v| v == "1"),
+        is_write: head
+            .headers
+            .get("x-attrs")
+            .is_some_and(|v| v.to_str().unwrap_or_default().split(',').any(|a| a.trim() == "write=1")),
+        ..interface::Request::new(0, give_up_at)
+    };
+    let mut headers = head.headers;
+    servers::strip(&mut headers);
+    headers.remove(header::EXPECT);
+    if !headers.contains_key(header::CONTENT_LENGTH) && body.len() > 0 {
+        headers.insert(header::CONTENT_LENGTH, HeaderValue::from(body.len()));
+    }
+    let uri = match head.uri.path_and_query() {
+        Some(path) if head.uri.scheme().is_some() => Uri::from(path.clone()),
+        _ => head.uri,
+    };
+    let message = Message { method: head.method, uri, headers, body, give_up_at };
+    let mut ticket = gateway.submit(request, message);
+    match ticket.answer().await {
+        Answer::Whole { headers, body } => served(headers, AnswerBody::Whole(PieceBody::new(Rc::new(body)))),
+        Answer::Stream { headers, length, pieces } => served(headers, AnswerBody::Stream { pieces, length }),
+        Answer::Refused { retry_after } => refused(retry_after, gateway),
+        Answer::Failed { late: true } => text(StatusCode::GATEWAY_TIMEOUT, "no answer in time\n"),
+        Answer::Failed { late: false } => text(StatusCode::BAD_GATEWAY, "failed\n"),
+    }
+}
+
+fn route_key(text: &[u8]) -> u64 {
+    let hex = std::str::from_utf8(text).ok().and_then(|t| u64::from_str_radix(t, 16).ok());
+    hex.unwrap_or_else(|| super::mix(text))
+}
+
+fn served(headers: HeaderMap, body: AnswerBody) -> Response<AnswerBody> {
+    let mut response = Response::new(body);
+    *response.headers_mut() = headers;
+    response
+}
+
+fn refused(retry_after: Nanos, gateway: &Gateway) -> Response<AnswerBody> {
+    let mut response = text(StatusCode::SERVICE_UNAVAILABLE, "busy\n");
+    let seconds = retry_after.min(gateway.config.settings.max_retry_after) as f64 / 1e9;
+    if let Ok(value) = HeaderValue::try_from(format!("{seconds:.3}")) {
+        if retry_after > 0 && gateway.config.settings.retry_after {
+            response.headers_mut().insert(header::RETRY_AFTER, value);
+        }
+    }
+    response
+}
+
+fn text(status: StatusCode, text: &'static str) -> Response<AnswerBody> {
+    let text = (!text.is_empty()).then(|| Bytes::from_static(text.as_bytes()));
+    let mut response = Response::new(AnswerBody::Text(text));
+    *response.status_mut() = status;
+    response
+}
+
+fn closing(mut response: Response<AnswerBody>) -> Response<AnswerBody> {
+    response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
+    response
+}
+
+enum BodyError {
+    TooLarge,
+    NoRoom,
+    Broken,
+}
+
+/// Reads a body whole. Without room for it the rest is read and thrown away: the client gets its refusal when
+/// it listens, and not a reset in the middle of its sending.
+async fn take(gateway: &Gateway, throw_away: bool, mut body: Incoming) -> Result<Pieces, BodyError> {
+    if body.size_hint().lower() > MOST_BODY {
+        return Err(BodyError::TooLarge);
+    }
+    let mut pieces = Some(Pieces::new(gateway.budget.lease())).filter(|_| !throw_away);
+    let mut len = 0;
+    while let Some(frame) = body.frame().await {
+        let frame = frame.map_err(|_| BodyError::Broken)?;
+        let Ok(data) = frame.into_data() else { continue };
+        len += data.len() as u64;
+        if len > MOST_BODY {
+            return Err(BodyError::TooLarge);
+        }
+        if pieces.as_mut().is_some_and(|p| !p.push(data)) {
+            pieces = None;
+        }
+    }
+    pieces.ok_or(BodyError::NoRoom)
+}
--- /dev/null
+++ b/src/net/config.rs
@@ -0,0 +1,151 @@
+//! The configuration file: read once, refused with one line when it cannot be acted on.
+
+use super::discovery::HostList;
+use serde::Deserialize;
+use serde_json::Value;
+use std::net::SocketAddr;
+use std::path::Path;
+use yarrowfield::interface::{Nanos, Settings};
+use yarrowfield::settings::{self, Pairs};
+
+/// Why the node cannot start.
+#[derive(Debug, thiserror::Error)]
+pub enum ConfigError {
+    #[error("GW_CONFIG does not name a configuration file")]
+    Unset,
+    #[error("cannot read {path}: {error}")]
+    Unreadable { path: String, error: std::io::Error },
+    #[error("{path}: {error}")]
+    Malformed { path: String, error: serde_json::Error },
+    #[error("{path}: settings: {error}")]
+    Settings { path: String, error: String },
+    #[error("{path}: `limits.{name}` is too small to serve with")]
+    Limit { path: String, name: &'static str },
+}
+
+#[derive(Deserialize)]
+struct File {
+    listen: SocketAddr,
+    discovery: SocketAddr,
+    #[serde(default)]
+    seed: String,
+    limits: Limits,
+    known: Option<HostList>,
+    settings: Value,
+}
+
+/// What the machine gives the node.
+#[derive(Clone, Copy, Debug, Deserialize)]
+pub struct Limits {
+    pub memory_mb: u64,
+    pub sockets: usize,
+}
+
+/// All that the node is told at its start.
+#[derive(Debug)]
+pub struct Config {
+    pub listen: SocketAddr,
+    pub discovery: SocketAddr,
+    pub seed: u64,
+    pub limits: Limits,
+    /// The list of servers as an earlier life of this node had it.
+    pub known: Option<HostList>,
+    pub settings: Settings,
+    /// A server may close a connection that has stood idle for this long.
+    pub conn_idle: Nanos,
+    /// A connection that is not up after this has failed.
+    pub connect_timeout: Nanos,
+    pub classes: Vec<String>,
+    pub tenants: Vec<String>,
+    pub zones: Vec<String>,
+    pub kinds: Vec<String>,
+}
+
+impl Config {
+    pub fn load() -> Result<Self, ConfigError> {
+        let path = std::env::var("GW_CONFIG").map_err(|_| ConfigError::Unset)?;
+        let bytes = std::fs::read(Path::new(&path))
+            .map_err(|error| ConfigError::Unreadable { path: path.clone(), error })?;
+        Self::parse(&path, &bytes)
+    }
+
+    fn parse(path: &str, bytes: &[u8]) -> Result<Self, ConfigError> {
+        let path = path.to_owned();
+        let file: File = serde_json::from_slice(bytes)
+            .map_err(|error| ConfigError::Malformed { path: path.clone(), error })?;
+        for (name, value, least) in
+            [("memory_mb", file.limits.memory_mb, 16), ("sockets", file.limits.sockets as u64, 48)]
+        {
+            if value < least {
+                return Err(ConfigError::Limit { path, name });
+            }
+        }
+        let mut pairs = Pairs::default();
+        flatten("", &file.settings, &mut pairs);
+        let fault = |error| ConfigError::Settings { path: path.clone(), error };
+        let (settings, _) = settings::parse(&pairs).map_err(fault)?;
+        let names = |list: &str| names(&file.settings[list]);
+        Ok(Config {
+            conn_idle: pairs.get("caps.connIdleNs").map_err(fault)?,
+            connect_timeout: pairs.get("caps.connectTimeoutNs").map_err(fault)?,
+            classes: names("classes"),
+            tenants: names("tenants"),
+            zones: names("zones"),
+            kinds: names("skus"),
+            listen: file.listen,
+            discovery: file.discovery,
+            // Any text is a seed: what counts is that it is new with each start.
+            seed: u64::from_str_radix(&file.seed, 16).unwrap_or_else(|_| super::mix(file.seed.as_bytes())),
+            limits: file.limits,
+            known: file.known,
+            settings,
+        })
+    }
+}
+
+fn names(list: &Value) -> Vec<String> {
+    let name = |item: &Value| item.as_str().or(item["name"].as_str()).unwrap_or_default().to_owned();
+    list.as_array().map(|items| items.iter().map(name).collect()).unwrap_or_default()
+}
+
+/// The paths of the simulator's `path=value` lines: plain lists joined by commas, objects numbered.
+fn flatten(path: &str, value: &Value, pairs: &mut Pairs) {
+    let under = |name: &str| if path.is_empty() { name.to_owned() } else { format!("{path}.{name}") };
+    match value {
+        Value::Object(fields) => fields.iter().for_each(|(name, v)| flatten(&under(name), v, pairs)),
+        Value::Array(items) if items.iter().any(Value::is_object) => {
+            pairs.set(&under("count"), &items.len().to_string());
+            items.iter().enumerate().for_each(|(k, v)| flatten(&under(&k.to_string()), v, pairs));
+        }
+        Value::Array(items) => pairs.set(path, &items.iter().map(plain).collect::<Vec<_>>().join(",")),
+        Value::Null => {}
+        _ => pairs.set(path, &plain(value)),
+    }
+}
+
+fn plain(value: &Value) -> String {
+    match value {
+        Value::String(text) => text.replace([' ', ','], "_"),
+        other => other.to_string(),
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn json_flattens_to_the_wire_paths() {
+        let json = serde_json::json!({"zone": 1, "zones": ["a b", "c"], "caps": {"x": true, "none": null},
+            "classes": [{"name": "status", "aimNs": 5}], "tenants": []});
+        let mut pairs = Pairs::default();
+        flatten("", &json, &mut pairs);
+        let get = |key: &str| pairs.get::<String>(key).ok();
+        assert_eq!(get("zones").as_deref(), Some("a_b,c"));
+        assert_eq!(get("classes.count").as_deref(), Some("1"));
+        assert_eq!(get("classes.0.aimNs").as_deref(), Some("5"));
+        assert_eq!(get("caps.x").as_deref(), Some("true"));
+        assert_eq!(get("caps.none"), None);
+        assert_eq!(names(&json["classes"]), ["status"]);
+    }
+}
--- /dev/null
+++ b/src/net/io.rs
@@ -0,0 +1,191 @@
+//! One TCP connection, shared between hyper and the node: hyper reads and writes it, the node asks what has
+//! gone over it.
+
+use std::cell::{Cell, RefCell};
+use std::io;
+use std::mem::MaybeUninit;
+use std::pin::Pin;
+use std::rc::Rc;
+use std::task::{ready, Context, Poll};
+use std::time::Instant;
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::net::TcpStream;
+
+/// Whether descriptors are used up, for the process (EMFILE) or for the system (ENFILE).
+pub fn exhausted(error: &io::Error) -> bool {
+    matches!(error.raw_os_error(), Some(24 | 23))
+}
+
+/// A connection and what the node has to know of it.
+#[derive(Debug)]
+pub struct Socket {
+    stream: TcpStream,
+    /// When the first of what has come since the node last cleared this came.
+    pub heard: Cell<Option<Instant>>,
+    /// Something has gone either way since the node last cleared this.
+    pub moved: Cell<bool>,
+    outgoing: Cell<Outgoing>,
+    first: RefCell<Vec<u8>>,
+}
+
+/// How much of what comes first is kept as it came.
+const FIRST: usize = 2048;
+
+/// How much of a request has been handed to the kernel. A request of which it does not have the last byte
+/// cannot have run, and only that proves that an unsafe one may be sent again.
+#[derive(Clone, Copy, Debug, Default)]
+struct Outgoing {
+    /// How many bytes of the blank line that ends a head have just gone by.
+    blank: u8,
+    body_left: u64,
+}
+
+impl Outgoing {
+    fn note(&mut self, bytes: &[u8]) {
+        let mut at = 0;
+        while at < bytes.len() {
+            self.blank = match (bytes[at], self.blank) {
+                (b'\r', 2) => 3,
+                (b'\r', _) => 1,
+                (b'\n', 1) => 2,
+                (b'\n', 3) => 4,
+                _ => 0,
+            };
+            at += 1;
+        }
+        self.body_left = self.body_left.saturating_sub((bytes.len() - at) as u64);
+    }
+}
+
+impl Socket {
+    pub fn new(stream: TcpStream) -> Rc<Self> {
+        let _ = stream.set_nodelay(true);
+        Rc::new(Socket {
+            stream,
+            heard: Cell::new(None),
+            moved: Cell::new(true),
+            outgoing: Cell::default(),
+            first: RefCell::default(),
+        })
+    }
+
+    fn hear(&self, bytes: &[u8]) {
+        self.moved.set(true);
+        let mut first = self.first.borrow_mut();
+        if self.heard.get().is_none() {
+            self.heard.set(Some(Instant::now()));
+            first.clear();
+        }
+        let room = FIRST - first.len();
+        first.extend_from_slice(&bytes[..bytes.len().min(room)]);
+    }
+
+    /// Whether this, in small letters, stands in what came first.
+    pub fn said(&self, text: &str) -> bool {
+        let first = self.first.borrow().to_ascii_lowercase();
+        first.windows(text.len()).any(|w| w == text.as_bytes())
+    }
+
+    /// A request with a body of this length is about to be written.
+    pub fn expect_request(&self, body: u64) {
+        self.outgoing.set(Outgoing { body_left: body, ..Outgoing::default() });
+    }
+
+    /// The kernel has the last byte of the request: from here on it may have run.
+    pub fn written(&self) -> bool {
+        let o = self.outgoing.get();
+        o.body_left == 0
+    }
+
+    /// Nothing has come and the peer has not closed. This asks the kernel itself: what the runtime knows may
+    /// be older than a close that would lose the next request.
+    pub fn quiet(&self) -> bool {
+        let mut byte = [MaybeUninit::uninit()];
+        let seen = socket2::SockRef::from(&self.stream).peek(&mut byte);
+        matches!(seen, Err(e) if e.kind() == io::ErrorKind::WouldBlock)
+    }
+}
+
+/// The side of a [`Socket`] that hyper holds.
+pub struct SocketIo(pub Rc<Socket>);
+
+impl AsyncRead for SocketIo {
+    fn poll_read(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &mut ReadBuf<'_>) -> Poll<io::Result<()>> {
+        loop {
+            ready!(self.0.stream.poll_read_ready(cx))?;
+            let before = buf.filled().len();
+            match self.0.stream.try_read_buf(buf) {
+                Ok(n) => {
+                    if n > 0 {
+                        self.0.hear(&buf.filled()[before..]);
+                    }
+                    return Poll::Ready(Ok(()));
+                }
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
+                Err(e) => return Poll::Ready(Err(e)),
+            }
+        }
+    }
+}
+
+impl AsyncWrite for SocketIo {
+    fn poll_write(self: Pin<&mut Self>, cx: &mut Context<'_>, bytes: &[u8]) -> Poll<io::Result<usize>> {
+        self.poll_write_vectored(cx, &[io::IoSlice::new(bytes)])
+    }
+
+    fn poll_write_vectored(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        slices: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        loop {
+            ready!(self.0.stream.poll_write_ready(cx))?;
+            match self.0.stream.try_write_vectored(slices) {
+                Ok(n) => {
+                    self.0.moved.set(true);
+                    let (mut outgoing, mut left) = (self.0.outgoing.get(), n);
+                    for slice in slices {
+                        let part = left.min(slice.len());
+                        outgoing.note(&slice[..part]);
+                        left -= part;
+                    }
+                    self.0.outgoing.set(outgoing);
+                    return Poll::Ready(Ok(n));
+                }
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
+                Err(e) => return Poll::Ready(Err(e)),
+            }
+        }
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        true
+    }
+
+    fn poll_flush(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Poll::Ready(Ok(()))
+    }
+
+    fn poll_shutdown(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Poll::Ready(socket2::SockRef::from(&self.0.stream).shutdown(std::net::Shutdown::Write))
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// A kept connection that its server has closed is noticed without the runtime's having been told.
+    #[tokio::test]
+    async fn a_close_ends_the_quiet() {
+        let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+        let socket = Socket::new(TcpStream::connect(listener.local_addr().unwrap()).await.unwrap());
+        let peer = listener.accept().unwrap().0;
+        assert!(socket.quiet());
+        drop(peer);
+        let start = std::time::Instant::now();
+        while socket.quiet() {
+            assert!(start.elapsed().as_secs() < 20, "the close never came");
+        }
+    }
+}
--- /dev/null
+++ b/src/settings.rs
@@ -0,0 +1,154 @@
+//! Reads an instance's settings from `path=value` pairs: the adapter gets them as lines, the node flattens its
+//! JSON to the same paths. Unknown keys are skipped, missing or broken ones named.
+
+use crate::interface::{Class, Effect, Group, Settings};
+use std::collections::BTreeMap;
+use std::str::FromStr;
+
+/// Settings by their path.
+#[derive(Clone, Debug, Default)]
+pub struct Pairs(BTreeMap<String, String>);
+
+impl Pairs {
+    /// Reads `path=value` lines.
+    pub fn from_lines(bytes: &[u8]) -> Result<Self, String> {
+        let text = std::str::from_utf8(bytes).map_err(|e| format!("not UTF-8: {e}"))?;
+        let mut pairs = Pairs::default();
+        for (n, line) in text.lines().enumerate().filter(|(_, l)| !l.trim().is_empty()) {
+            let (key, value) =
+                line.split_once('=').ok_or_else(|| format!("line {}: no `=` in `{line}`", n + 1))?;
+            pairs.set(key.trim(), value.trim());
+        }
+        Ok(pairs)
+    }
+
+    /// Adds a value, in place of one that was there.
+    pub fn set(&mut self, key: &str, value: &str) {
+        self.0.insert(key.to_owned(), value.to_owned());
+    }
+
+    fn text(&self, key: &str) -> Result<&str, String> {
+        self.0.get(key).map(String::as_str).ok_or_else(|| format!("`{key}` is missing"))
+    }
+
+    /// The value at a path.
+    pub fn get<T: FromStr>(&self, key: &str) -> Result<T, String> {
+        let text = self.text(key)?;
+        text.parse().map_err(|_| format!("`{key}` has the unreadable value `{text}`"))
+    }
+
+    fn or<T: FromStr>(&self, key: &str, absent: T) -> Result<T, String> {
+        if self.0.contains_key(key) {
+            self.get(key)
+        } else {
+            Ok(absent)
+        }
+    }
+
+    fn count(&self, list: &str) -> Result<usize, String> {
+        let n: usize = self.or(&format!("{list}.count"), 0)?;
+        if n > self.0.len() {
+            return Err(format!("`{list}.count` is {n}, more than there are lines"));
+        }
+        Ok(n)
+    }
+
+    fn position(&self, key: &str, limit: usize) -> Result<usize, String> {
+        let n: usize = self.get(key)?;
+        if n < limit {
+            Ok(n)
+        } else {
+            Err(format!("`{key}` is {n}, beyond its list of {limit}"))
+        }
+    }
+}
+
+fn choice<T: Copy>(pairs: &Pairs, key: &str, choices: &[(&str, T)]) -> Result<T, String> {
+    let text = pairs.text(key)?;
+    let found = choices.iter().find(|(name, _)| *name == text);
+    found.map(|(_, value)| *value).ok_or_else(|| format!("`{key}` has the unknown value `{text}`"))
+}
+
+fn class(pairs: &Pairs, k: usize) -> Result<Class, String> {
+    let key = |name: &str| format!("classes.{k}.{name}");
+    let effects = [("pure", Effect::Safe), ("token", Effect::Keyed), ("side_effect", Effect::Unsafe)];
+    let groups = [("all", Group::All), ("zone", Group::Zone), ("cell", Group::Cell)];
+    let effect = choice(pairs, &key("effect"), &effects)?;
+    let keyed = effect == Effect::Keyed;
+    Ok(Class {
+        aim: pairs.get(&key("aimNs"))?,
+        give_up: pairs.get(&key("giveUpNs"))?,
+        worth: pairs.get(&key("worth"))?,
+        late_worth: pairs.or(&key("lateWorth"), 0.0)?,
+        effect,
+        group: if keyed { choice(pairs, &key("group"), &groups)? } else { Group::All },
+        window: if keyed { pairs.get(&key("windowNs"))? } else { 0 },
+        stream: pairs.or(&key("stream"), false)?,
+    })
+}
+
+/// A value that a load report can carry, by its name on the wire.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[allow(missing_docs)] // The names say it all.
+pub enum ReportField {
+    Concurrent,
+    Queued,
+    Utilisation,
+    ServiceMs,
+    Rate,
+    ErrorRate,
+    Unknown,
+}
+
+impl ReportField {
+    /// Names that are not known are skipped.
+    pub fn from_name(name: &str) -> Self {
+        match name {
+            "concurrent" => ReportField::Concurrent,
+            "depth" => ReportField::Queued,
+            "load_share" => ReportField::Utilisation,
+            "mean_ms" => ReportField::ServiceMs,
+            "tps" => ReportField::Rate,
+            "err_ps" => ReportField::ErrorRate,
+            _ => ReportField::Unknown,
+        }
+    }
+}
+
+/// Settings and the order of the load report's values.
+pub fn parse(pairs: &Pairs) -> Result<(Settings, Vec<ReportField>), String> {
+    let classes = (0..pairs.count("classes")?).map(|k| class(pairs, k)).collect::<Result<_, _>>()?;
+    let tenant_quota = (0..pairs.count("tenants")?)
+        .map(|k| pairs.get(&format!("tenants.{k}.quotaPerS")))
+        .collect::<Result<_, _>>()?;
+    let zones = pairs.text("zones")?.split(',').count();
+    let silent = pairs.or("report.via", String::new())? == "silent";
+    let names = if silent { String::new() } else { pairs.or("report.names", String::new())? };
+    let retry_after = pairs.or("caps.retryAfter", false)?;
+    let settings = Settings {
+        classes,
+        tenant_quota,
+        over_share_worth: pairs.or("overShareWorth", 1.0)?,
+        worth_by_work: pairs.or("countedBy", String::new())? == "work",
+        zone: pairs.position("zone", zones.min(256))? as u8,
+        ordinal: pairs.get("ordinal")?,
+        group_size: pairs.get("groupSize")?,
+        must_subscribe: choice(pairs, "registryMode", &[("automatic", false), ("subscribe", true)])?,
+        max_attempts: pairs.get("caps.maxAttempts")?,
+        second_copies: pairs.get("caps.secondCopies")?,
+        cancel: pairs.get("caps.cancelling")?,
+        probes: pairs.get("caps.mayProbe")?,
+        peers: pairs.get("caps.peers")?,
+        retry_after,
+        max_retry_after: if retry_after { pairs.get("caps.maxRetryAfterNs")? } else { 0 },
+        cold_from: pairs.get("guarantees.coldFrom")?,
+        ramp: pairs.get("guarantees.rampTimeNs")?,
+        tip_multiple: pairs.get("guarantees.tipMultiple")?,
+        fall: pairs.get("guarantees.fallNs")?,
+        sizes_known: pairs.or("weightSource", String::from("none"))? != "none",
+        warm_keys: pairs.or("familyInfo.warmKeys", false)?,
+        cross_price: pairs.or("prices.crossZone", 0.0)?,
+    };
+    settings.validate().map_err(|e| e.to_string())?;
+    Ok((settings, names.split(',').map(ReportField::from_name).collect()))
+}
--- /dev/null
+++ b/tests/common/mod.rs
@@ -0,0 +1,97 @@
+//! Helpers for driving a balancer by hand.
+#![allow(dead_code)]
+
+use yarrowfield::interface::*;
+use yarrowfield::Balancer;
+
+pub const MS: Nanos = 1_000_000;
+
+pub fn endpoint(k: u8) -> Endpoint {
+    Endpoint { address: [10, 0, 0, k], port: 80 }
+}
+
+pub fn servers(n: u8) -> Vec<Server> {
+    (0..n).map(|k| Server::warm(endpoint(k))).collect()
+}
+
+pub fn settings(effect: Effect) -> Settings {
+    let mut settings = Settings::single_class(400 * MS, 800 * MS);
+    settings.classes[0].effect = effect;
+    settings.classes[0].window = 600 * MS;
+    settings.max_attempts = 4;
+    settings
+}
+
+pub struct Bed {
+    pub balancer: Balancer,
+    pub now: Nanos,
+    next: RequestId,
+}
+
+impl Bed {
+    pub fn new(settings: Settings, list: Vec<Server>, seed: u64) -> Self {
+        let balancer = Balancer::new(settings, seed).expect("sound settings");
+        let mut bed = Bed { balancer, now: 1_000_000 * MS, next: 0 };
+        bed.list(ListKind::Full, list);
+        bed
+    }
+
+    pub fn feed(&mut self, event: Event) -> Vec<Action> {
+        let mut sink = Vec::new();
+        self.balancer.handle(self.now, event, &mut sink);
+        sink
+    }
+
+    pub fn list(&mut self, kind: ListKind, servers: Vec<Server>) -> Vec<Action> {
+        self.feed(Event::List { kind, servers })
+    }
+
+    /// A new request of class 0 with 800 ms to go.
+    pub fn request(&mut self) -> (RequestId, Vec<Action>) {
+        self.hinted(None)
+    }
+
+    /// The same with a hint of its work.
+    pub fn hinted(&mut self, work_hint: Option<Nanos>) -> (RequestId, Vec<Action>) {
+        self.next += 1;
+        let id = self.next;
+        let request = Request { work_hint, ..Request::new(id, self.now + 800 * MS) };
+        (id, self.feed(Event::Request(request)))
+    }
+
+    pub fn outcome(
+        &mut self,
+        request: RequestId,
+        server: Endpoint,
+        attempt: u8,
+        took: Nanos,
+        ending: Ending,
+    ) -> Vec<Action> {
+        let finished = ending == Ending::Ok;
+        self.feed(Event::Outcome { request, server, attempt, finished, took, ending, report: None })
+    }
+
+    /// Sends one request and answers it at once after `took`; tells where it went.
+    pub fn served(&mut self, took: Nanos) -> Option<Endpoint> {
+        let (id, actions) = self.request();
+        let server = sent(&actions, id)?;
+        self.outcome(id, server, 0, took, Ending::Ok);
+        Some(server)
+    }
+}
+
+/// Where the request went, if it was sent.
+pub fn sent(actions: &[Action], id: RequestId) -> Option<Endpoint> {
+    actions.iter().find_map(|a| match a {
+        Action::Send { request, server, .. } if *request == id => Some(*server),
+        _ => None,
+    })
+}
+
+pub fn refused(actions: &[Action], id: RequestId) -> bool {
+    actions.iter().any(|a| matches!(a, Action::Refuse { request, .. } if *request == id))
+}
+
+pub fn failed(actions: &[Action], id: RequestId) -> bool {
+    actions.iter().any(|a| matches!(a, Action::Fail { request } if *request == id))
+}
--- /dev/null
+++ b/tests/incidents.rs
@@ -0,0 +1,231 @@
+//! What failed in an incident or a round must not fail again.
+
+mod common;
+use common::*;
+use std::collections::{BTreeMap, BTreeSet};
+use yarrowfield::interface::*;
+
+/// Lets all of a fleet answer just before the client's end for two seconds.
+fn jam(bed: &mut Bed) {
+    for _ in 0..200 {
+        bed.now += 10 * MS;
+        bed.served(780 * MS);
+    }
+}
+
+/// A node that refuses nearly all in a jam has to find out that the jam is over (incidents i2aee08, i42901a).
+#[test]
+fn a_jam_is_forgotten() {
+    let mut bed = Bed::new(settings(Effect::Safe), servers(10), 3);
+    for _ in 0..300 {
+        bed.now += 10 * MS;
+        bed.served(100 * MS);
+    }
+    jam(&mut bed);
+    let (id, actions) = bed.request();
+    assert!(refused(&actions, id), "in the jam an answer in time is unlikely: {actions:?}");
+    bed.now += 2_000 * MS;
+    let (id, actions) = bed.request();
+    assert!(sent(&actions, id).is_some(), "the jam is long over: {actions:?}");
+}
+
+/// Second copies help against a silent server on calm days and feed a jam (round 9).
+#[test]
+fn copies_stop_in_a_jam() {
+    let copies = |jammed: bool| {
+        let mut s = settings(Effect::Safe);
+        s.second_copies = true;
+        // Aims so long that nothing is refused: only the budget decides.
+        s.classes[0].aim = 799 * MS;
+        let mut bed = Bed::new(s, servers(10), 3);
+        for _ in 0..300 {
+            bed.now += 10 * MS;
+            bed.served(if jammed { 700 * MS } else { 100 * MS });
+        }
+        let mut copies = 0;
+        for _ in 0..20 {
+            let (id, _) = bed.request();
+            bed.now += 400 * MS;
+            let actions = bed.feed(Event::Timer { token: 0 });
+            copies += u32::from(sent(&actions, id).is_some());
+            bed.feed(Event::ClientGone { request: id });
+        }
+        copies
+    };
+    let (calm, jammed) = (copies(false), copies(true));
+    assert!(calm >= 2 && jammed * 2 < calm, "{calm} copies in calm, {jammed} in a jam");
+}
+
+/// A time-out alone ejects nobody: in an overload it would push the work onto ever fewer servers (round 1).
+#[test]
+fn a_time_out_does_not_eject() {
+    let mut bed = Bed::new(settings(Effect::Unsafe), servers(1), 3);
+    let (id, actions) = bed.request();
+    let server = sent(&actions, id).unwrap();
+    bed.now += 800 * MS;
+    assert!(failed(&bed.outcome(id, server, 0, 800 * MS, Ending::TimedOut), id));
+    bed.now += 10_000 * MS;
+    assert_eq!(bed.served(50 * MS), Some(server));
+    let (id, _) = bed.request();
+    bed.outcome(id, server, 0, MS, Ending::ConnectFailed);
+    assert_eq!(bed.served(50 * MS), None, "a dead one is ejected");
+}
+
+/// An old report fades to the usual queue, so a server unheard of does not look idle (round 7).
+#[test]
+fn an_old_report_does_not_look_idle() {
+    let mut bed = Bed::new(settings(Effect::Safe), servers(2), 3);
+    let report = |queued| Some(Report { queued: Some(queued), ..Report::default() });
+    let tell = |bed: &mut Bed, k, queued| {
+        let (server, report) = (endpoint(k), report(queued));
+        bed.feed(Event::Probed { server, ending: Ending::Ok, took: MS, report });
+    };
+    for _ in 0..300 {
+        tell(&mut bed, 0, 4.0);
+        tell(&mut bed, 1, 4.0);
+    }
+    // Server 0's report grows old while server 1 is known to be shorter than usual.
+    bed.now += 5_000 * MS;
+    tell(&mut bed, 1, 2.0);
+    let (id, actions) = bed.request();
+    assert_eq!(sent(&actions, id), Some(endpoint(1)));
+}
+
+/// Requests of one key keep to one server while all are quick, and leave it when it is slow.
+#[test]
+fn a_key_keeps_its_server() {
+    let mut s = settings(Effect::Safe);
+    s.warm_keys = true;
+    let mut bed = Bed::new(s, servers(20), 3);
+    let mut homes: BTreeMap<u64, BTreeSet<Endpoint>> = BTreeMap::new();
+    let mut id = 0;
+    let mut ask = |bed: &mut Bed, key, took: &dyn Fn(Endpoint) -> Nanos| {
+        id += 1;
+        bed.now += 20 * MS;
+        let request = Request { key, ..Request::new(id, bed.now + 800 * MS) };
+        let server = sent(&bed.feed(Event::Request(request)), id).expect("sent");
+        bed.outcome(id, server, 0, took(server), Ending::Ok);
+        server
+    };
+    for round in 0..200u64 {
+        let server = ask(&mut bed, 1 + round % 10, &|_| 100 * MS);
+        homes.entry(1 + round % 10).or_default().insert(server);
+    }
+    assert!(homes.values().all(|h| h.len() == 1), "{homes:?}");
+    let slow = *homes[&1].iter().next().unwrap();
+    let stays =
+        (0..60).filter(|_| ask(&mut bed, 1, &|s| if s == slow { 380 * MS } else { 100 * MS }) == slow);
+    assert!(stays.count() < 20);
+}
+
+/// Hints tell heavy requests from slow servers: one that cannot be answered in time is refused at once, and
+/// answers that take long because they were heavy do not make the fleet look jammed (incident i1d8653).
+#[test]
+fn a_heavy_answer_is_no_jam() {
+    let mut bed = Bed::new(settings(Effect::Safe), servers(6), 3);
+    let serve = |bed: &mut Bed, hint: Nanos| {
+        bed.now += 10 * MS;
+        let (id, actions) = bed.hinted(Some(hint));
+        if let Some(server) = sent(&actions, id) {
+            bed.outcome(id, server, 0, 40 * MS + hint, Ending::Ok);
+        }
+        sent(&actions, id).is_some()
+    };
+    for k in 0..600 {
+        assert!(serve(&mut bed, if k % 20 == 0 { 200 * MS } else { 20 * MS }), "request {k} fits its aim");
+    }
+    assert!(!serve(&mut bed, 2_000 * MS), "no server answers this in time");
+    for k in 0..30 {
+        assert!(serve(&mut bed, 200 * MS), "heavy request {k} in a row fits its aim");
+    }
+    assert!(serve(&mut bed, 20 * MS));
+}
+
+/// With many nodes each ranks its own part of a zone, the parts cover the zone about evenly, and a fleet that
+/// grows leaves no node with a few warm servers only (incidents i9aa72d, i1d8653; quotes rough-1).
+#[test]
+fn nodes_share_out_the_fleet() {
+    let mut met = BTreeMap::new();
+    for ordinal in 0..40 {
+        let mut s = settings(Effect::Safe);
+        (s.ordinal, s.group_size) = (ordinal, 40);
+        let mut bed = Bed::new(s, servers(60), 3);
+        let mut mine = BTreeSet::new();
+        for _ in 0..200 {
+            // Answers of uneven length keep the queues from tying, so that all in the part are met.
+            let took = (40 + 37 * (mine.len() as Nanos + bed.now / MS) % 200) * MS;
+            bed.now += 7 * MS;
+            mine.insert(bed.served(took).expect("an idle fleet takes all"));
+        }
+        assert!((8..=16).contains(&mine.len()), "node {ordinal} meets {} servers", mine.len());
+        mine.into_iter().for_each(|server| *met.entry(server).or_insert(0u32) += 1);
+    }
+    assert_eq!(met.len(), 60, "every server is met");
+    assert!(met.values().all(|n| (4..=14).contains(n)), "{met:?}");
+}
+
+/// A part is counted by what its servers can take now: half a fleet of cold ones makes it larger.
+#[test]
+fn cold_servers_enlarge_a_part() {
+    let warm = |cold: bool| {
+        let mut s = settings(Effect::Safe);
+        (s.group_size, s.ramp, s.cold_from) = (40, 10_000 * MS, 0.1);
+        let mut list = servers(60);
+        for server in list.iter_mut().step_by(2).filter(|_| cold) {
+            server.started_at = 1_000_000 * MS;
+        }
+        let even = |e: &Endpoint| e.address[3].is_multiple_of(2);
+        let mut bed = Bed::new(s, list, 3);
+        let mut met = BTreeSet::new();
+        for _ in 0..200 {
+            bed.now += 7 * MS;
+            let took = (40 + 37 * (bed.now / MS) % 200) * MS;
+            met.extend(bed.served(took).filter(|e| !even(e)));
+        }
+        met.len()
+    };
+    assert!(warm(true) > warm(false), "{} warm servers beside cold ones, {} else", warm(true), warm(false));
+}
+
+/// A tenant that asks for five times its share gets its share, not all and not less for asking again after
+/// refusals; another within its share gets all (incident i02148f).
+#[test]
+fn a_tenant_gets_its_share() {
+    let mut s = settings(Effect::Safe);
+    s.tenant_quota = vec![20.0, 20.0];
+    s.over_share_worth = 0.1;
+    let mut bed = Bed::new(s, servers(6), 3);
+    let mut let_in = [0u32; 2];
+    for step in 0..1_000 {
+        bed.now += 10 * MS;
+        for tenant in (0..2).filter(|&t| t == 0 || step % 10 == 0) {
+            let id = 10_000 + 2 * step + tenant;
+            let request = Request { tenant, ..Request::new(id, bed.now + 800 * MS) };
+            let actions = bed.feed(Event::Request(request));
+            if let Some(server) = sent(&actions, id) {
+                bed.outcome(id, server, 0, 130 * MS, Ending::Ok);
+                let_in[tenant as usize] += 1;
+            }
+        }
+    }
+    assert!((200..=400).contains(&let_in[0]), "{} let in of 200 in its share", let_in[0]);
+    assert_eq!(let_in[1], 100, "all is within the share");
+}
+
+/// An answer that still earns half its worth late is waited for longer (round 32).
+#[test]
+fn late_worth_is_waited_for() {
+    let let_in = |late_worth: f64| {
+        let mut s = settings(Effect::Safe);
+        s.classes[0].late_worth = late_worth;
+        let mut bed = Bed::new(s, servers(6), 3);
+        (0..100)
+            .filter(|_| {
+                bed.now += 10 * MS;
+                bed.served(380 * MS).is_some()
+            })
+            .count()
+    };
+    let (nothing, half) = (let_in(0.0), let_in(0.5));
+    assert!(half > nothing + 10, "{nothing} let in where late is lost, {half} where it earns half");
+}
--- /dev/null
+++ b/tests/node.rs
@@ -0,0 +1,342 @@
+//! The real node between scripted peers: every ending of an attempt, deadlines, drains, shutdown, bad input.
+
+mod peers;
+
+use peers::*;
+use std::io::{Read, Write};
+use std::sync::atomic::Ordering::SeqCst;
+use std::time::{Duration, Instant};
+
+/// A node before two servers of which the first request's gets this, and all others an `ok`.
+fn first_gets(bad: fn() -> Reply) -> (Node, Discovery, Servers) {
+    let servers = Servers::new(2, move |n, _| if n == 0 { bad() } else { ok("fine") });
+    let (node, discovery) = Node::with(&servers);
+    (node, discovery, servers)
+}
+
+#[test]
+fn an_answer_comes_back_whole_and_connections_are_kept() {
+    let servers = Servers::new(1, |_, m| Reply::Say(response("200 OK", "X-Own: yes\r\n", &m.body)));
+    let (node, _discovery) = Node::with(&servers);
+    let body = vec![b'x'; 40_000];
+    let mut client = node.connect();
+    for _ in 0..3 {
+        client.write_all(&post("/once/7?a=b", &body)).unwrap();
+        let answer = read(&mut client).unwrap();
+        assert_eq!((answer.status(), answer.header("x-own")), (200, Some("yes")));
+        assert_eq!(answer.body, body);
+    }
+    let requests = servers.requests.lock().unwrap();
+    assert!(requests[0].head.starts_with("POST /once/7?a=b HTTP/1.1"));
+    assert_eq!(requests[0].header("x-request-id"), Some("2"));
+    let left: u64 = requests[0].header("x-timeout-ms").unwrap().parse().unwrap();
+    assert!((2000..=2500).contains(&left), "{left}");
+    assert_eq!(servers.connected(), 1);
+}
+
+#[test]
+fn a_safe_request_goes_to_another_server() {
+    let endings: [fn() -> Reply; 4] = [
+        || Reply::Say(response("500 No", "", b"")),
+        || Reply::Reset,
+        || Reply::Last(b"\x16\x03\x01".to_vec()),
+        || Reply::Last(b"HTTP/1.1 200 OK\r\nContent-Length: 60000\r\n\r\nhalf".to_vec()),
+    ];
+    for (k, ending) in endings.into_iter().enumerate() {
+        let (node, _discovery, servers) = first_gets(ending);
+        let answer = node.get("/safe/1", "").unwrap();
+        assert_eq!((answer.status(), &answer.body[..], servers.seen()), (200, &b"fine"[..], 2), "ending {k}");
+    }
+}
+
+#[test]
+fn what_never_ran_is_sent_again() {
+    for status in ["503 Busy", "504 Late"] {
+        let servers = Servers::new(2, move |n, _| match n {
+            0 => Reply::Say(response(status, "X-Not-Processed: 1\r\n", b"")),
+            _ => ok("fine"),
+        });
+        let (node, _discovery) = Node::with(&servers);
+        assert_eq!(node.post("/once/1", b"body").unwrap().status(), 200);
+        assert_eq!(servers.seen(), 2);
+    }
+    // Nobody listens at some of the addresses.
+    let servers = Servers::new(1, |_, _| ok("fine"));
+    let hosts = [host("s-0", servers.dials[0], "active"), host("s-1", nobody(), "active")];
+    let discovery = Discovery::new(vec![list(1, true, &hosts)], true);
+    let node = Node::start(discovery.address, &Options::default());
+    node.ready();
+    for k in 0..20 {
+        assert_eq!(node.post("/once/1", b"body").unwrap().status(), 200, "request {k}");
+    }
+}
+
+/// The last byte was never written: the proof that lets even an unsafe request go elsewhere.
+#[test]
+fn a_break_inside_the_request_is_proof() {
+    let breaker = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    let dial = breaker.local_addr().unwrap();
+    std::thread::spawn(move || {
+        for mut stream in breaker.incoming().flatten() {
+            let _ = stream.read(&mut [0; 1000]);
+            reset(stream);
+        }
+    });
+    let servers = Servers::new(1, |_, _| ok("fine"));
+    let hosts = [host("s-0", servers.dials[0], "active"), host("s-1", dial, "active")];
+    let discovery = Discovery::new(vec![list(1, true, &hosts)], true);
+    let node = Node::start(discovery.address, &Options::default());
+    node.ready();
+    // More than the sockets' buffers hold, so that the break comes before the end.
+    let body = vec![b'x'; 20_000_000];
+    for k in 0..4 {
+        assert_eq!(node.post("/once/1", &body).unwrap().status(), 200, "request {k}");
+    }
+    assert_eq!(servers.seen(), 4);
+}
+
+#[test]
+fn silence_ends_with_the_clients_time() {
+    let servers = Servers::new(2, |_, _| Reply::Silence);
+    let (node, _discovery) = Node::with(&servers);
+    for request in [get("/safe/1", "X-Timeout-Ms: 700\r\n"), get("/once/1", "X-Timeout-Ms: 700\r\n")] {
+        let start = Instant::now();
+        assert_eq!(node.raw(&request).unwrap().status(), 504);
+        let took = start.elapsed();
+        assert!(took >= Duration::from_millis(699) && took < Duration::from_millis(1500), "{took:?}");
+    }
+    assert_eq!(servers.seen(), 2);
+}
+
+#[test]
+fn a_long_answer_streams_and_a_break_shows() {
+    let long = |announced: usize, sent: usize| {
+        let mut out = format!("HTTP/1.1 200 OK\r\nContent-Length: {announced}\r\n\r\n").into_bytes();
+        out.resize(out.len() + sent, b'x');
+        Reply::Last(out)
+    };
+    let servers =
+        Servers::new(2, move |n, _| if n == 0 { long(900_000, 900_000) } else { long(900_000, 500_000) });
+    let (node, _discovery) = Node::with(&servers);
+    let answer = node.get("/safe/1", "").unwrap();
+    assert_eq!((answer.status(), answer.body.len(), answer.whole), (200, 900_000, true));
+    let cut = node.get("/safe/2", "").unwrap();
+    assert!(!cut.whole && cut.body.len() <= 500_000, "{}", cut.body.len());
+    // One without a length is no different.
+    let servers = Servers::new(2, move |n, _| {
+        let mut out = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n30d40\r\n".to_vec();
+        out.resize(out.len() + 200_000, b'y');
+        out.extend(if n == 0 { &b"\r\n0\r\n\r\n"[..] } else { b"\r\n" });
+        Reply::Last(out)
+    });
+    let (node, _discovery) = Node::with(&servers);
+    let answer = node.get("/safe/1", "").unwrap();
+    assert_eq!((answer.body.len(), answer.whole), (200_000, true));
+    assert!(!node.get("/safe/2", "").unwrap().whole);
+}
+
+/// A client that reads slowly says nothing of the server: the others must not be kept from it.
+#[test]
+fn a_slow_reader_does_not_make_its_server_look_hung() {
+    let servers = Servers::new(1, |n, _| match n {
+        0 => Reply::Say(response("200 OK", "", &vec![b'x'; 20_000_000])),
+        _ => ok("fine"),
+    });
+    let (node, _discovery) = Node::with(&servers);
+    let mut slow = node.connect();
+    slow.write_all(&get("/safe/1", "")).unwrap();
+    let mut begun = [0; 100];
+    slow.read_exact(&mut begun).unwrap();
+    // Longer than the module would wait for an answer.
+    std::thread::sleep(Duration::from_millis(1200));
+    assert_eq!(node.post("/once/1", b"body").unwrap().status(), 200);
+    let mut rest = Vec::new();
+    slow.set_read_timeout(Some(Duration::from_secs(1))).unwrap();
+    let _ = slow.read_to_end(&mut rest);
+    assert!(rest.len() > 19_999_900, "{}", rest.len());
+}
+
+/// A server may close a kept connection at any time: it must not be kept, nor the next request lost to it.
+#[test]
+fn a_closed_kept_connection_costs_nothing() {
+    let servers = Servers::new(1, |_, _| Reply::Last(response("200 OK", "", b"fine")));
+    let (node, _discovery) = Node::with(&servers);
+    for k in 0..3 {
+        assert_eq!(node.post("/once/1", b"body").unwrap().status(), 200, "request {k}");
+        until("the node has seen the close", || servers.closed.load(SeqCst) == k + 1);
+    }
+    assert_eq!((servers.seen(), servers.connected()), (3, 3));
+}
+
+#[test]
+fn kept_connections_are_closed_before_the_server_would() {
+    let servers = Servers::new(1, |_, _| ok("fine"));
+    let discovery = Discovery::new(vec![servers.list(1)], true);
+    let node = Node::start(discovery.address, &Options { idle_ms: 200, ..Options::default() });
+    node.ready();
+    let fresh = || {
+        let start = Instant::now();
+        assert_eq!(node.post("/once/1", b"body").unwrap().status(), 200);
+        start.elapsed()
+    };
+    fresh();
+    let before = servers.connected();
+    std::thread::sleep(Duration::from_millis(150));
+    fresh();
+    assert_eq!((before, servers.connected()), (1, 2));
+}
+
+#[test]
+fn nothing_new_goes_to_a_server_that_drains() {
+    let servers = Servers::new(2, |_, _| ok("fine"));
+    let (node, discovery) = Node::with(&servers);
+    let other = Servers::new(1, |_, _| ok("other"));
+    let mut hosts: Vec<_> =
+        (0..2).map(|k| host(&format!("s-{k}"), servers.dials[k], ["leaving", "left"][k])).collect();
+    hosts.push(host("s-2", other.dials[0], "active"));
+    assert_eq!(node.post("/once/1", b"").unwrap().status(), 200);
+    discovery.say(list(2, false, &hosts));
+    until("the list is taken in", || node.post("/once/1", b"").unwrap().body == b"other");
+    let before = servers.seen();
+    for _ in 0..20 {
+        assert_eq!(node.post("/once/1", b"").unwrap().body, b"other");
+    }
+    assert_eq!(servers.seen(), before);
+}
+
+#[test]
+fn nonsense_from_discovery_keeps_the_old_list() {
+    let servers = Servers::new(1, |_, _| ok("fine"));
+    for nonsense in ["{\"seq\":2,\"whole\":true,\"hosts\":[{}]}", "\u{1}\u{2}", "[]", "{\"seq\":2,\"who"] {
+        let discovery = Discovery::new(vec![servers.list(1)], true);
+        let node = Node::start(discovery.address, &Options::default());
+        node.ready();
+        discovery.say(nonsense.to_owned());
+        until("the watch is opened again", || discovery.watched() == 2);
+        assert_eq!(node.post("/once/1", b"").unwrap().status(), 200);
+    }
+}
+
+/// An older list is a stale copy: it would bring back a server that has been told to drain.
+#[test]
+fn an_older_list_is_not_taken() {
+    let servers = Servers::new(1, |_, _| ok("old"));
+    let other = Servers::new(1, |_, _| ok("new"));
+    let new =
+        list(9, true, &[host("s-0", servers.dials[0], "leaving"), host("s-1", other.dials[0], "active")]);
+    let discovery = Discovery::new(vec![new.clone(), servers.list(3), new], true);
+    let node = Node::start(discovery.address, &Options::default());
+    node.ready();
+    discovery.say("broken".into());
+    until("the stale copy has been refused", || discovery.watched() == 3);
+    for _ in 0..10 {
+        assert_eq!(node.post("/once/1", b"").unwrap().body, b"new");
+    }
+    assert_eq!(servers.seen(), 0);
+}
+
+/// A watch without heartbeats hangs; what it would have told comes on the next one.
+#[test]
+fn a_silent_watch_is_opened_again() {
+    let servers = Servers::new(1, |_, _| ok("fine"));
+    let discovery = Discovery::new(vec![servers.list(1)], false);
+    let node = Node::start(discovery.address, &Options::default());
+    node.ready();
+    until("the watch is opened again", || discovery.watched() == 2);
+}
+
+#[test]
+fn a_restarted_node_serves_by_its_own_list() {
+    let servers = Servers::new(1, |_, _| ok("fine"));
+    let node = Node::start(nobody(), &Options { known: servers.list(1), ..Options::default() });
+    node.ready();
+    assert_eq!(node.post("/once/1", b"").unwrap().status(), 200);
+}
+
+/// What was taken is finished, what comes late is still taken, and then the node ends by itself.
+#[test]
+fn a_terminated_node_finishes_what_it_has() {
+    let servers = Servers::new(2, |_, _| {
+        std::thread::sleep(Duration::from_millis(300));
+        ok("fine")
+    });
+    let (mut node, _discovery) = Node::with(&servers);
+    let mut kept = node.connect();
+    kept.write_all(&get("/up", "")).unwrap();
+    assert_eq!(read(&mut kept).unwrap().status(), 200);
+    let mut early = node.connect();
+    early.write_all(&post("/once/1", b"body")).unwrap();
+    until("the request is under way", || servers.seen() == 1);
+    node.signal("-TERM");
+    until("the node says that it leaves", || node.get("/up", "").is_some_and(|m| m.status() == 503));
+    kept.write_all(&post("/once/2", b"body")).unwrap();
+    for stream in [&mut early, &mut kept] {
+        let answer = read(stream).unwrap();
+        assert_eq!((answer.status(), answer.header("connection")), (200, Some("close")));
+    }
+    assert_eq!(node.post("/once/3", b"late").map(|m| m.status()), Some(200));
+    assert!(node.exit().success());
+}
+
+#[test]
+fn bad_requests_are_told_so() {
+    let servers = Servers::new(1, |_, _| ok("fine"));
+    let (node, _discovery) = Node::with(&servers);
+    let cases: [(&[u8], u16); 7] = [
+        (b"NONSENSE\r\n\r\n", 400),
+        (b"GET /safe/1 HTTP/1.1\r\nBad Header\r\n\r\n", 400),
+        (b"GET /nowhere/1 HTTP/1.1\r\nHost: a\r\n\r\n", 404),
+        (b"POST /once/1 HTTP/1.1\r\nHost: a\r\nContent-Length: 32000001\r\n\r\n", 413),
+        (b"POST /once/1 HTTP/1.1\r\nHost: a\r\nContent-Length: many\r\n\r\n", 400),
+        (b"POST /once/1 HTTP/1.1\r\nContent-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n", 400),
+        (b"POST /once/1 HTTP/1.1\r\nTransfer-Encoding: chunked\r\nContent-Length: 3\r\n\r\n0\r\n\r\n", 400),
+    ];
+    for (bytes, status) in cases {
+        let answer = node.raw(bytes).expect("an answer");
+        assert_eq!(answer.status(), status, "{}", String::from_utf8_lossy(bytes));
+    }
+    assert_eq!(servers.seen(), 0);
+    // What is only unclear is served.
+    let odd = "X-Timeout-Ms: soon\r\nX-Tenant-Id: stranger\r\nX-Cost: much\r\nX-Route-Key: \u{e9}\r\n";
+    assert_eq!(node.get("/safe/1", odd).unwrap().status(), 200);
+}
+
+#[test]
+fn a_client_that_leaves_is_forgotten() {
+    let servers = Servers::new(1, |n, _| if n == 0 { Reply::Silence } else { ok("fine") });
+    let (node, _discovery) = Node::with(&servers);
+    let mut client = node.connect();
+    client.write_all(&get("/safe/1", "")).unwrap();
+    until("the request is under way", || servers.seen() == 1);
+    drop(client);
+    assert_eq!(node.get("/safe/2", "").map(|m| m.status()), Some(200));
+}
+
+#[test]
+fn bodies_without_room_are_refused_whole() {
+    let servers = Servers::new(1, |_, _| ok("fine"));
+    let discovery = Discovery::new(vec![servers.list(1)], true);
+    let node = Node::start(discovery.address, &Options { memory_mb: 16, ..Options::default() });
+    node.ready();
+    assert_eq!(node.post("/once/1", &vec![b'x'; 30_000_000]).unwrap().status(), 503);
+    assert_eq!(node.post("/once/1", &vec![b'x'; 2_000_000]).unwrap().status(), 200);
+    assert_eq!(servers.seen(), 1);
+}
+
+#[test]
+fn a_bad_configuration_is_named() {
+    let good = config(nobody(), &Options::default());
+    let cases = [
+        (String::from("{"), "EOF"),
+        (good.replace("\"classes\"", "\"klasses\""), "classes"),
+        (good.replace("pure", "pious"), "pious"),
+        (good.replace("127.0.0.1:0", "nowhere"), "listen"),
+        (good.replace("\"sockets\":1024", "\"sockets\":3"), "sockets"),
+    ];
+    for (text, word) in cases {
+        let output = Node::spawn(&text).wait_with_output().unwrap();
+        let said = String::from_utf8(output.stderr).unwrap();
+        assert!(!output.status.success() && said.lines().count() == 1, "{said}");
+        assert!(said.contains(word) || said.contains("socket address"), "{word}: {said}");
+    }
+}
--- /dev/null
+++ b/tests/rules.rs
@@ -0,0 +1,262 @@
+//! The four rules: one answer, no effect twice, drains kept, no cold server pushed over.
+
+mod common;
+use common::*;
+use rand_core::{RngCore, SeedableRng};
+use std::collections::BTreeMap;
+use yarrowfield::interface::*;
+
+const ENDINGS: [Ending; 8] = [
+    Ending::Ok,
+    Ending::Error,
+    Ending::Full,
+    Ending::TimedOut,
+    Ending::ConnectFailed,
+    Ending::Reset,
+    Ending::Cancelled,
+    Ending::NotSent,
+];
+
+/// Each class of effect against each way an attempt can end without an answer.
+#[test]
+fn effects_against_endings() {
+    for ending in ENDINGS.into_iter().filter(|e| *e != Ending::Ok) {
+        let mut bed = Bed::new(settings(Effect::Unsafe), servers(6), 1);
+        let (id, actions) = bed.request();
+        let first = sent(&actions, id).unwrap();
+        bed.now += 10 * MS;
+        let actions = bed.outcome(id, first, 0, 10 * MS, ending);
+        if ending.never_ran() {
+            assert!(sent(&actions, id).is_some_and(|s| s != first), "{ending:?}: {actions:?}");
+        } else {
+            assert!(sent(&actions, id).is_none() && !refused(&actions, id), "{ending:?}: {actions:?}");
+            assert!(failed(&actions, id), "{ending:?}: {actions:?}");
+        }
+        let mut bed = Bed::new(settings(Effect::Safe), servers(6), 1);
+        let (id, actions) = bed.request();
+        let first = sent(&actions, id).unwrap();
+        let actions = bed.outcome(id, first, 0, 10 * MS, ending);
+        assert!(sent(&actions, id).is_some_and(|s| s != first), "safe, {ending:?}: {actions:?}");
+    }
+}
+
+/// A keyed request that may have run goes again only inside its group and window, else it fails.
+#[test]
+fn keyed_requests_stay_in_their_group_and_window() {
+    for (group, late) in
+        [(Group::Zone, false), (Group::Cell, false), (Group::All, false), (Group::Zone, true)]
+    {
+        let mut s = settings(Effect::Keyed);
+        s.classes[0].group = group;
+        let mut list = servers(8);
+        for (k, server) in list.iter_mut().enumerate() {
+            server.zone = (k / 4) as u8;
+            server.cell = (k / 2) as u16;
+        }
+        let mut bed = Bed::new(s, list.clone(), 2);
+        let (id, actions) = bed.request();
+        let first = sent(&actions, id).unwrap();
+        let took = if late { 650 * MS } else { 50 * MS };
+        bed.now += took;
+        let actions = bed.outcome(id, first, 0, took, Ending::Reset);
+        let of = |e: Endpoint| list.iter().find(|s| s.endpoint == e).unwrap();
+        match sent(&actions, id) {
+            Some(second) => {
+                assert!(!late && second != first);
+                assert!(group != Group::Zone || of(first).zone == of(second).zone);
+                assert!(group != Group::Cell || of(first).cell == of(second).cell);
+            }
+            None => assert!(late && failed(&actions, id), "{group:?}: {actions:?}"),
+        }
+    }
+}
+
+/// Random lives: every request gets one final answer, nothing follows it, and no unsafe effect can double.
+#[test]
+fn random_sequences_keep_the_rules() {
+    for seed in 0..60u64 {
+        let mut rng = rand_pcg::Pcg64Mcg::seed_from_u64(seed);
+        let effect = [Effect::Safe, Effect::Keyed, Effect::Unsafe][(seed % 3) as usize];
+        let mut s = settings(effect);
+        s.second_copies = seed % 2 == 0;
+        let mut bed = Bed::new(s, servers(8), seed);
+        let mut draining = [false; 8];
+        // For each request: when it ends, its open attempts, whether one may have run, whether it is answered.
+        struct Life {
+            until: Nanos,
+            open: Vec<(u8, Endpoint, Nanos)>,
+            attempts: u8,
+            may_have_run: bool,
+            answers: u32,
+        }
+        let mut lives: BTreeMap<RequestId, Life> = BTreeMap::new();
+        for _ in 0..1500 {
+            bed.now += u64::from(rng.next_u32() % 20) * MS;
+            let due = lives.iter().find(|(_, l)| l.answers == 0 && bed.now >= l.until).map(|(id, _)| *id);
+            let pick = lives.iter().filter(|(_, l)| !l.open.is_empty()).nth(rng.next_u32() as usize % 4);
+            let target = due.or(pick.map(|(id, _)| *id));
+            let actions = if let (Some(id), true) = (target, due.is_some() || rng.next_u32() % 2 == 0) {
+                let life = lives.get_mut(&id).unwrap();
+                assert!(!life.open.is_empty(), "seed {seed}: request {id} is held with nothing out");
+                let (attempt, server, at) = life.open.swap_remove(0);
+                let ending = match due {
+                    Some(_) => Ending::TimedOut,
+                    None => ENDINGS[rng.next_u32() as usize % 8],
+                };
+                life.may_have_run |= !ending.never_ran();
+                let finished = ending == Ending::Ok || life.answers > 0;
+                life.answers += u32::from(ending == Ending::Ok && life.answers == 0);
+                let (request, took) = (id, bed.now - at);
+                bed.feed(Event::Outcome { request, server, attempt, finished, took, ending, report: None })
+            } else if rng.next_u32() % 10 == 0 {
+                let k = rng.next_u32() as u8 % 8;
+                draining[usize::from(k)] ^= true;
+                let phase = if draining[usize::from(k)] { Phase::Draining } else { Phase::Ready };
+                bed.list(ListKind::Changes, vec![Server { phase, ..Server::warm(endpoint(k)) }])
+            } else if rng.next_u32() % 3 == 0 {
+                bed.feed(Event::Timer { token: rng.next_u32() })
+            } else {
+                let (id, actions) = bed.request();
+                let until = bed.now + 800 * MS;
+                let life = Life { until, open: vec![], attempts: 0, may_have_run: false, answers: 0 };
+                lives.insert(id, life);
+                actions
+            };
+            for action in actions {
+                match action {
+                    Action::Send { request, server, .. } => {
+                        let life = lives.get_mut(&request).unwrap();
+                        assert_eq!(life.answers, 0, "seed {seed}: sent after the answer");
+                        assert!(bed.now < life.until && life.attempts < 4);
+                        assert!(
+                            !draining[usize::from(server.address[3])],
+                            "seed {seed}: sent to a draining server"
+                        );
+                        assert!(effect != Effect::Unsafe || (!life.may_have_run && life.open.is_empty()));
+                        assert!(life.open.is_empty() || (seed % 2 == 0 && effect == Effect::Safe));
+                        life.open.push((life.attempts, server, bed.now));
+                        life.attempts += 1;
+                    }
+                    Action::Refuse { request, .. } => {
+                        let life = lives.get_mut(&request).unwrap();
+                        life.answers += 1;
+                        assert_eq!(life.answers, 1, "seed {seed}: answered twice");
+                        assert!(effect != Effect::Unsafe || (!life.may_have_run && life.open.is_empty()));
+                    }
+                    Action::Fail { request } => {
+                        let life = lives.get_mut(&request).unwrap();
+                        life.answers += 1;
+                        assert_eq!(life.answers, 1, "seed {seed}: answered twice");
+                    }
+                    _ => {}
+                }
+            }
+        }
+        assert!(lives.values().filter(|l| l.answers == 1).count() > 200);
+    }
+}
+
+/// Nothing new reaches a server once the list says that it drains, is gone, or no longer names it.
+#[test]
+fn drains_are_kept() {
+    let mut bed = Bed::new(settings(Effect::Safe), servers(4), 1);
+    bed.list(ListKind::Changes, vec![Server { phase: Phase::Draining, ..Server::warm(endpoint(0)) }]);
+    bed.list(ListKind::Changes, vec![Server { phase: Phase::Gone, ..Server::warm(endpoint(1)) }]);
+    for _ in 0..50 {
+        assert!(bed.served(20 * MS).unwrap() >= endpoint(2));
+    }
+    bed.list(ListKind::Full, vec![Server::warm(endpoint(3))]);
+    for _ in 0..50 {
+        assert_eq!(bed.served(20 * MS), Some(endpoint(3)));
+    }
+}
+
+/// A fleet that comes back cold all at once gets its ramp share of the remembered warm rate, and no burst.
+#[test]
+fn a_cold_fleet_is_not_pushed_over() {
+    let mut bed = Bed::new(settings(Effect::Safe), servers(5), 4);
+    let step = 10 * MS;
+    for _ in 0..3000 {
+        bed.now += step;
+        bed.served(20 * MS);
+    }
+    let start = bed.now;
+    let cold: Vec<_> = servers(5).into_iter().map(|s| Server { started_at: start, ..s }).collect();
+    bed.list(ListKind::Changes, cold);
+    // Warm, each of the five took 20 requests a second; the ramp lasts 8 s and starts at 0.3.
+    let mut sends: BTreeMap<Endpoint, Vec<Nanos>> = BTreeMap::new();
+    for _ in 0..800 {
+        bed.now += step;
+        if let Some(server) = bed.served(20 * MS) {
+            sends.entry(server).or_default().push(bed.now - start);
+        }
+    }
+    assert!(sends.len() == 5, "all take part: {:?}", sends.keys());
+    for (server, times) in sends {
+        for (k, &from) in times.iter().enumerate() {
+            let within = times[k..].iter().filter(|&&t| t < from + 800 * MS).count() as f64;
+            let share = 0.3 + 0.7 * (from + 800 * MS) as f64 / 8000e6;
+            let most = 20.0 * 0.8 * share.min(1.0) * 1.25 + 1.0;
+            assert!(within <= most, "{server:?} got {within} within 800 ms from {from}, at most {most}");
+        }
+    }
+}
+
+/// With nobody to send to, a request still gets its one answer.
+#[test]
+fn an_empty_list_refuses() {
+    let mut bed = Bed::new(settings(Effect::Unsafe), vec![], 1);
+    let (id, actions) = bed.request();
+    assert!(refused(&actions, id), "{actions:?}");
+}
+
+/// Odd but legal events change nothing.
+#[test]
+fn odd_events_are_harmless() {
+    let mut bed = Bed::new(settings(Effect::Safe), servers(3), 1);
+    assert!(bed.outcome(77, endpoint(0), 0, MS, Ending::Error).is_empty());
+    assert!(bed.feed(Event::ClientGone { request: 77 }).is_empty());
+    assert!(bed.feed(Event::Timer { token: 9 }).is_empty());
+    let gone = Server { phase: Phase::Gone, ..Server::warm(endpoint(99)) };
+    assert!(bed.list(ListKind::Changes, vec![gone]).is_empty());
+    let (id, actions) = bed.request();
+    let server = sent(&actions, id).unwrap();
+    bed.feed(Event::ClientGone { request: id });
+    let late = bed.outcome(id, server, 0, 90 * MS, Ending::Error);
+    assert!(sent(&late, id).is_none() && !failed(&late, id) && !refused(&late, id), "{late:?}");
+}
+
+/// A broken subscription is taken up again, later and not by all nodes at the same moment.
+#[test]
+fn a_lost_subscription_is_renewed() {
+    let mut s = settings(Effect::Safe);
+    s.must_subscribe = true;
+    let wait = |seed| {
+        let mut bed = Bed::new(s.clone(), vec![], seed);
+        assert!(bed.list(ListKind::Cached, servers(3)).contains(&Action::Subscribe));
+        let actions = bed.list(ListKind::Failed, vec![]);
+        let after = actions.iter().find_map(|a| match a {
+            Action::StartTimer { after, .. } => Some(*after),
+            _ => None,
+        });
+        bed.now += after.expect("a timer");
+        assert!(bed.feed(Event::Timer { token: 0 }).contains(&Action::Subscribe));
+        after
+    };
+    assert_ne!(wait(1), wait(2));
+}
+
+/// Settings that no node could act on are refused by name.
+#[test]
+fn unsound_settings_are_named() {
+    let refusal = |edit: fn(&mut Settings)| {
+        let mut s = settings(Effect::Safe);
+        edit(&mut s);
+        yarrowfield::Balancer::new(s, 1).err()
+    };
+    assert_eq!(refusal(|s| s.classes.clear()), Some(SettingsError::Empty("classes")));
+    assert_eq!(refusal(|s| s.classes[0].give_up = 0), Some(SettingsError::Zero("give_up")));
+    assert_eq!(refusal(|s| s.cold_from = 1.5), Some(SettingsError::NotAShare("cold_from")));
+    assert_eq!(refusal(|s| s.tip_multiple = f64::NAN), Some(SettingsError::OutOfRange("tip_multiple")));
+    assert_eq!(refusal(|_| {}), None);
+}
