Count a request as sent with its last byte, and not before or never

Checked: the module repeats an unsafe request only after an ending that proves it never ran (tests/rules.rs holds), so the endings it is told had to be wrong. Ruled out: a second copy (safe classes only) and hyper resending by itself (it does not; the node's own second try needs `written()` to be false). At fault: net/io.rs, `Outgoing::note` counted every byte as head, so a body was never counted down, and `Outgoing::written` did not ask for the head at all. A request with a body never counted as written: its reset was told as `could not connect` and it was sent again. One without a body counted as written before its first byte, so a stale kept connection cost the attempt. Tests, failing before: a_request_is_out_with_its_last_byte_and_not_before, a_reset_after_the_last_byte_proves_nothing.

--- a/src/net/io.rs
+++ b/src/net/io.rs
@@ -41,9 +41,14 @@
 }
 
 impl Outgoing {
+    fn whole(&self) -> bool {
+        self.blank == 4 && self.body_left == 0
+    }
+
     fn note(&mut self, bytes: &[u8]) {
         let mut at = 0;
-        while at < bytes.len() {
+        // The head ends with its blank line; whatever follows is body, and only that counts down `body_left`.
+        while at < bytes.len() && self.blank < 4 {
             self.blank = match (bytes[at], self.blank) {
                 (b'\r', 2) => 3,
                 (b'\r', _) => 1,
@@ -93,8 +98,7 @@
 
     /// The kernel has the last byte of the request: from here on it may have run.
     pub fn written(&self) -> bool {
-        let o = self.outgoing.get();
-        o.body_left == 0
+        self.outgoing.get().whole()
     }
 
     /// Nothing has come and the peer has not closed. This asks the kernel itself: what the runtime knows may
@@ -175,6 +179,22 @@
 mod tests {
     use super::*;
 
+    /// Neither an unwritten head nor an unwritten body has gone out whole, however the bytes are cut.
+    #[test]
+    fn a_request_is_out_with_its_last_byte_and_not_before() {
+        for body in [&b""[..], b"body\r\n\r\nwith a blank line"] {
+            let request = [&b"POST / HTTP/1.1\r\nA: b\r\n\r\n"[..], body].concat();
+            for step in 1..=request.len() {
+                let mut out = Outgoing { body_left: body.len() as u64, ..Outgoing::default() };
+                for (k, part) in request.chunks(step).enumerate() {
+                    assert!(!out.whole(), "{} of {} bytes", k * step, request.len());
+                    out.note(part);
+                }
+                assert!(out.whole(), "all of {} bytes, {step} at a time", request.len());
+            }
+        }
+    }
+
     /// A kept connection that its server has closed is noticed without the runtime's having been told.
     #[tokio::test]
     async fn a_close_ends_the_quiet() {
--- a/tests/node.rs
+++ b/tests/node.rs
@@ -95,6 +95,23 @@
     assert_eq!(servers.seen(), 4);
 }
 
+/// The last byte went out before the reset: the request may have run, on a new connection and on a kept one.
+#[test]
+fn a_reset_after_the_last_byte_proves_nothing() {
+    let servers = Servers::new(2, |_, m| if m.body == b"good" { ok("fine") } else { Reply::Reset });
+    let (node, _discovery) = Node::with(&servers);
+    for kept in [false, true] {
+        if kept {
+            for _ in 0..4 {
+                assert_eq!(node.post("/once/1", b"good").unwrap().status(), 200);
+            }
+        }
+        let before = servers.seen();
+        assert_eq!(node.post("/once/1", b"bad").unwrap().status(), 502, "kept: {kept}");
+        assert_eq!(servers.seen() - before, 1, "kept: {kept}");
+    }
+}
+
 #[test]
 fn silence_ends_with_the_clients_time() {
     let servers = Servers::new(2, |_, _| Reply::Silence);
