Wake a client's connection when it is told to stop

Seen: 290 bad clients left with no word and no close, 57 to 362 requests for which clients had no connection left, descriptors at their limit. Ruled out: the budget's counts (they come down when clients leave), the backlog. At fault: net/clients.rs, `Client::stop` set its two flags and never notified `close`, for which `serve` waits. Tests, failing before: idle_clients_make_room, a_head_that_stands_still_is_cut_off, a_terminated_node_closes_idle_connections.

--- a/src/net/clients.rs
+++ b/src/net/clients.rs
@@ -78,9 +78,12 @@
         begun.is_some_and(|at| at.elapsed() > LONGEST_HEAD) && !self.closing.get()
     }
 
+    /// Ends the connection: at once, or when no request is open. The task that serves it sleeps and has to be
+    /// woken, or it holds its descriptor until the client leaves.
     fn stop(&self, cut: bool) {
         self.closing.set(true);
         self.cut.set(cut);
+        self.close.notify_one();
     }
 }
 
--- a/tests/node.rs
+++ b/tests/node.rs
@@ -329,6 +329,51 @@
     assert_eq!(node.get("/safe/2", "").map(|m| m.status()), Some(200));
 }
 
+/// Clients that keep their connections must not keep others out: the longest idle one gives its place up.
+#[test]
+fn idle_clients_make_room() {
+    let servers = Servers::new(1, |_, _| ok("fine"));
+    let discovery = Discovery::new(vec![servers.list(1)], true);
+    let node = Node::start(discovery.address, &Options { sockets: 64, ..Options::default() });
+    node.ready();
+    let mut kept = Vec::new();
+    for k in 0..60 {
+        let mut client = node.connect();
+        client.write_all(&post("/once/1", b"body")).unwrap();
+        let answer = read(&mut client).unwrap_or_else(|| panic!("client {k} got no answer"));
+        assert_eq!((answer.status(), answer.header("connection")), (200, None), "client {k}");
+        kept.push(client);
+    }
+    assert_eq!(kept[0].read(&mut [0]).unwrap(), 0, "the first was closed in an orderly way");
+}
+
+/// A head that never ends must not hold its descriptor.
+#[test]
+fn a_head_that_stands_still_is_cut_off() {
+    let servers = Servers::new(1, |_, _| ok("fine"));
+    let (node, _discovery) = Node::with(&servers);
+    let mut client = node.connect();
+    client.write_all(b"POST /once/1 HTTP/1.1\r\nHost: a\r\n").unwrap();
+    let start = Instant::now();
+    assert!(read(&mut client).is_none_or(|m| m.status() == 408));
+    assert!(start.elapsed() < Duration::from_secs(10), "{:?}", start.elapsed());
+}
+
+/// At a planned restart nothing waits for clients that have nothing under way.
+#[test]
+fn a_terminated_node_closes_idle_connections() {
+    let servers = Servers::new(1, |_, _| ok("fine"));
+    let (mut node, _discovery) = Node::with(&servers);
+    let mut kept = node.connect();
+    kept.write_all(&post("/once/1", b"body")).unwrap();
+    assert_eq!(read(&mut kept).unwrap().status(), 200);
+    let start = Instant::now();
+    node.signal("-TERM");
+    assert!(node.exit().success());
+    assert!(start.elapsed() < Duration::from_secs(3), "{:?}", start.elapsed());
+    assert_eq!(kept.read(&mut [0]).unwrap(), 0);
+}
+
 #[test]
 fn bodies_without_room_are_refused_whole() {
     let servers = Servers::new(1, |_, _| ok("fine"));
