Ask a kept connection what has come on it before using it again

Ruled out: age (kept connections go at 0.6 of the idle time), `Link::reusable` (hyper ends the connection when extra bytes came along with the answer). At fault: net/servers.rs, `Fleet::checkout` did not ask. Test, failing before: a_kept_connection_that_has_spoken_is_not_used.

--- a/src/net/servers.rs
+++ b/src/net/servers.rs
@@ -171,7 +171,9 @@
         let oldest = now.saturating_sub(self.lives.keep);
         let upstream = self.upstreams.get_mut(&server)?;
         while let Some(idle) = upstream.idle.pop() {
-            if idle.since >= oldest {
+            // What has come since it was kept (a close, a second copy of the last answer, noise) would be taken
+            // for the next request's end or answer. The kernel knows; the runtime may not yet.
+            if idle.since >= oldest && idle.link.socket.quiet() {
                 return Some(idle);
             }
         }
@@ -491,6 +493,7 @@
 #[cfg(test)]
 mod tests {
     use super::*;
+    use std::io::Write;
 
     const MS: Nanos = 1_000_000;
 
@@ -519,6 +522,39 @@
         }
     }
 
+    /// What has come on a connection while it was kept is not the answer to the next request, and a close there
+    /// would lose it. The runtime may not have been told of either yet.
+    #[tokio::test]
+    async fn a_kept_connection_that_has_spoken_is_not_used() {
+        for word in [&b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"[..], b""] {
+            let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+            let dial = listener.local_addr().unwrap();
+            let socket = Socket::new(TcpStream::connect(dial).await.unwrap());
+            let mut peer = listener.accept().unwrap().0;
+            let io = TokioIo::new(SocketIo(socket.clone()));
+            let (sender, connection) = http1::handshake(io).await.unwrap();
+            let slot = super::super::budget::Budget::new(100, 100).server().unwrap();
+            let link = Link { socket: socket.clone(), sender, connection: Some(connection), _slot: slot };
+            let mut fleet = Fleet::new(10_000 * MS);
+            let entry = Entry {
+                host: "s-0".into(),
+                dial,
+                server: Server::warm(Endpoint { address: [0; 4], port: 0 }),
+            };
+            let server = fleet.follow(0, ListKind::Full, vec![entry])[0].endpoint;
+            fleet.checkin(server, dial, Idle { link, opened: 0, since: 0 });
+            let idle = fleet.checkout(server, 0).expect("a quiet one is used");
+            fleet.checkin(server, dial, idle);
+            peer.write_all(word).unwrap();
+            drop(peer);
+            let start = std::time::Instant::now();
+            while socket.quiet() {
+                assert!(start.elapsed().as_secs() < 20, "nothing came");
+            }
+            assert!(fleet.checkout(server, 0).is_none(), "{} bytes and a close", word.len());
+        }
+    }
+
     /// All nodes must agree on the order of servers: the address under which one is reached has no say.
     #[test]
     fn identity_comes_from_the_name() {
