Turn away requests with no usable id or deadline before a server sees them

Checked: servers answer such requests with 400 or 404, which is an error of the server to the module: it is left out for seconds, and a safe request is tried on two more. Ruled out: two lengths, unknown classes, unreadable heads (answered by the node). At fault: net/clients.rs read no id at all and let a deadline it could not read pass for none; net/gateway.rs had no table of the ids in use. An id is held while its request is live, so it comes down with it on every path.

--- a/src/net/clients.rs
+++ b/src/net/clients.rs
@@ -4,11 +4,11 @@
 use super::budget::Slot;
 use super::gateway::{Answer, Gateway, Message};
 use super::io::{exhausted, Socket, SocketIo};
-use super::servers::{self, TIMEOUT};
+use super::servers::{self, ID, TIMEOUT};
 use bytes::Bytes;
 use http_body_util::BodyExt;
 use hyper::body::{Body, Frame, Incoming, SizeHint};
-use hyper::header::{self, HeaderMap, HeaderValue};
+use hyper::header::{self, HeaderMap, HeaderName, HeaderValue};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper::{Method, Request, Response, StatusCode, Uri};
@@ -303,31 +303,37 @@
         Err(BodyError::NoRoom) => return closing(refused(interface::Nanos::MAX, gateway)),
         Err(BodyError::Broken) => return closing(text(StatusCode::BAD_REQUEST, "the body broke off\n")),
     };
-    client.stage.set(Stage::Waiting);
-    let now = gateway.clock.now();
+    let mut headers = head.headers;
+    servers::strip(&mut headers);
+    headers.remove(header::EXPECT);
+    // Servers know a request by its id, and take one that they have for a second copy.
+    let Some(id) = only(&headers, ID).filter(|id| !id.is_empty()).cloned() else {
+        return closing(text(StatusCode::BAD_REQUEST, "one X-Request-ID is needed\n"));
+    };
     let longest = gateway.config.settings.classes[class].give_up;
-    let number =
-        |name: &str| head.headers.get(name).and_then(|v| v.to_str().ok()?.trim().parse::<f64>().ok());
-    let wait = head.headers.get(TIMEOUT).and_then(|v| v.to_str().ok()?.trim().parse::<u64>().ok());
     // No client waits longer than its class: a longer figure would only hold memory.
-    let give_up_at = now + wait.map_or(longest, |ms| ms.saturating_mul(1_000_000).min(longest));
-    let tenant = head.headers.get("x-tenant-id").map(HeaderValue::as_bytes);
+    let wait = match only(&headers, TIMEOUT).map(|v| v.to_str().ok()?.trim().parse::<u64>().ok()) {
+        Some(Some(ms)) => ms.saturating_mul(1_000_000).min(longest),
+        None if !headers.contains_key(TIMEOUT) => longest,
+        _ => return closing(text(StatusCode::BAD_REQUEST, "X-Timeout-Ms is no whole number\n")),
+    };
+    client.stage.set(Stage::Waiting);
+    let now = gateway.clock.now();
+    let give_up_at = now + wait;
+    let number = |name: &str| headers.get(name).and_then(|v| v.to_str().ok()?.trim().parse::<f64>().ok());
+    let tenant = headers.get("x-tenant-id").map(HeaderValue::as_bytes);
     let tenant = gateway.config.tenants.iter().position(|t| Some(t.as_bytes()) == tenant);
     let request = interface::Request {
         class: class as u8,
         tenant: tenant.map_or(u32::MAX, |t| t as u32),
-        key: head.headers.get("x-route-key").map_or(0, |k| route_key(k.as_bytes())),
+        key: headers.get("x-route-key").map_or(0, |k| route_key(k.as_bytes())),
         work_hint: number("x-cost").filter(|us| *us > 0.0).map(|us| (us * 1000.0) as Nanos),
-        is_retry: head.headers.get("x-retried").is_some_and(|v| v == "1"),
-        is_write: head
-            .headers
+        is_retry: headers.get("x-retried").is_some_and(|v| v == "1"),
+        is_write: headers
             .get("x-attrs")
             .is_some_and(|v| v.to_str().unwrap_or_default().split(',').any(|a| a.trim() == "write=1")),
         ..interface::Request::new(0, give_up_at)
     };
-    let mut headers = head.headers;
-    servers::strip(&mut headers);
-    headers.remove(header::EXPECT);
     if !headers.contains_key(header::CONTENT_LENGTH) && body.len() > 0 {
         headers.insert(header::CONTENT_LENGTH, HeaderValue::from(body.len()));
     }
@@ -336,7 +342,9 @@
         _ => head.uri,
     };
     let message = Message { method: head.method, uri, headers, body, give_up_at };
-    let mut ticket = gateway.submit(request, message);
+    let Some(mut ticket) = gateway.submit(id, request, message) else {
+        return closing(text(StatusCode::CONFLICT, "a request with this X-Request-ID is open\n"));
+    };
     match ticket.answer().await {
         Answer::Whole { headers, body } => served(headers, AnswerBody::Whole(PieceBody::new(Rc::new(body)))),
         Answer::Stream { headers, length, pieces } => served(headers, AnswerBody::Stream { pieces, length }),
@@ -346,6 +354,12 @@
     }
 }
 
+/// The value of a header that stands there just once: of two, the servers might go by the other one.
+fn only(headers: &HeaderMap, name: HeaderName) -> Option<&HeaderValue> {
+    let mut values = headers.get_all(name).iter();
+    values.next().filter(|_| values.next().is_none())
+}
+
 fn route_key(text: &[u8]) -> u64 {
     let hex = std::str::from_utf8(text).ok().and_then(|t| u64::from_str_radix(t, 16).ok());
     hex.unwrap_or_else(|| super::mix(text))
--- a/src/net/gateway.rs
+++ b/src/net/gateway.rs
@@ -10,11 +10,11 @@
 use super::io::Socket;
 use super::servers::{self, Fleet};
 use bytes::Bytes;
-use hyper::header::HeaderMap;
+use hyper::header::{HeaderMap, HeaderValue};
 use hyper::{Method, Uri};
 use std::cell::{Cell, RefCell};
 use std::cmp::Reverse;
-use std::collections::{BinaryHeap, HashMap, VecDeque};
+use std::collections::{BinaryHeap, HashMap, HashSet, VecDeque};
 use std::rc::Rc;
 use tokio::sync::{mpsc, oneshot, Notify};
 use tokio::task::AbortHandle;
@@ -63,6 +63,8 @@
 }
 
 struct Live {
+    /// Its client's id, held in `State::ids`.
+    name: HeaderValue,
     message: Rc<Message>,
     reply: Option<oneshot::Sender<Answer>>,
     attempts: Vec<Attempt>,
@@ -80,6 +82,8 @@
     fleet: Fleet,
     /// Bounded by the clients' connections: each carries one request, and attempts outlive it by a deadline.
     live: HashMap<RequestId, Live>,
+    /// The clients' ids of all that is live: a second request under one of them would be a second copy.
+    ids: HashSet<HeaderValue>,
     /// Bounded by the rate of requests times the longest give-up time: an entry stays until it is due.
     timers: BinaryHeap<Reverse<(Nanos, Wake)>>,
     armed: Nanos,
@@ -119,6 +123,7 @@
             balancer: Balancer::new(config.settings.clone(), config.seed)?,
             fleet: Fleet::new(config.conn_idle),
             live: HashMap::new(),
+            ids: HashSet::new(),
             timers: BinaryHeap::new(),
             armed: Nanos::MAX,
             lingering: VecDeque::new(),
@@ -141,18 +146,22 @@
         f(&mut self.state.borrow_mut().fleet)
     }
 
-    /// Takes a request; the ticket brings its answer. Dropped without one, the client has left.
-    pub fn submit(self: &Rc<Self>, request: Request, message: Message) -> Ticket {
+    /// Takes a request; the ticket brings its answer. Dropped without one, the client has left. None where
+    /// another one with its name is live.
+    pub fn submit(self: &Rc<Self>, name: HeaderValue, request: Request, message: Message) -> Option<Ticket> {
         let (reply, answer) = oneshot::channel();
         let mut state = self.state.borrow_mut();
+        if !state.ids.insert(name.clone()) {
+            return None;
+        }
         let id = state.next_id;
         state.next_id = id.wrapping_add(1);
         let give_up_at = message.give_up_at;
-        let live = Live { message: Rc::new(message), reply: Some(reply), attempts: Vec::new() };
+        let live = Live { name, message: Rc::new(message), reply: Some(reply), attempts: Vec::new() };
         state.live.insert(id, live);
         self.start_timer(&mut state, give_up_at, Wake::Deadline(id));
         self.handle(&mut state, Event::Request(Request { id, ..request }));
-        Ticket { gateway: self.clone(), id, answer, owed: true }
+        Some(Ticket { gateway: self.clone(), id, answer, owed: true })
     }
 
     /// An attempt has come to an end without an answer for the client.
@@ -296,7 +305,9 @@
     fn forget(&self, state: &mut State, request: RequestId) {
         let over = |l: &Live| l.reply.is_none() && l.attempts.iter().all(|a| !a.open);
         if state.live.get(&request).is_some_and(over) {
-            state.live.remove(&request);
+            if let Some(live) = state.live.remove(&request) {
+                state.ids.remove(&live.name);
+            }
         }
     }
 
--- a/src/net/servers.rs
+++ b/src/net/servers.rs
@@ -368,6 +368,8 @@
     request
 }
 
+/// What a request is known by, from its client to its server.
+pub const ID: HeaderName = HeaderName::from_static("x-request-id");
 /// How long the sender waits, in milliseconds.
 pub const TIMEOUT: HeaderName = HeaderName::from_static("x-timeout-ms");
 /// A server's word that the request never ran.
