Take an answer without end for a spoilt one, and do not wait for its rest

Checked: of the spoilt answers, noise and bad heads end as a reset at once. One said to have 3 GB was streamed to the client and told to the module as served. One whose body stops short of its length was waited for until the deadline and told as timed out: ten times the usual time, which the module takes for a jam in the whole fleet and refuses the next requests for. At fault: net/servers.rs, `answer` and `stream` had no limit on an answer's length and `answer` none on a body that stands still after its head. Both end as a reset now (it may have run); a stream is cut where the client can tell. Test, failing before: a_spoilt_answer_is_not_passed_on.

--- a/src/net/budget.rs
+++ b/src/net/budget.rs
@@ -3,6 +3,8 @@
 use std::cell::Cell;
 use std::rc::Rc;
 
+/// The most that the body of a request or of an answer may hold.
+pub const MOST_BODY: u64 = 32_000_000;
 /// Descriptors that are neither a client's nor a server's: standard streams, listener, poller, discovery.
 const OWN_SOCKETS: usize = 24;
 /// Part of the rest that clients may hold. A server connection carries a request, a client's may stand idle.
--- a/src/net/clients.rs
+++ b/src/net/clients.rs
@@ -1,7 +1,7 @@
 //! Towards the clients: the listener, requests coming in, final answers going out.
 
 use super::body::{AnswerBody, Broken, PieceBody, Pieces};
-use super::budget::Slot;
+use super::budget::{Slot, MOST_BODY};
 use super::gateway::{Answer, Gateway, Message};
 use super::io::{exhausted, Socket, SocketIo};
 use super::servers::{self, ID, TIMEOUT};
@@ -25,8 +25,6 @@
 use tokio::sync::Notify;
 use yarrowfield::interface::{self, Nanos};
 
-/// The most that a body may hold.
-const MOST_BODY: u64 = 32_000_000;
 /// Read buffer of a client's connection and the longest head; it bounds what 1,000 connections hold.
 const BUFFER: usize = 16 * 1024;
 /// A connection without a request is closed after this many seconds, one that stands still in the middle of a
--- a/src/net/servers.rs
+++ b/src/net/servers.rs
@@ -1,7 +1,7 @@
 //! Towards the servers: the fleet's addresses, kept connections and attempts.
 
 use super::body::{Broken, PieceBody, Pieces};
-use super::budget::Slot;
+use super::budget::{Slot, MOST_BODY};
 use super::gateway::{Answer, AttemptId, Gateway, Message};
 use super::io::{exhausted, Socket, SocketIo};
 use bytes::Bytes;
@@ -25,6 +25,10 @@
 
 /// Longer answers are passed on as they come.
 const WHOLE: u64 = 64 * 1024;
+/// An answer that is longer is spoilt: whatever keeps coming is not made for one request.
+const LONGEST: u64 = MOST_BODY;
+/// The head of a short answer has come: its body cannot be held up for this long, and is never coming.
+const SHORT_STALL: Duration = Duration::from_millis(250);
 /// Read buffer of a connection to a server: it bounds what 1,000 of them hold.
 const BUFFER: usize = 16 * 1024;
 /// A long answer that stands still for this long has broken: a vanished machine never says so.
@@ -389,19 +393,24 @@
     strip(&mut headers);
     headers.remove(header::CONTENT_LENGTH);
     let length = body.size_hint().exact();
+    if length.is_some_and(|l| l > LONGEST) {
+        gateway.ended(id, Ending::Reset);
+        return false;
+    }
     let mut pieces = Pieces::new(gateway.budget.lease());
     let mut next = None;
     while length.is_none_or(|l| l <= WHOLE) {
-        match link.drive(body.frame()).await {
-            None => {
+        match tokio::time::timeout(SHORT_STALL, link.drive(body.frame())).await {
+            Ok(None) => {
                 gateway.served(id, headers, pieces);
                 return true;
             }
-            Some(Err(_)) => {
+            // It may have run. Waited for to the deadline it would look to the module like a server in a jam.
+            Ok(Some(Err(_))) | Err(_) => {
                 gateway.ended(id, Ending::Reset);
                 return false;
             }
-            Some(Ok(frame)) => {
+            Ok(Some(Ok(frame))) => {
                 let Ok(data) = frame.into_data() else { continue };
                 let fits = pieces.len() + data.len() as u64 <= WHOLE;
                 if !fits || !pieces.push(data.clone()) {
@@ -450,6 +459,7 @@
     }
     let (held, _lease) = held.into_parts();
     let mut held = held.into_iter();
+    let mut left = LONGEST;
     loop {
         let piece = match held.next().or_else(|| next.take()) {
             Some(piece) => piece,
@@ -465,6 +475,11 @@
                 }
             },
         };
+        let Some(rest) = left.checked_sub(piece.len() as u64) else {
+            let _ = to_client.send(Err(Broken)).await;
+            return false;
+        };
+        left = rest;
         if to_client.send(Ok(piece)).await.is_err() {
             return false;
         }
--- a/tests/node.rs
+++ b/tests/node.rs
@@ -154,6 +154,41 @@
     assert!(!node.get("/safe/2", "").unwrap().whole);
 }
 
+/// Said to be endless, or never brought to their end: such answers are spoilt and nobody's, and their request goes
+/// again if it may, at once and not only when the client has given up.
+#[test]
+fn a_spoilt_answer_is_not_passed_on() {
+    fn say(head: &str, sent: usize) -> Reply {
+        let mut out = format!("HTTP/1.1 200 OK\r\n{head}\r\n\r\n").into_bytes();
+        out.resize(out.len() + sent, b'x');
+        Reply::Say(out)
+    }
+    let spoilt: [fn() -> Reply; 3] = [
+        || say("Content-Length: 3000000000", 200_000),
+        || say("Content-Length: 500", 400),
+        || say("Transfer-Encoding: chunked", 0),
+    ];
+    for (k, bad) in spoilt.into_iter().enumerate() {
+        let (node, _discovery, servers) = first_gets(bad);
+        let start = Instant::now();
+        let answer = node.get("/safe/1", "").unwrap();
+        let fine = answer.body == b"fine";
+        assert_eq!((answer.status(), fine, servers.seen()), (200, true, 2), "answer {k}");
+        assert!(start.elapsed() < Duration::from_millis(2500), "answer {k}: {:?}", start.elapsed());
+        let (node, _discovery, servers) = first_gets(bad);
+        assert_eq!((node.post("/once/1", b"body").unwrap().status(), servers.seen()), (502, 1), "answer {k}");
+    }
+    // One that does not say how long it is, and keeps coming, is cut where the client can tell.
+    let (node, _discovery, _servers) = first_gets(|| {
+        let chunk = [&b"f4240\r\n"[..], &vec![b'x'; 1_000_000], b"\r\n"].concat();
+        Reply::Say(
+            [b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n".to_vec(), chunk.repeat(40)].concat(),
+        )
+    });
+    let cut = node.get("/safe/1", "").unwrap();
+    assert!(!cut.whole && cut.body.len() <= 32_000_000, "{}", cut.body.len());
+}
+
 /// A client that reads slowly says nothing of the server: the others must not be kept from it.
 #[test]
 fn a_slow_reader_does_not_make_its_server_look_hung() {
