Take a server's 4xx for the request's fault, and end the request with it

Seen: 19 to 25 requests of bad clients still came to servers after the node's own checks. A log line on them showed each three times, at three servers, answered 400: ids of requests that were open at another node or had just ended, which no node can know. Checked: each such answer was told as an error, so the module left three sound servers out for seconds and took the request from one to the next. Ruled out: further kinds of bad requests (all 4xx in that log were of this kind). At fault: net/servers.rs, `answer` had one ending for 4xx and 5xx. The new ending `Rejected` fails the request at once; like a single reset it only marks its server, and a second in a row leaves it out, so that one which rejects whatever it gets does not attract work.

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -576,7 +576,7 @@
         let jitter = 0.75 + 0.5 * self.chance();
         let node = &mut self.nodes[i];
         node.strikes = (node.strikes + 1).min(4);
-        if ending == Ending::Reset && node.strikes == 1 {
+        if matches!(ending, Ending::Reset | Ending::Rejected) && node.strikes == 1 {
             return;
         }
         let pause = self.longest as f64 / 2.0 * f64::from(1 << node.strikes) * jitter;
@@ -736,7 +736,7 @@
         let node = &mut self.nodes[i];
         node.out = node.out.saturating_sub(1);
         node.load = if node.out == 0 { 0.0 } else { (node.load - weight).max(0.0) };
-        if matches!(ending, Ending::Ok | Ending::Error | Ending::Full | Ending::Reset) {
+        if matches!(ending, Ending::Ok | Ending::Error | Ending::Rejected | Ending::Full | Ending::Reset) {
             node.silent_since = now;
         }
         if matches!(ending, Ending::Ok | Ending::TimedOut) {
@@ -766,7 +766,12 @@
             }
             Ending::Cancelled | Ending::NotSent => {}
             // A server that fails fast would drain its queue and climb: take back its credit.
-            Ending::Error | Ending::Full | Ending::TimedOut | Ending::ConnectFailed | Ending::Reset => {
+            Ending::Error
+            | Ending::Rejected
+            | Ending::Full
+            | Ending::TimedOut
+            | Ending::ConnectFailed
+            | Ending::Reset => {
                 self.credit(i, -credit);
                 if ending != Ending::TimedOut {
                     self.strike(now, i, ending, sink);
@@ -782,7 +787,10 @@
         let effect = self.settings.classes[class].effect;
         let may_have_run = p.fence.is_some();
         let free = ending.never_ran();
+        // One bad request must not be carried from server to server and count against each.
+        let rejected = ending == Ending::Rejected;
         let allowed = !p.streaming
+            && !rejected
             && p.attempts.len() < self.settings.max_attempts as usize
             && (!may_have_run || effect != Effect::Unsafe)
             && (free || self.budget >= 1.0)
@@ -793,7 +801,7 @@
         let harmless = !may_have_run || effect == Effect::Safe || (effect == Effect::Keyed && all);
         if next.is_none() {
             p.answered = true;
-            if harmless && now < p.request.give_up_at {
+            if harmless && !rejected && now < p.request.give_up_at {
                 self.refuse(id, self.typical[class], sink);
             } else {
                 sink.push(Action::Fail { request: id });
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -326,6 +326,9 @@
     Ok,
     /// The server returned an error; it may have run.
     Error,
+    /// The server will not have the request as it is (4xx). Others would say the same, and it is the client's
+    /// doing before it is the server's; it may have run.
+    Rejected,
     /// Turned away unseen; it never ran.
     Full,
     /// No answer in time; it may have run or still run.
--- a/src/net/servers.rs
+++ b/src/net/servers.rs
@@ -385,7 +385,11 @@
     let not_processed = head.headers.get(NOT_PROCESSED).is_some_and(|v| v == "1");
     let turned_away = matches!(head.status, StatusCode::SERVICE_UNAVAILABLE | StatusCode::GATEWAY_TIMEOUT);
     if head.status != StatusCode::OK {
-        let ending = if turned_away && not_processed { Ending::Full } else { Ending::Error };
+        let ending = match head.status {
+            _ if turned_away && not_processed => Ending::Full,
+            status if status.is_client_error() => Ending::Rejected,
+            _ => Ending::Error,
+        };
         gateway.ended(id, ending);
         return drain(link, body).await;
     }
--- a/tests/mechanism.rs
+++ b/tests/mechanism.rs
@@ -145,3 +145,20 @@
     let (id, actions) = bed.request();
     assert!(refused(&actions, id), "{actions:?}");
 }
+
+/// One that rejects whatever it gets would have the emptiest queue of all: only a single one is forgiven.
+#[test]
+fn a_server_that_rejects_all_does_not_attract() {
+    let mut bed = Bed::new(settings(Effect::Safe), servers(8), 11);
+    let bad = bed.served(50 * MS).unwrap();
+    let mut hits = 0;
+    for _ in 0..400 {
+        bed.now += 10 * MS;
+        let (id, actions) = bed.request();
+        let server = sent(&actions, id).expect("sent");
+        hits += u32::from(server == bad);
+        let ending = if server == bad { Ending::Rejected } else { Ending::Ok };
+        bed.outcome(id, server, 0, if server == bad { MS } else { 50 * MS }, ending);
+    }
+    assert!(hits <= 8, "{hits} of 400 went to the server that rejects all");
+}
--- a/tests/node.rs
+++ b/tests/node.rs
@@ -210,6 +210,21 @@
     assert!(rest.len() > 19_999_900, "{}", rest.len());
 }
 
+/// A request that a server will not have says nothing of the server: it goes nowhere else, and others go on.
+#[test]
+fn a_rejected_request_costs_no_server() {
+    let servers = Servers::new(3, |_, m| match m.head.contains("bad") {
+        true => Reply::Say(response("400 Bad Request", "", b"")),
+        false => ok("fine"),
+    });
+    let (node, _discovery) = Node::with(&servers);
+    for k in 0..6 {
+        assert_eq!(node.get("/safe/bad", "").unwrap().status(), 502, "bad request {k}");
+        assert_eq!(node.post("/once/1", b"body").unwrap().status(), 200, "good request {k}");
+        assert_eq!(servers.seen(), 2 * (k + 1));
+    }
+}
+
 /// A server may close a kept connection at any time: it must not be kept, nor the next request lost to it.
 #[test]
 fn a_closed_kept_connection_costs_nothing() {
