Move to another discovery on SIGHUP instead of dying of it

Checked: main.rs registered SIGTERM only; the watch had its address for good. Ruled out: the watch itself, which comes back by itself from the version it has once it has an address. At fault: main.rs, no handler; net/discovery.rs, `get` used the address of the start. The file is read again; where it cannot be acted on, or moves `listen`, the old configuration stays in force and the log says why. The watch goes to the new address at once and asks from the version that it holds, so nothing is missed and an older list still has to be insisted on. Test, failing before: a_reload_moves_to_another_discovery.

--- a/src/main.rs
+++ b/src/main.rs
@@ -6,12 +6,13 @@
 use net::config::{Config, ConfigError};
 use net::discovery::Watcher;
 use net::gateway::Gateway;
+use std::net::SocketAddr;
 use std::process::ExitCode;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 use tokio::net::{TcpListener, TcpSocket};
 use tokio::signal::unix::{signal, SignalKind};
-use tokio::sync::{mpsc, Notify};
+use tokio::sync::{mpsc, watch, Notify};
 use tokio::task::{spawn_local, LocalSet};
 
 /// Connections that the kernel may hold for us while we are busy; it cuts this down to what it allows.
@@ -29,7 +30,7 @@
     #[error("settings: {0}")]
     Settings(#[from] yarrowfield::interface::SettingsError),
     #[error("cannot listen on {address}: {error}")]
-    Listen { address: std::net::SocketAddr, error: std::io::Error },
+    Listen { address: SocketAddr, error: std::io::Error },
     #[error("{0}")]
     System(#[from] std::io::Error),
 }
@@ -50,7 +51,7 @@
     LocalSet::new().block_on(&runtime, run(config))
 }
 
-fn listen(address: std::net::SocketAddr) -> std::io::Result<TcpListener> {
+fn listen(address: SocketAddr) -> std::io::Result<TcpListener> {
     let socket = TcpSocket::new_v4()?;
     socket.set_reuseaddr(true)?;
     socket.bind(address)?;
@@ -59,14 +60,16 @@
 
 async fn run(config: Config) -> Result<(), StartError> {
     let mut terminate = signal(SignalKind::terminate())?;
+    let mut hang_up = signal(SignalKind::hangup())?;
     let address = config.listen;
+    let (discovery, discovery_seen) = watch::channel(config.discovery);
     let (push, known) =
         (!config.settings.must_subscribe, config.known.as_ref().is_some_and(|k| !k.hosts.is_empty()));
     let (list_calls, calls) = mpsc::unbounded_channel();
     let gateway = Gateway::new(config, list_calls)?;
     let listener = listen(address).map_err(|error| StartError::Listen { address, error })?;
     net::log(format_args!("listening on {}", listener.local_addr()?));
-    let watcher = Watcher::new(gateway.clone());
+    let watcher = Watcher::new(gateway.clone(), discovery_seen);
     if push {
         spawn_local(watcher.follow());
     } else {
@@ -83,7 +86,12 @@
     });
     spawn_local(sweep(gateway.clone(), clients.clone()));
 
-    terminate.recv().await;
+    loop {
+        tokio::select! {
+            _ = terminate.recv() => break,
+            _ = hang_up.recv() => reload(address, &discovery),
+        }
+    }
     let told = Instant::now();
     gateway.leaving.set(true);
     tokio::time::sleep(STILL_ACCEPT).await;
@@ -95,6 +103,21 @@
     Ok(())
 }
 
+/// Takes over what a new configuration says of discovery; all else that it says counts from the next start. One
+/// that cannot be read leaves the old one in force.
+fn reload(listen: SocketAddr, discovery: &watch::Sender<SocketAddr>) {
+    match Config::load() {
+        Ok(config) if config.listen != listen => {
+            net::log(format_args!("not reloaded: `listen` changes with a restart only"));
+        }
+        Ok(config) => {
+            net::log(format_args!("reloaded: discovery at {}", config.discovery));
+            discovery.send_if_modified(|old| std::mem::replace(old, config.discovery) != config.discovery);
+        }
+        Err(error) => net::log(format_args!("not reloaded: {error}")),
+    }
+}
+
 async fn sweep(gateway: Rc<Gateway>, clients: Rc<Clients>) {
     loop {
         for _ in 0..5 {
--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -15,7 +15,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::TcpStream;
-use tokio::sync::mpsc;
+use tokio::sync::{mpsc, watch};
 use tokio::time::timeout;
 use yarrowfield::interface::{Endpoint, ListKind, Phase, Server};
 
@@ -68,6 +68,13 @@
     Left,
 }
 
+/// Waits until another address for discovery is in force.
+async fn moved(address: &mut watch::Receiver<SocketAddr>) {
+    if address.changed().await.is_err() {
+        std::future::pending().await
+    }
+}
+
 /// Why a watch or a call has ended.
 #[derive(Debug, thiserror::Error)]
 enum WatchError {
@@ -92,6 +99,8 @@
 /// Follows discovery.
 pub struct Watcher {
     gateway: Rc<Gateway>,
+    /// Where discovery is, by the configuration in force.
+    address: watch::Receiver<SocketAddr>,
     seq: u64,
     /// Nothing is held that changes could build on.
     blank: bool,
@@ -102,9 +111,9 @@
 
 impl Watcher {
     /// Starts with the list that the configuration holds.
-    pub fn new(gateway: Rc<Gateway>) -> Self {
+    pub fn new(gateway: Rc<Gateway>, address: watch::Receiver<SocketAddr>) -> Self {
         let rng = Pcg64Mcg::seed_from_u64(gateway.config.seed ^ 0x6469_7363);
-        let mut watcher = Watcher { seq: 0, blank: true, older: 0, lines: 0, rng, gateway };
+        let mut watcher = Watcher { gateway, address, seq: 0, blank: true, older: 0, lines: 0, rng };
         if let Some(known) = watcher.gateway.config.known.clone() {
             watcher.seq = known.seq;
             watcher.blank = false;
@@ -117,22 +126,30 @@
 
     /// Lists come unasked: the watch is the node's to keep alive.
     pub async fn follow(mut self) {
+        let mut moves = self.address.clone();
         let mut pause = PAUSE_FIRST;
         loop {
             let lines = self.lines;
-            let error = self.watch().await;
-            if self.lines > lines {
-                pause = PAUSE_FIRST;
-            }
-            super::log(format_args!("discovery: {error}"));
             let spread = 0.5 + f64::from(self.rng.next_u32()) / f64::from(u32::MAX);
-            tokio::time::sleep(Duration::from_secs_f64(pause * spread)).await;
-            pause = (pause * 2.0).min(PAUSE_LAST);
+            let lost = async {
+                let error = self.watch().await;
+                if self.lines > lines {
+                    pause = PAUSE_FIRST;
+                }
+                super::log(format_args!("discovery: {error}"));
+                tokio::time::sleep(Duration::from_secs_f64(pause * spread)).await;
+            };
+            tokio::select! {
+                () = lost => pause = (pause * 2.0).min(PAUSE_LAST),
+                // What the old address still had to say, the new one tells: it is asked from the same version on.
+                () = moved(&mut moves) => pause = PAUSE_FIRST,
+            }
         }
     }
 
     /// Lists come to those who ask: the module says when.
     pub async fn obey(mut self, mut calls: mpsc::UnboundedReceiver<ListCall>) {
+        let mut moves = self.address.clone();
         let mut next = calls.recv().await;
         while let Some(call) = next.take() {
             let error = match call {
@@ -140,6 +157,7 @@
                 ListCall::Subscribe => tokio::select! {
                     error = self.watch() => Some(error),
                     call = calls.recv() => { next = call; continue }
+                    () = moved(&mut moves) => { next = Some(call); continue }
                 },
             };
             if let Some(error) = error {
@@ -240,7 +258,7 @@
     }
 
     async fn get(&self, path: String) -> Result<Incoming, WatchError> {
-        let address = self.gateway.config.discovery;
+        let address = *self.address.borrow();
         let stream = match timeout(CONNECT, TcpStream::connect(address)).await {
             Ok(stream) => stream.map_err(WatchError::Connect)?,
             Err(_) => return Err(WatchError::Silent),
--- a/tests/node.rs
+++ b/tests/node.rs
@@ -322,6 +322,30 @@
     assert_eq!(node.post("/once/1", b"").unwrap().status(), 200);
 }
 
+/// A new configuration may name another discovery: the node goes there, from the version that it has, and serves on.
+/// What it cannot read it does not take over.
+#[test]
+fn a_reload_moves_to_another_discovery() {
+    let old = Servers::new(1, |_, _| ok("old"));
+    let (node, first) = Node::with(&old);
+    let new = Servers::new(1, |_, _| ok("new"));
+    let hosts = [host("s-0", old.dials[0], "leaving"), host("s-1", new.dials[0], "active")];
+    let second = Discovery::new(vec![list(2, false, &hosts)], true);
+    for (k, bad) in ["{", "{}"].into_iter().enumerate() {
+        node.reload(bad);
+        node.says("not reloaded", k + 1);
+        assert_eq!(node.post("/once/1", b"").unwrap().body, b"old");
+    }
+    for k in 0..2 {
+        node.reload(&config(second.address, &Options::default()));
+        node.says("reloaded: discovery at", k + 1);
+    }
+    until("the new list is taken in", || node.post("/once/1", b"").unwrap().body == b"new");
+    assert_eq!((first.watched(), second.watched()), (1, 1), "the same address again changes nothing");
+    second.say(list(3, false, &[host("s-0", old.dials[0], "active"), host("s-1", new.dials[0], "left")]));
+    until("the new watch is followed", || node.post("/once/1", b"").unwrap().body == b"old");
+}
+
 /// What was taken is finished, what comes late is still taken, and then the node ends by itself.
 #[test]
 fn a_terminated_node_finishes_what_it_has() {
@@ -479,7 +503,7 @@
         (good.replace("\"sockets\":1024", "\"sockets\":3"), "sockets"),
     ];
     for (text, word) in cases {
-        let output = Node::spawn(&text).wait_with_output().unwrap();
+        let output = Node::spawn(&text).0.wait_with_output().unwrap();
         let said = String::from_utf8(output.stderr).unwrap();
         assert!(!output.status.success() && said.lines().count() == 1, "{said}");
         assert!(said.contains(word) || said.contains("socket address"), "{word}: {said}");
--- a/tests/peers/mod.rs
+++ b/tests/peers/mod.rs
@@ -3,6 +3,7 @@
 
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::path::PathBuf;
 use std::process::{Child, Command, ExitStatus, Stdio};
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{mpsc, Arc, Mutex};
@@ -296,23 +297,24 @@
 /// A node of its own, from the release binary.
 pub struct Node {
     child: Child,
+    config: PathBuf,
     pub address: SocketAddr,
     pub log: Arc<Mutex<Vec<String>>>,
 }
 
 impl Node {
-    /// Runs the program on this configuration.
-    pub fn spawn(config: &str) -> Child {
+    /// Runs the program on this configuration; where its file is.
+    pub fn spawn(config: &str) -> (Child, PathBuf) {
         static NEXT: AtomicUsize = AtomicUsize::new(0);
         let name = format!("yarrowfield-{}-{}.json", std::process::id(), NEXT.fetch_add(1, Ordering::SeqCst));
         let path = std::env::temp_dir().join(name);
         std::fs::write(&path, config).unwrap();
         let mut command = Command::new(env!("CARGO_BIN_EXE_yarrowfield"));
-        command.env("GW_CONFIG", &path).stderr(Stdio::piped()).spawn().expect("the node starts")
+        (command.env("GW_CONFIG", &path).stderr(Stdio::piped()).spawn().expect("the node starts"), path)
     }
 
     pub fn start(discovery: SocketAddr, options: &Options) -> Self {
-        let mut child = Self::spawn(&config(discovery, options));
+        let (mut child, config) = Self::spawn(&config(discovery, options));
         let mut lines = BufReader::new(child.stderr.take().unwrap()).lines();
         let address = loop {
             let line = lines.next().expect("the node says where it listens").unwrap();
@@ -323,7 +325,7 @@
         let log = Arc::new(Mutex::new(Vec::new()));
         let lines_of = log.clone();
         thread::spawn(move || lines.map_while(Result::ok).for_each(|l| lines_of.lock().unwrap().push(l)));
-        Node { child, address, log }
+        Node { child, config, address, log }
     }
 
     /// A node that has taken in these servers.
@@ -359,6 +361,17 @@
         self.raw(&post(path, body))
     }
 
+    /// Replaces the file of its configuration and tells it so.
+    pub fn reload(&self, config: &str) {
+        std::fs::write(&self.config, config).unwrap();
+        self.signal("-HUP");
+    }
+
+    /// Waits until its log has this many lines that hold these words.
+    pub fn says(&self, words: &str, count: usize) {
+        until(words, || self.log.lock().unwrap().iter().filter(|l| l.contains(words)).count() >= count);
+    }
+
     pub fn signal(&self, name: &str) {
         let pid = self.child.id().to_string();
         assert!(Command::new("kill").args([name, &pid]).status().unwrap().success());
@@ -373,6 +386,7 @@
     fn drop(&mut self) {
         let _ = self.child.kill();
         let _ = self.child.wait();
+        let _ = std::fs::remove_file(&self.config);
     }
 }
 
