Let go of clients that say nothing and of bodies that stand still

Ruled out: heads that stand still (cut after 2.2 s, a_head_that_stands_still...). At fault: net/clients.rs, `Client::dawdles` counted from the first byte heard only, and `take` waited for a body without end. A body that is late is answered 408. Test, failing before: a_silent_client_is_let_go.

--- a/src/net/clients.rs
+++ b/src/net/clients.rs
@@ -20,7 +20,7 @@
 use std::pin::{pin, Pin};
 use std::rc::Rc;
 use std::task::{Context, Poll};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Notify;
 use yarrowfield::interface::{self, Nanos};
@@ -31,8 +31,12 @@
 /// request or of an answer after fewer: a slow client still moves.
 const IDLE_S: u32 = 90;
 const STUCK_S: u32 = 20;
-/// A client may take 2 s to write a head; the rest is for what was late on the way.
+/// A client may take 2 s to write a head; the rest is for what was late on the way. One that has just connected
+/// has as long to bring its first.
 const LONGEST_HEAD: Duration = Duration::from_millis(2200);
+/// A body may stand still for this long, and take this long in all.
+const STILL_BODY: Duration = Duration::from_millis(2200);
+const LONGEST_BODY: Duration = Duration::from_secs(STUCK_S as u64);
 /// The log tells of full tables this often at most.
 const REPORT_EVERY: Nanos = 5_000_000_000;
 
@@ -52,6 +56,8 @@
     socket: Rc<Socket>,
     stage: Cell<Stage>,
     idle_since: Cell<Nanos>,
+    /// When it connected, until its first request is there.
+    fresh_since: Cell<Option<Instant>>,
     still_s: Cell<u32>,
     /// It came when there was no place left: it is only told to come back.
     surplus: bool,
@@ -72,7 +78,9 @@
     }
 
     fn dawdles(&self) -> bool {
-        let begun = self.socket.heard.get().filter(|_| self.stage.get() == Stage::Idle);
+        let silent = || self.fresh_since.get().filter(|_| self.socket.quiet());
+        let begun = self.socket.heard.get().or_else(silent);
+        let begun = begun.filter(|_| self.stage.get() == Stage::Idle);
         begun.is_some_and(|at| at.elapsed() > LONGEST_HEAD) && !self.closing.get()
     }
 
@@ -142,6 +150,7 @@
             socket: Socket::new(stream),
             stage: Cell::new(Stage::Idle),
             idle_since: Cell::new(self.gateway.clock.now()),
+            fresh_since: Cell::new(Some(Instant::now())),
             still_s: Cell::new(0),
             surplus,
             cut: Cell::new(false),
@@ -187,7 +196,7 @@
         ));
     }
 
-    /// Cuts off those that have been at their head for too long.
+    /// Cuts off those that have been at their head for too long, or have never begun one.
     pub fn cut_heads(&self) {
         self.open.borrow().values().filter(|c| c.dawdles()).for_each(|c| c.stop(true));
     }
@@ -274,6 +283,7 @@
     request: Request<Incoming>,
 ) -> Result<Response<Outgoing>, Infallible> {
     client.stage.set(Stage::Reading);
+    client.fresh_since.set(None);
     let mut response = answer(gateway, client, request).await;
     client.stage.set(Stage::Writing);
     if gateway.leaving.get() || client.surplus {
@@ -299,6 +309,9 @@
         Ok(body) => Rc::new(body),
         Err(BodyError::TooLarge) => return closing(text(StatusCode::PAYLOAD_TOO_LARGE, "over 32 MB\n")),
         Err(BodyError::NoRoom) => return closing(refused(interface::Nanos::MAX, gateway)),
+        Err(BodyError::Late) => {
+            return closing(text(StatusCode::REQUEST_TIMEOUT, "the body took too long\n"))
+        }
         Err(BodyError::Broken) => return closing(text(StatusCode::BAD_REQUEST, "the body broke off\n")),
     };
     let mut headers = head.headers;
@@ -395,6 +408,7 @@
 enum BodyError {
     TooLarge,
     NoRoom,
+    Late,
     Broken,
 }
 
@@ -406,7 +420,12 @@
     }
     let mut pieces = Some(Pieces::new(gateway.budget.lease())).filter(|_| !throw_away);
     let mut len = 0;
-    while let Some(frame) = body.frame().await {
+    let end = Instant::now() + LONGEST_BODY;
+    loop {
+        // A length that is never filled must not hold its client and its bytes.
+        let patience = STILL_BODY.min(end.saturating_duration_since(Instant::now()));
+        let frame = tokio::time::timeout(patience, body.frame()).await.map_err(|_| BodyError::Late)?;
+        let Some(frame) = frame else { break };
         let frame = frame.map_err(|_| BodyError::Broken)?;
         let Ok(data) = frame.into_data() else { continue };
         len += data.len() as u64;
--- a/tests/node.rs
+++ b/tests/node.rs
@@ -466,6 +466,22 @@
     assert!(start.elapsed() < Duration::from_secs(10), "{:?}", start.elapsed());
 }
 
+/// Nor must a client that says nothing at all, or stops in the middle of its body.
+#[test]
+fn a_silent_client_is_let_go() {
+    let servers = Servers::new(1, |_, _| ok("fine"));
+    let (node, _discovery) = Node::with(&servers);
+    let start = Instant::now();
+    let silent: Vec<_> = (0..20).map(|_| node.connect()).collect();
+    let mut half = node.connect();
+    let request = post("/once/1", &[b'x'; 100]);
+    half.write_all(&request[..request.len() - 50]).unwrap();
+    assert_eq!(read(&mut half).unwrap().status(), 408);
+    assert!(silent.into_iter().all(|mut client| read(&mut client).is_none()));
+    assert!(start.elapsed() < Duration::from_secs(10), "{:?}", start.elapsed());
+    assert_eq!(servers.seen(), 0);
+}
+
 /// At a planned restart nothing waits for clients that have nothing under way.
 #[test]
 fn a_terminated_node_closes_idle_connections() {
