Look for two lengths in the whole head, and read nothing behind a chunked body

Seen, with a probe: a head of over 2 KB with `Transfer-Encoding` first and `Content-Length` last was served with 200. hyper drops the length in silence, so the node looks for it in the bytes as they came, of which only 2 KB were kept. Checked: with short heads both orders are answered 400 (bad_requests_are_told_so). Ruled out: passing the two lengths on (the body is sent on with a length of its own, the coding stripped). At fault: net/io.rs, `FIRST`; it is now as long as the longest head, and only the head is kept, so that a body that speaks of lengths is no ground for a 400. And net/clients.rs kept the connection open behind a chunked body; it closes it now, as RFC 9112 6.1 has it, so a hidden request is never read even if the check fails. Test, failing before: a_chunked_body_hides_nothing.

--- a/src/net/clients.rs
+++ b/src/net/clients.rs
@@ -277,6 +277,8 @@
     }
 }
 
+/// Answers a request, and ends the connection with it where the node leaves or the client has no place. So it does
+/// behind a chunked body: a length beside it may hide another request in what follows (RFC 9112, 6.1).
 async fn respond(
     gateway: &Rc<Gateway>,
     client: &Rc<Client>,
@@ -284,9 +286,10 @@
 ) -> Result<Response<Outgoing>, Infallible> {
     client.stage.set(Stage::Reading);
     client.fresh_since.set(None);
+    let chunked = request.headers().contains_key(header::TRANSFER_ENCODING);
     let mut response = answer(gateway, client, request).await;
     client.stage.set(Stage::Writing);
-    if gateway.leaving.get() || client.surplus {
+    if gateway.leaving.get() || client.surplus || chunked {
         response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
     }
     Ok(response.map(|body| Outgoing { body, gateway: gateway.clone(), client: client.clone() }))
--- a/src/net/io.rs
+++ b/src/net/io.rs
@@ -28,8 +28,10 @@
     first: RefCell<Vec<u8>>,
 }
 
-/// How much of what comes first is kept as it came.
-const FIRST: usize = 2048;
+/// How much of what comes first is kept as it came: no less than the longest head, or a length could hide there.
+const FIRST: usize = 16 * 1024;
+
+const HEAD_END: &[u8] = b"\r\n\r\n";
 
 /// How much of a request has been handed to the kernel. A request of which it does not have the last byte
 /// cannot have run, and only that proves that an unsafe one may be sent again.
@@ -81,8 +83,14 @@
             self.heard.set(Some(Instant::now()));
             first.clear();
         }
-        let room = FIRST - first.len();
-        first.extend_from_slice(&bytes[..bytes.len().min(room)]);
+        if !first.ends_with(HEAD_END) {
+            let room = FIRST - first.len();
+            first.extend_from_slice(&bytes[..bytes.len().min(room)]);
+            // Only the head is kept: a body may say what it likes, and memory is short.
+            if let Some(end) = first.windows(HEAD_END.len()).position(|w| w == HEAD_END) {
+                first.truncate(end + HEAD_END.len());
+            }
+        }
     }
 
     /// Whether this, in small letters, stands in what came first.
--- a/tests/node.rs
+++ b/tests/node.rs
@@ -400,6 +400,28 @@
     assert_eq!(node.get("/safe/1", odd).unwrap().status(), 200);
 }
 
+/// A chunked body beside a length may hide a request, however long the head: it is turned away, and behind any
+/// chunked body nothing more is read.
+#[test]
+fn a_chunked_body_hides_nothing() {
+    let servers = Servers::new(1, |_, _| ok("fine"));
+    let (node, _discovery) = Node::with(&servers);
+    let hidden = String::from_utf8(get("/safe/hidden", "")).unwrap();
+    let filler = format!("X-Filler: {}\r\n", "x".repeat(1000)).repeat(4);
+    let chunked = |length: &str| {
+        let head = "POST /once/1 HTTP/1.1\r\nX-Request-ID: c\r\nTransfer-Encoding: chunked\r\n";
+        format!("{head}{filler}{length}\r\n5\r\nhello\r\n0\r\n\r\n{hidden}")
+    };
+    for (length, status, seen) in [("Content-Length: 5\r\n", 400, 0), ("", 200, 1)] {
+        let mut client = node.connect();
+        client.write_all(chunked(length).as_bytes()).unwrap();
+        let answer = read(&mut client).unwrap();
+        assert_eq!((answer.status(), answer.header("connection")), (status, Some("close")), "{length}");
+        assert!(read(&mut client).is_none(), "nothing more is answered");
+        assert_eq!(servers.seen(), seen, "{length}");
+    }
+}
+
 /// Servers would take it for a second copy. Once the first is over, its id is free again.
 #[test]
 fn an_id_in_use_is_turned_away() {
