Give the place of a server that left to the next one

Seen: the module's table of servers only grew. Checked: the node's own table forgets them after 60 s (`Fleet::follow`). At fault: balance.rs, `add` always took a new place. It takes that of one that is gone, has nothing out and left longer ago than any request lives, so that no attempt or keyed group can still speak of it. Test, failing before: servers_that_left_are_forgotten.

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -80,6 +80,7 @@
     blocked_until: Nanos,
     strikes: u32,
     cold_next: Nanos,
+    left_at: Nanos,
 }
 
 struct Attempt {
@@ -218,6 +219,11 @@
         self.arm(now, sink);
     }
 
+    /// How many servers it remembers, with those that have left.
+    pub fn remembered(&self) -> usize {
+        self.nodes.len()
+    }
+
     fn draw(&mut self, below: usize) -> usize {
         ((u64::from(self.rng.next_u32()) * below as u64) >> 32) as usize
     }
@@ -243,7 +249,7 @@
         if kind != ListKind::Changes {
             for i in 0..self.nodes.len() {
                 if !servers.iter().any(|s| s.endpoint == self.nodes[i].server.endpoint) {
-                    self.leave(i, Phase::Gone);
+                    self.leave(now, i, Phase::Gone);
                 }
             }
         }
@@ -292,8 +298,7 @@
 
     fn add(&mut self, now: Nanos, server: Server) {
         let size = if server.size > 0.0 && self.settings.sizes_known { f64::from(server.size) } else { 1.0 };
-        let i = self.nodes.len();
-        self.nodes.push(Node {
+        let node = Node {
             server: Server { phase: Phase::Gone, ..server },
             size,
             out: 0,
@@ -309,7 +314,18 @@
             blocked_until: 0,
             strikes: 0,
             cold_next: 0,
-        });
+            left_at: now,
+        };
+        // A fleet that is replaced over and over must not fill memory: a place goes to the next server
+        // once no request can speak of the one that left.
+        let over = |n: &Node| n.server.phase == Phase::Gone && n.out == 0 && now >= n.left_at + self.longest;
+        let i = self.nodes.iter().position(over).unwrap_or(self.nodes.len());
+        if i < self.nodes.len() {
+            self.by_endpoint.remove(&self.nodes[i].server.endpoint);
+            self.nodes[i] = node;
+        } else {
+            self.nodes.push(node);
+        }
         self.by_endpoint.insert(server.endpoint, i);
         self.update(now, i, server);
     }
@@ -318,7 +334,7 @@
         let restarted = server.started_at > self.nodes[i].server.started_at;
         let fresh = self.nodes[i].server.phase != Phase::Ready;
         if server.phase != Phase::Ready || server.zone != self.nodes[i].server.zone {
-            self.leave(i, server.phase);
+            self.leave(now, i, server.phase);
         }
         self.nodes[i].server = server;
         if server.phase == Phase::Ready && (fresh || restarted) {
@@ -344,8 +360,9 @@
         }
     }
 
-    fn leave(&mut self, i: usize, phase: Phase) {
+    fn leave(&mut self, now: Nanos, i: usize, phase: Phase) {
         if self.nodes[i].server.phase == Phase::Ready {
+            self.nodes[i].left_at = now;
             self.unrank(i);
             self.ready[usize::from(self.nodes[i].server.zone)].retain(|&j| j != i);
         }
--- a/tests/incidents.rs
+++ b/tests/incidents.rs
@@ -229,3 +229,23 @@
     let (nothing, half) = (let_in(0.0), let_in(0.5));
     assert!(half > nothing + 10, "{nothing} let in where late is lost, {half} where it earns half");
 }
+
+/// A fleet that is replaced over and over under new names takes no more memory than one that stays.
+#[test]
+fn servers_that_left_are_forgotten() {
+    let mut bed = Bed::new(settings(Effect::Safe), servers(4), 3);
+    let other = |k: u32| Endpoint { address: k.to_be_bytes(), port: 81 };
+    let mut last: Vec<_> = servers(4);
+    for round in 0..500 {
+        bed.now += 1_000 * MS;
+        let next: Vec<_> = (0..4).map(|k| Server::warm(other(round * 4 + k))).collect();
+        let left = last.iter().map(|s| Server { phase: Phase::Gone, ..*s });
+        bed.list(ListKind::Changes, left.chain(next.iter().copied()).collect());
+        for _ in 0..8 {
+            let server = bed.served(50 * MS).expect("sent");
+            assert!(next.iter().any(|s| s.endpoint == server), "round {round}: {server:?} is gone");
+        }
+        last = next;
+    }
+    assert!(bed.balancer.remembered() <= 12, "{} servers", bed.balancer.remembered());
+}
