--- a/src/bin/yarrowfield-benchlink/main.rs
+++ b/crates/adapter/src/main.rs
@@ -3,13 +3,13 @@
 
 mod wire;
 
+use corkhollow_balance::interface::{Action, Event};
+use corkhollow_balance::settings::{self, Pairs, ReportField};
+use corkhollow_balance::Balancer;
 use std::collections::BTreeMap;
 use std::io::{self, Read, Write};
 use std::process::ExitCode;
 use wire::{Frame, Record, Reply, WireError};
-use yarrowfield::interface::{Action, Event};
-use yarrowfield::settings::{self, Pairs, ReportField};
-use yarrowfield::Balancer;
 
 struct Instance {
     balancer: Balancer,
@@ -114,7 +114,7 @@
     match serve(io::stdin().lock(), io::stdout().lock()) {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
-            eprintln!("yarrowfield-benchlink: {error}");
+            eprintln!("corkhollow-adapter: {error}");
             ExitCode::FAILURE
         }
     }
--- a/src/bin/yarrowfield-benchlink/wire.rs
+++ b/crates/adapter/src/wire.rs
@@ -1,8 +1,8 @@
 //! Frames of the simulator's wire: batches of event records in, batches of action records out.
 
+use corkhollow_balance::interface::{Action, Ending, ListKind, Phase, Report, Request, Server, ServerId};
+use corkhollow_balance::settings::ReportField;
 use std::fmt;
-use yarrowfield::interface::{Action, Ending, Endpoint, ListKind, Phase, Report, Request, Server};
-use yarrowfield::settings::ReportField;
 
 /// Bytes of a batch header, an event record, an action record and a list entry.
 pub const HEADER: usize = 16;
@@ -55,14 +55,14 @@
         request: u32,
     },
     Probed {
-        server: Endpoint,
+        server: ServerId,
         ending: Ending,
         took: u64,
         report: RawReport,
     },
     Outcome {
         request: u32,
-        server: Endpoint,
+        server: ServerId,
         attempt: u8,
         finished: bool,
         took: u64,
@@ -72,7 +72,7 @@
     StreamStarted {
         request: u32,
         attempt: u8,
-        server: Endpoint,
+        server: ServerId,
         took: u64,
     },
     Timer {
@@ -102,8 +102,9 @@
     f32::from_be_bytes(bytes_at(b, at))
 }
 
-fn endpoint_at(b: &[u8], at: usize) -> Endpoint {
-    Endpoint { address: bytes_at(b, at), port: u16_at(b, at + 4) }
+/// Six bytes on the wire: an IPv4 address and a port.
+fn server_at(b: &[u8], at: usize) -> ServerId {
+    ServerId((u64::from(u32_at(b, at)) << 16) | u64::from(u16_at(b, at + 4)))
 }
 
 /// A frame that has been read whole: its clock and its records.
@@ -163,14 +164,14 @@
             60 => Record::Message { from: u32_at(r, 5), bytes: self.tail(record, 9, 1)? },
             40 => Record::ClientGone { request: u32_at(r, 5) },
             30 => Record::Probed {
-                server: endpoint_at(r, 5),
+                server: server_at(r, 5),
                 ending: ending(11)?,
                 took: u64_at(r, 13),
                 report: report(r, 21),
             },
             100 => Record::Outcome {
                 request: u32_at(r, 5),
-                server: endpoint_at(r, 9),
+                server: server_at(r, 9),
                 attempt: r[15],
                 finished: r[16] != 0,
                 took: u64_at(r, 17),
@@ -180,7 +181,7 @@
             20 => Record::StreamStarted {
                 request: u32_at(r, 5),
                 attempt: r[9],
-                server: endpoint_at(r, 10),
+                server: server_at(r, 10),
                 took: u64_at(r, 16),
             },
             70 => Record::Timer { token: u32_at(r, 5) },
@@ -194,7 +195,7 @@
             .chunks_exact(ENTRY)
             .map(|e| {
                 Ok(Server {
-                    endpoint: endpoint_at(e, 0),
+                    id: server_at(e, 0),
                     zone: e[6],
                     kind: u16_at(e, 7),
                     cell: u16_at(e, 9),
@@ -303,10 +304,7 @@
         let mut r = [0u8; ACTION];
         let put =
             |r: &mut [u8; ACTION], at: usize, bytes: &[u8]| r[at..at + bytes.len()].copy_from_slice(bytes);
-        let server = |r: &mut [u8; ACTION], at: usize, e: &Endpoint| {
-            put(r, at, &e.address);
-            put(r, at + 4, &e.port.to_be_bytes());
-        };
+        let server = |r: &mut [u8; ACTION], at: usize, id: &ServerId| put(r, at, &id.0.to_be_bytes()[2..]);
         put(&mut r, 1, &instance.to_be_bytes());
         match action {
             Action::Send { request, server: to, timeout } => {
--- a/tests/benchlink.rs
+++ b/crates/adapter/tests/wire.rs
@@ -12,7 +12,7 @@
 report.via=piggyback\nsome.new.key=whatever\ntenants=\nweightSource=nominal\nzone=0\nzones=a,b\n";
 
 fn run(input: &[u8]) -> Output {
-    let mut child = Command::new(env!("CARGO_BIN_EXE_yarrowfield-benchlink"))
+    let mut child = Command::new(env!("CARGO_BIN_EXE_corkhollow-adapter"))
         .stdin(Stdio::piped())
         .stdout(Stdio::piped())
         .stderr(Stdio::piped())
--- /dev/null
+++ b/crates/balance/src/balancer/admission.rs
@@ -0,0 +1,91 @@
+//! What is let in, and what is refused at once.
+
+use super::{Balancer, Job, Pending};
+use crate::interface::{Action, Effect, Nanos, Request, RequestId};
+use std::cmp::Reverse;
+
+/// A second copy goes out when this part of the aim is over.
+const HEDGE_AT: f64 = 0.5;
+/// Repeats that may cost servers work, as a part of requests.
+const RETRY_SHARE: f64 = 0.1;
+/// ... which shrinks with this power of the fleet's pressure.
+const CALM_STEEP: i32 = 4;
+/// Refuse when the answer is expected after this multiple of the aim.
+const ADMIT_AIMS: f64 = 0.75;
+/// Lesser worth for the work lowers the limit with this power of its ratio to the best.
+const WORTH_POWER: f64 = 0.5;
+/// A tenant is over its share when it gets this many deviations of chance more.
+const CHANCE: f64 = 1.0;
+
+impl Balancer {
+    pub(super) fn admit(&mut self, now: Nanos, request: Request, sink: &mut Vec<Action>) {
+        let ramp = self.settings.ramp as f64;
+        self.arrivals.count(now, ramp);
+        let most = 1.0 + RETRY_SHARE * self.arrivals.read(now, ramp) * ramp / 1e9;
+        // Copies into a jam make it worse: the budget dries up as answers take longer than usual.
+        let calm = self.pressure_now(now).max(1.0).powi(-CALM_STEEP);
+        self.budget = (self.budget + RETRY_SHARE * calm).min(most);
+        let pending = Pending {
+            request,
+            arrived: now,
+            attempts: Vec::new(),
+            fence: None,
+            answered: false,
+            streaming: false,
+        };
+        let class = usize::from(request.class);
+        if class < self.settings.classes.len() {
+            if let Some((i, queue)) = self.choose(now, &pending) {
+                let wait = queue * self.typical[class] - self.limit(now, &request);
+                if wait <= 0.0 {
+                    if let Some(rate) = self.tenants.get_mut(request.tenant as usize) {
+                        rate.count(now, self.memory);
+                    }
+                    self.pending.insert(request.id, pending);
+                    self.send(now, request.id, i, sink);
+                    let class = &self.settings.classes[class];
+                    if class.effect == Effect::Safe && self.settings.second_copies && !class.stream {
+                        let at = now + (HEDGE_AT * class.aim as f64) as Nanos;
+                        if at < request.give_up_at {
+                            self.jobs.push(Reverse((at, Job::Hedge(request.id))));
+                        }
+                    }
+                    return;
+                }
+                return self.refuse(request.id, wait, sink);
+            }
+        }
+        self.refuse(request.id, self.longest as f64, sink);
+    }
+
+    /// Whether a tenant already gets its share here. What is let in counts: clients that ask again after a
+    /// refusal would put their tenant over its share and be refused the more.
+    pub(super) fn over_share(&self, now: Nanos, tenant: usize) -> bool {
+        let Some(rate) = self.tenants.get(tenant) else { return false };
+        let fair = self.settings.tenant_quota[tenant] / f64::from(self.settings.group_size);
+        let seconds = self.memory / 1e9;
+        rate.read(now, self.memory) > fair + CHANCE * (fair / seconds).sqrt()
+    }
+
+    pub(super) fn limit(&self, now: Nanos, request: &Request) -> f64 {
+        let class = &self.settings.classes[usize::from(request.class)];
+        let cost = |c: usize| if self.settings.worth_by_work { 1.0 } else { self.typical[c] };
+        let best = (0..self.typical.len())
+            .map(|c| self.settings.classes[c].worth / cost(c))
+            .fold(f64::MIN_POSITIVE, f64::max);
+        let mut value = class.worth / cost(usize::from(request.class)) / best;
+        if self.over_share(now, request.tenant as usize) {
+            value *= self.settings.over_share_worth;
+        }
+        let left = request.give_up_at.saturating_sub(now) as f64;
+        let most = (ADMIT_AIMS * (1.0 + class.late_worth) * class.aim as f64).min(left);
+        most * value.clamp(0.0, 1.0).powf(WORTH_POWER)
+    }
+
+    pub(super) fn refuse(&mut self, id: RequestId, wait: f64, sink: &mut Vec<Action>) {
+        let spread = 0.5 + self.chance();
+        let advice = (wait * spread).min(self.settings.max_retry_after as f64) as Nanos;
+        let retry_after = if self.settings.retry_after { advice } else { 0 };
+        sink.push(Action::Refuse { request: id, retry_after });
+    }
+}
--- /dev/null
+++ b/crates/balance/src/balancer/attempts.rs
@@ -0,0 +1,134 @@
+//! Attempts: sent, ended, sent again, copied, called off.
+
+use super::{Attempt, Balancer};
+use crate::interface::{Action, Effect, Ending, Group, Nanos, RequestId};
+
+impl Balancer {
+    pub(super) fn send(&mut self, now: Nanos, id: RequestId, i: usize, sink: &mut Vec<Action>) {
+        let credit = self.increment(now);
+        let weight = self.pending.get(&id).map_or(1.0, |p| self.weight(&p.request));
+        if self.cold_share(now, i) < 1.0 {
+            let wait = self.cold_interval(now, i) as Nanos;
+            self.nodes[i].cold_next = now.saturating_add(wait);
+        } else {
+            self.nodes[i].cold_next = 0;
+        }
+        let node = &mut self.nodes[i];
+        if node.out == 0 {
+            node.silent_since = now;
+        }
+        node.out += 1;
+        node.load += weight;
+        node.sent_since += weight;
+        let server = node.server.id;
+        self.credit(i, credit);
+        if let Some(p) = self.pending.get_mut(&id) {
+            p.attempts.push(Attempt { node: i, credit, weight, open: true });
+            sink.push(Action::Send { request: id, server, timeout: 0 });
+        }
+    }
+
+    pub(super) fn outcome(
+        &mut self,
+        now: Nanos,
+        (id, attempt): (RequestId, u8),
+        finished: bool,
+        took: Nanos,
+        ending: Ending,
+        sink: &mut Vec<Action>,
+    ) {
+        let Some(p) = self.pending.get_mut(&id) else { return };
+        let Some(a) = p.attempts.get_mut(usize::from(attempt)).filter(|a| a.open) else { return };
+        a.open = false;
+        let (i, credit, weight, class) = (a.node, a.credit, a.weight, usize::from(p.request.class));
+        let hint = p.request.work_hint;
+        let window = self.settings.classes[class].window;
+        if !ending.never_ran() && p.fence.is_none() {
+            p.fence = Some((i, now.saturating_sub(took) + window));
+        }
+        self.judge(now, i, (class, weight, hint), took, ending, credit, sink);
+        if finished {
+            return self.close(id, sink);
+        }
+        let Some(p) = self.pending.get(&id) else { return };
+        if p.answered {
+            return self.close(id, sink);
+        }
+        if p.open() > 0 && now < p.request.give_up_at {
+            return;
+        }
+        self.again(now, id, ending, sink);
+    }
+
+    /// Sends a request again whose attempts have all ended without an answer, or ends it.
+    pub(super) fn again(&mut self, now: Nanos, id: RequestId, ending: Ending, sink: &mut Vec<Action>) {
+        let Some(p) = self.pending.remove(&id) else { return };
+        let class = usize::from(p.request.class);
+        let effect = self.settings.classes[class].effect;
+        let may_have_run = p.fence.is_some();
+        let free = ending.never_ran();
+        // One bad request must not be carried from server to server and count against each.
+        let rejected = ending == Ending::Rejected;
+        let allowed = !p.streaming
+            && !rejected
+            && p.attempts.len() < self.settings.max_attempts as usize
+            && (!may_have_run || effect != Effect::Unsafe)
+            && (free || self.budget >= 1.0)
+            && now + (self.typical[class] / 2.0) as Nanos <= p.request.give_up_at;
+        let mut p = p;
+        let next = if allowed { self.choose(now, &p) } else { None };
+        let all = self.settings.classes[class].group == Group::All;
+        let harmless = !may_have_run || effect == Effect::Safe || (effect == Effect::Keyed && all);
+        if next.is_none() {
+            p.answered = true;
+            if harmless && !rejected && now < p.request.give_up_at {
+                self.refuse(id, self.typical[class], sink);
+            } else {
+                sink.push(Action::Fail { request: id });
+            }
+        }
+        self.pending.insert(id, p);
+        match next {
+            Some((i, _)) => {
+                if !free {
+                    self.budget -= 1.0;
+                }
+                self.send(now, id, i, sink)
+            }
+            None => self.close(id, sink),
+        }
+    }
+
+    /// A second copy for a request that is slow to come back, within the budget.
+    pub(super) fn hedge(&mut self, now: Nanos, id: RequestId, sink: &mut Vec<Action>) {
+        let Some(p) = self.pending.remove(&id) else { return };
+        let fits = !p.answered && p.open() == 1 && p.attempts.len() < self.settings.max_attempts as usize;
+        let class = &self.settings.classes[usize::from(p.request.class)];
+        let left = (p.arrived + class.aim).saturating_sub(now) as f64;
+        let mean = self.typical[usize::from(p.request.class)];
+        let next = if fits && self.budget >= 1.0 && now < p.request.give_up_at {
+            self.choose(now, &p).filter(|&(_, q)| q * mean < left)
+        } else {
+            None
+        };
+        self.pending.insert(id, p);
+        if let Some((i, _)) = next {
+            self.budget -= 1.0;
+            self.send(now, id, i, sink);
+        }
+    }
+
+    /// Nothing more is owed: calls off what is still out and forgets the request once all is in.
+    pub(super) fn close(&mut self, id: RequestId, sink: &mut Vec<Action>) {
+        let Some(p) = self.pending.get_mut(&id) else { return };
+        if !p.answered && self.settings.cancel && !p.streaming {
+            for (k, _) in p.attempts.iter().enumerate().filter(|(_, a)| a.open) {
+                sink.push(Action::Cancel { request: id, attempt: k as u8 });
+            }
+        }
+        p.answered = true;
+        if p.open() == 0 {
+            self.pending.remove(&id);
+        }
+    }
+}
--- /dev/null
+++ b/crates/balance/src/balancer/list.rs
@@ -0,0 +1,152 @@
+//! The list of servers: who comes, changes and leaves, and which of them this node ranks.
+
+use super::choice::DRAWN;
+use super::{Balancer, Job, Node};
+use crate::interface::{Action, ListKind, Nanos, Phase, Server};
+use std::cmp::Reverse;
+
+/// About how many nodes each server is ranked by, and the least that a node ranks in a zone.
+const COVER: f64 = 3.0;
+const LEAST_PART: f64 = 2.0 * DRAWN as f64;
+
+impl Balancer {
+    pub(super) fn follow_list(
+        &mut self,
+        now: Nanos,
+        kind: ListKind,
+        servers: &[Server],
+        sink: &mut Vec<Action>,
+    ) {
+        match kind {
+            // The whole group may have been cut off at once: come back spread out, later each time.
+            ListKind::Failed => {
+                self.list_failures = (self.list_failures + 1).min(4);
+                let pause = self.longest as f64 * f64::from(1 << self.list_failures) * (0.5 + self.chance());
+                return self.jobs.push(Reverse((now + pause as Nanos, Job::Relist)));
+            }
+            ListKind::Cached if self.settings.must_subscribe => sink.push(Action::Subscribe),
+            ListKind::Cached => {}
+            ListKind::Full | ListKind::Changes => self.list_failures = 0,
+        }
+        if kind != ListKind::Changes {
+            for i in 0..self.nodes.len() {
+                if !servers.iter().any(|s| s.id == self.nodes[i].server.id) {
+                    self.leave(now, i, Phase::Gone);
+                }
+            }
+        }
+        for server in servers {
+            match self.by_id.get(&server.id).copied() {
+                Some(i) => self.update(now, i, *server),
+                None if server.phase == Phase::Ready => self.add(now, *server),
+                None => {}
+            }
+        }
+        (0..self.ready.len()).for_each(|zone| self.regroup(now, zone));
+    }
+
+    /// Ranks this node's own part of a zone: with many nodes each would see any one server too seldom. Parts
+    /// are windows of one order, set off by the golden ratio, so that all servers are in about as many.
+    pub(super) fn regroup(&mut self, now: Nanos, zone: usize) {
+        let count = self.ready[zone].len();
+        let nodes = f64::from(self.settings.group_size) / self.ready.len() as f64;
+        let part = (count as f64 * COVER / nodes).max(LEAST_PART);
+        let start = f64::from(self.settings.ordinal) * 0.618_033_988_749_895 % 1.0 * count as f64;
+        let mut filled = 0.0;
+        for k in 0..count {
+            let i = self.ready[zone][(start as usize + k) % count];
+            let inside = filled < part;
+            filled += self.cold_share(now, i);
+            match self.nodes[i].place {
+                None if inside => {
+                    self.nodes[i].place = Some(self.ranks[zone].len());
+                    self.ranks[zone].push(i);
+                    self.credit(i, 0.0);
+                }
+                Some(_) if !inside => self.unrank(i),
+                _ => {}
+            }
+        }
+    }
+
+    pub(super) fn unrank(&mut self, i: usize) {
+        let Some(place) = self.nodes[i].place.take() else { return };
+        let rank = &mut self.ranks[usize::from(self.nodes[i].server.zone)];
+        rank.remove(place);
+        for (k, &j) in rank.iter().enumerate().skip(place) {
+            self.nodes[j].place = Some(k);
+        }
+    }
+
+    pub(super) fn add(&mut self, now: Nanos, server: Server) {
+        let size = if server.size > 0.0 && self.settings.sizes_known { f64::from(server.size) } else { 1.0 };
+        let node = Node {
+            server: Server { phase: Phase::Gone, ..server },
+            size,
+            out: 0,
+            load: 0.0,
+            silent_since: now,
+            lag: 1.0,
+            lag_at: now,
+            queued: 0.0,
+            report_at: 0,
+            sent_since: 0.0,
+            score: 0.0,
+            place: None,
+            blocked_until: 0,
+            strikes: 0,
+            cold_next: 0,
+            left_at: now,
+        };
+        // A fleet that is replaced over and over must not fill memory: a place goes to the next server
+        // once no request can speak of the one that left.
+        let over = |n: &Node| n.server.phase == Phase::Gone && n.out == 0 && now >= n.left_at + self.longest;
+        let i = self.nodes.iter().position(over).unwrap_or(self.nodes.len());
+        if i < self.nodes.len() {
+            self.by_id.remove(&self.nodes[i].server.id);
+            self.nodes[i] = node;
+        } else {
+            self.nodes.push(node);
+        }
+        self.by_id.insert(server.id, i);
+        self.update(now, i, server);
+    }
+
+    pub(super) fn update(&mut self, now: Nanos, i: usize, server: Server) {
+        let restarted = server.started_at > self.nodes[i].server.started_at;
+        let fresh = self.nodes[i].server.phase != Phase::Ready;
+        if server.phase != Phase::Ready || server.zone != self.nodes[i].server.zone {
+            self.leave(now, i, server.phase);
+        }
+        self.nodes[i].server = server;
+        if server.phase == Phase::Ready && (fresh || restarted) {
+            let node = &mut self.nodes[i];
+            (node.lag, node.lag_at, node.strikes, node.blocked_until) = (1.0, now, 0, 0);
+            let zone = usize::from(server.zone);
+            if self.ranks.len() <= zone {
+                self.ranks.resize(zone + 1, Vec::new());
+                self.ready.resize(zone + 1, Vec::new());
+            }
+            if fresh {
+                node.score = 0.0;
+                let at = self.ready[zone].partition_point(|&j| self.nodes[j].server.id < server.id);
+                self.ready[zone].insert(at, i);
+            }
+            // Every node hears of a cold server at about the same time: first sends are spread over an
+            // interval, or all of them together would spend its tipping budget at once.
+            if self.cold_share(now, i) < 1.0 {
+                let wait = self.cold_interval(now, i) * self.chance();
+                self.nodes[i].cold_next = now.saturating_add(wait as Nanos);
+            }
+        }
+    }
+
+    pub(super) fn leave(&mut self, now: Nanos, i: usize, phase: Phase) {
+        if self.nodes[i].server.phase == Phase::Ready {
+            self.nodes[i].left_at = now;
+            self.unrank(i);
+            self.ready[usize::from(self.nodes[i].server.zone)].retain(|&j| j != i);
+        }
+        self.nodes[i].server.phase = if phase == Phase::Ready { Phase::Gone } else { phase };
+    }
+}
--- /dev/null
+++ b/crates/balance/src/balancer/mod.rs
@@ -0,0 +1,203 @@
+//! All decisions of one node for one pool. Types, events and actions: `src/interface.rs`.
+//!
+//! One file per concern: `list` (who there is), `ranking` (accomplishment), `queue` (how long an answer
+//! takes), `choice` (JSQ-DAS), `cold`, `health`, `admission`, `attempts`. Constants are ratios of settings or
+//! of observations.
+
+mod admission;
+mod attempts;
+mod choice;
+mod cold;
+mod health;
+mod list;
+mod queue;
+mod ranking;
+
+use crate::interface::*;
+use rand_core::{RngCore, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BinaryHeap};
+
+/// The lag of a server is believed for this many give-up times.
+const LAG_MEMORY: f64 = 3.0;
+/// Without news, pressure fades by e in this many aims.
+const RELIEF: f64 = 3.0;
+
+struct Node {
+    server: Server,
+    size: f64,
+    out: u32,
+    load: f64,
+    silent_since: Nanos,
+    lag: f64,
+    lag_at: Nanos,
+    queued: f64,
+    report_at: Nanos,
+    sent_since: f64,
+    score: f64,
+    place: Option<usize>,
+    blocked_until: Nanos,
+    strikes: u32,
+    cold_next: Nanos,
+    left_at: Nanos,
+}
+
+struct Attempt {
+    node: usize,
+    credit: f64,
+    weight: f64,
+    open: bool,
+}
+
+struct Pending {
+    request: Request,
+    arrived: Nanos,
+    attempts: Vec<Attempt>,
+    fence: Option<(usize, Nanos)>,
+    answered: bool,
+    streaming: bool,
+}
+
+impl Pending {
+    fn open(&self) -> usize {
+        self.attempts.iter().filter(|a| a.open).count()
+    }
+}
+
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+enum Job {
+    Hedge(RequestId),
+    Relist,
+}
+
+/// The decisions of one node. Equal settings, seed and events give equal actions.
+pub struct Balancer {
+    settings: Settings,
+    rng: Pcg64Mcg,
+    nodes: Vec<Node>,
+    by_id: BTreeMap<ServerId, usize>,
+    ready: Vec<Vec<usize>>,
+    ranks: Vec<Vec<usize>>,
+    epoch: Nanos,
+    pending: BTreeMap<RequestId, Pending>,
+    typical: Vec<f64>,
+    hints: Vec<[f64; 3]>,
+    pressure: f64,
+    pressure_at: Nanos,
+    arrivals: Rate,
+    tenants: Vec<Rate>,
+    budget: f64,
+    usual_queue: f64,
+    jobs: BinaryHeap<Reverse<(Nanos, Job)>>,
+    armed: Nanos,
+    list_failures: u32,
+    memory: f64,
+    relief: f64,
+    longest: Nanos,
+}
+
+/// A rate a second, averaged over the memory it is read with.
+#[derive(Clone, Copy, Default)]
+struct Rate {
+    sum: f64,
+    at: Nanos,
+}
+
+impl Rate {
+    fn read(&self, now: Nanos, memory: f64) -> f64 {
+        self.sum * (-(now.saturating_sub(self.at) as f64) / memory).exp() / (memory / 1e9)
+    }
+    fn count(&mut self, now: Nanos, memory: f64) {
+        self.sum = self.sum * (-(now.saturating_sub(self.at) as f64) / memory).exp() + 1.0;
+        self.at = now;
+    }
+}
+
+impl Balancer {
+    /// A balancer without any servers yet. The seed settles all its random draws.
+    pub fn new(settings: Settings, seed: u64) -> Result<Self, SettingsError> {
+        settings.validate()?;
+        let longest = settings.classes.iter().map(|c| c.give_up).max().unwrap_or(1);
+        Ok(Balancer {
+            rng: Pcg64Mcg::seed_from_u64(seed),
+            nodes: Vec::new(),
+            by_id: BTreeMap::new(),
+            ready: Vec::new(),
+            ranks: Vec::new(),
+            epoch: 0,
+            pending: BTreeMap::new(),
+            typical: settings.classes.iter().map(|c| c.aim as f64 / 3.0).collect(),
+            hints: vec![[0.0; 3]; settings.classes.len()],
+            pressure: 1.0,
+            pressure_at: 0,
+            arrivals: Rate::default(),
+            tenants: vec![Rate::default(); settings.tenant_quota.len()],
+            budget: 1.0,
+            usual_queue: 0.0,
+            jobs: BinaryHeap::new(),
+            armed: Nanos::MAX,
+            list_failures: 0,
+            memory: LAG_MEMORY * longest as f64,
+            relief: RELIEF * settings.classes.iter().map(|c| c.aim).max().unwrap_or(1) as f64,
+            longest,
+            settings,
+        })
+    }
+
+    /// Takes one event at the given time and writes what is to be done about it into `sink`, in order.
+    pub fn handle(&mut self, now: Nanos, event: Event, sink: &mut Vec<Action>) {
+        match event {
+            Event::List { kind, servers } => self.follow_list(now, kind, &servers, sink),
+            Event::Request(request) => self.admit(now, request, sink),
+            Event::Outcome { request, server, attempt, finished, took, ending, report } => {
+                self.learn(now, server, report);
+                self.outcome(now, (request, attempt), finished, took, ending, sink)
+            }
+            Event::StreamStarted { request, .. } => {
+                if let Some(p) = self.pending.get_mut(&request) {
+                    p.streaming = true;
+                }
+            }
+            Event::ClientGone { request } => self.close(request, sink),
+            Event::Probed { server, report, .. } => self.learn(now, server, report),
+            Event::Message { .. } => {}
+            Event::Timer { .. } => {
+                self.armed = Nanos::MAX;
+                while let Some(&Reverse((at, job))) = self.jobs.peek() {
+                    if at > now {
+                        break;
+                    }
+                    self.jobs.pop();
+                    match job {
+                        Job::Hedge(id) => self.hedge(now, id, sink),
+                        Job::Relist => sink.push(Action::Subscribe),
+                    }
+                }
+            }
+        }
+        self.arm(now, sink);
+    }
+
+    /// How many servers it remembers, with those that have left.
+    pub fn remembered(&self) -> usize {
+        self.nodes.len()
+    }
+
+    fn draw(&mut self, below: usize) -> usize {
+        ((u64::from(self.rng.next_u32()) * below as u64) >> 32) as usize
+    }
+
+    fn chance(&mut self) -> f64 {
+        f64::from(self.rng.next_u32()) / f64::from(u32::MAX)
+    }
+
+    fn arm(&mut self, now: Nanos, sink: &mut Vec<Action>) {
+        if let Some(&Reverse((at, _))) = self.jobs.peek() {
+            if at < self.armed {
+                self.armed = at;
+                sink.push(Action::StartTimer { after: at.saturating_sub(now), token: 0 });
+            }
+        }
+    }
+}
--- a/src/interface.rs
+++ b/crates/balance/src/interface.rs
@@ -8,13 +8,15 @@
 /// The node's own number for one request; never used twice.
 pub type RequestId = u32;
 
-/// Where a server listens. Order and value carry no meaning beyond identity.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub struct Endpoint {
-    /// IPv4 address, first byte first.
-    pub address: [u8; 4],
-    /// TCP port.
-    pub port: u16,
+/// A server's identity, the same for as long as lists name it. Nodes that share a list should agree on the order of
+/// their servers' identities, for each ranks a window of that order; the value means nothing else.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct ServerId(pub u64);
+
+impl std::fmt::Display for ServerId {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        write!(f, "{:016x}", self.0)
+    }
 }
 
 /// Where a server stands in its life, as the list tells it.
@@ -32,7 +34,7 @@
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Server {
     /// The server's identity.
-    pub endpoint: Endpoint,
+    pub id: ServerId,
     /// Zone it stands in, as an index into the node's zones.
     pub zone: u8,
     /// Machine kind, as an index.
@@ -49,8 +51,8 @@
 
 impl Server {
     /// A ready, long-started server of size 1 in zone 0.
-    pub fn warm(endpoint: Endpoint) -> Self {
-        Server { endpoint, zone: 0, kind: 0, cell: 0, phase: Phase::Ready, size: 1.0, started_at: 0 }
+    pub fn warm(id: ServerId) -> Self {
+        Server { id, zone: 0, kind: 0, cell: 0, phase: Phase::Ready, size: 1.0, started_at: 0 }
     }
 }
 
@@ -367,7 +369,7 @@
         /// The request.
         request: RequestId,
         /// The server it was sent to.
-        server: Endpoint,
+        server: ServerId,
         /// Attempt number, from 0 in the order of sending.
         attempt: u8,
         /// Nothing more is owed for the request.
@@ -386,7 +388,7 @@
         /// Attempt number.
         attempt: u8,
         /// The server it was sent to.
-        server: Endpoint,
+        server: ServerId,
         /// Time since it was sent.
         took: Nanos,
     },
@@ -398,7 +400,7 @@
     /// A probe came back.
     Probed {
         /// The server.
-        server: Endpoint,
+        server: ServerId,
         /// How it went.
         ending: Ending,
         /// How long it took.
@@ -428,7 +430,7 @@
         /// The request.
         request: RequestId,
         /// The server.
-        server: Endpoint,
+        server: ServerId,
         /// The attempt's time-out; 0 means until the client gives up.
         timeout: Nanos,
     },
@@ -454,7 +456,7 @@
     /// Check a server.
     Probe {
         /// The server.
-        server: Endpoint,
+        server: ServerId,
     },
     /// Send bytes to another node, or to all when `to` is `None`.
     Tell {
--- a/src/lib.rs
+++ b/crates/balance/src/lib.rs
@@ -4,12 +4,12 @@
 //! [`Balancer`] and carries out the actions that it writes into the sink.
 //!
 //! ```
-//! use yarrowfield::interface::{Action, Endpoint, Event, ListKind, Phase, Request, Settings, Server};
-//! use yarrowfield::Balancer;
+//! use corkhollow_balance::interface::{Action, Event, ListKind, Phase, Request, Server, ServerId, Settings};
+//! use corkhollow_balance::Balancer;
 //!
 //! let mut balancer = Balancer::new(Settings::single_class(400_000_000, 800_000_000), 7).unwrap();
 //! let mut actions = Vec::new();
-//! let server = Server::warm(Endpoint { address: [10, 0, 0, 1], port: 8080 });
+//! let server = Server::warm(ServerId(1));
 //! balancer.handle(0, Event::List { kind: ListKind::Full, servers: vec![server] }, &mut actions);
 //! actions.clear();
 //! let request = Request::new(1, 1_000_000 + 800_000_000);
@@ -18,8 +18,8 @@
 //! assert_eq!(server.phase, Phase::Ready);
 //! ```
 
-mod balance;
+mod balancer;
 pub mod interface;
 pub mod settings;
 
-pub use balance::Balancer;
+pub use balancer::Balancer;
--- a/tests/common/mod.rs
+++ b/crates/balance/tests/common/mod.rs
@@ -1,17 +1,17 @@
 //! Helpers for driving a balancer by hand.
 #![allow(dead_code)]
 
-use yarrowfield::interface::*;
-use yarrowfield::Balancer;
+use corkhollow_balance::interface::*;
+use corkhollow_balance::Balancer;
 
 pub const MS: Nanos = 1_000_000;
 
-pub fn endpoint(k: u8) -> Endpoint {
-    Endpoint { address: [10, 0, 0, k], port: 80 }
+pub fn server(k: u8) -> ServerId {
+    ServerId(u64::from(k))
 }
 
 pub fn servers(n: u8) -> Vec<Server> {
-    (0..n).map(|k| Server::warm(endpoint(k))).collect()
+    (0..n).map(|k| Server::warm(server(k))).collect()
 }
 
 pub fn settings(effect: Effect) -> Settings {
@@ -62,7 +62,7 @@
     pub fn outcome(
         &mut self,
         request: RequestId,
-        server: Endpoint,
+        server: ServerId,
         attempt: u8,
         took: Nanos,
         ending: Ending,
@@ -72,7 +72,7 @@
     }
 
     /// Sends one request and answers it at once after `took`; tells where it went.
-    pub fn served(&mut self, took: Nanos) -> Option<Endpoint> {
+    pub fn served(&mut self, took: Nanos) -> Option<ServerId> {
         let (id, actions) = self.request();
         let server = sent(&actions, id)?;
         self.outcome(id, server, 0, took, Ending::Ok);
@@ -81,7 +81,7 @@
 }
 
 /// Where the request went, if it was sent.
-pub fn sent(actions: &[Action], id: RequestId) -> Option<Endpoint> {
+pub fn sent(actions: &[Action], id: RequestId) -> Option<ServerId> {
     actions.iter().find_map(|a| match a {
         Action::Send { request, server, .. } if *request == id => Some(*server),
         _ => None,
--- a/tests/incidents.rs
+++ b/crates/balance/tests/incidents.rs
@@ -2,8 +2,8 @@
 
 mod common;
 use common::*;
+use corkhollow_balance::interface::*;
 use std::collections::{BTreeMap, BTreeSet};
-use yarrowfield::interface::*;
 
 /// Lets all of a fleet answer just before the client's end for two seconds.
 fn jam(bed: &mut Bed) {
@@ -77,7 +77,7 @@
     let mut bed = Bed::new(settings(Effect::Safe), servers(2), 3);
     let report = |queued| Some(Report { queued: Some(queued), ..Report::default() });
     let tell = |bed: &mut Bed, k, queued| {
-        let (server, report) = (endpoint(k), report(queued));
+        let (server, report) = (server(k), report(queued));
         bed.feed(Event::Probed { server, ending: Ending::Ok, took: MS, report });
     };
     for _ in 0..300 {
@@ -88,7 +88,7 @@
     bed.now += 5_000 * MS;
     tell(&mut bed, 1, 2.0);
     let (id, actions) = bed.request();
-    assert_eq!(sent(&actions, id), Some(endpoint(1)));
+    assert_eq!(sent(&actions, id), Some(server(1)));
 }
 
 /// Requests of one key keep to one server while all are quick, and leave it when it is slow.
@@ -97,9 +97,9 @@
     let mut s = settings(Effect::Safe);
     s.warm_keys = true;
     let mut bed = Bed::new(s, servers(20), 3);
-    let mut homes: BTreeMap<u64, BTreeSet<Endpoint>> = BTreeMap::new();
+    let mut homes: BTreeMap<u64, BTreeSet<ServerId>> = BTreeMap::new();
     let mut id = 0;
-    let mut ask = |bed: &mut Bed, key, took: &dyn Fn(Endpoint) -> Nanos| {
+    let mut ask = |bed: &mut Bed, key, took: &dyn Fn(ServerId) -> Nanos| {
         id += 1;
         bed.now += 20 * MS;
         let request = Request { key, ..Request::new(id, bed.now + 800 * MS) };
@@ -174,7 +174,7 @@
         for server in list.iter_mut().step_by(2).filter(|_| cold) {
             server.started_at = 1_000_000 * MS;
         }
-        let even = |e: &Endpoint| e.address[3].is_multiple_of(2);
+        let even = |e: &ServerId| e.0.is_multiple_of(2);
         let mut bed = Bed::new(s, list, 3);
         let mut met = BTreeSet::new();
         for _ in 0..200 {
@@ -234,7 +234,7 @@
 #[test]
 fn servers_that_left_are_forgotten() {
     let mut bed = Bed::new(settings(Effect::Safe), servers(4), 3);
-    let other = |k: u32| Endpoint { address: k.to_be_bytes(), port: 81 };
+    let other = |k: u32| ServerId((u64::from(k) + 1) << 32);
     let mut last: Vec<_> = servers(4);
     for round in 0..500 {
         bed.now += 1_000 * MS;
@@ -243,7 +243,7 @@
         bed.list(ListKind::Changes, left.chain(next.iter().copied()).collect());
         for _ in 0..8 {
             let server = bed.served(50 * MS).expect("sent");
-            assert!(next.iter().any(|s| s.endpoint == server), "round {round}: {server:?} is gone");
+            assert!(next.iter().any(|s| s.id == server), "round {round}: {server:?} is gone");
         }
         last = next;
     }
--- a/tests/mechanism.rs
+++ b/crates/balance/tests/mechanism.rs
@@ -2,8 +2,8 @@
 
 mod common;
 use common::*;
+use corkhollow_balance::interface::*;
 use std::collections::BTreeMap;
-use yarrowfield::interface::*;
 
 /// With all queues empty a tie goes to the more accomplished, so nobody outside the accomplished set can win.
 #[test]
@@ -11,7 +11,7 @@
     let mut bed = Bed::new(settings(Effect::Safe), servers(20), 3);
     let mut counts = BTreeMap::new();
     for k in 0..20 {
-        counts.insert(endpoint(k), 0u32);
+        counts.insert(server(k), 0u32);
     }
     for round in 0..400 {
         // A third of the aim is what a new node expects: all queues stay equal.
@@ -33,11 +33,11 @@
     let mut out = BTreeMap::new();
     for _ in 0..8 {
         let (id, actions) = bed.request();
-        let server = sent(&actions, id).expect("sent");
-        let mine = *out.entry(server).or_insert(0u32);
-        let least = (0..4).map(|k| out.get(&endpoint(k)).copied().unwrap_or(0)).min().unwrap();
+        let chosen = sent(&actions, id).expect("sent");
+        let mine = *out.entry(chosen).or_insert(0u32);
+        let least = (0..4).map(|k| out.get(&server(k)).copied().unwrap_or(0)).min().unwrap();
         assert_eq!(mine, least, "{out:?}");
-        *out.get_mut(&server).unwrap() += 1;
+        *out.get_mut(&chosen).unwrap() += 1;
     }
 }
 
@@ -103,11 +103,11 @@
     }
     let mut bed = Bed::new(settings(Effect::Safe), list.clone(), 17);
     for _ in 0..100 {
-        assert!(bed.served(50 * MS).unwrap() < endpoint(6));
+        assert!(bed.served(50 * MS).unwrap() < server(6));
     }
     let gone = list[..6].iter().map(|s| Server { phase: Phase::Gone, ..*s }).collect();
     bed.list(ListKind::Changes, gone);
-    assert!(bed.served(50 * MS).unwrap() >= endpoint(6));
+    assert!(bed.served(50 * MS).unwrap() >= server(6));
 }
 
 /// Equal settings, seed and events give equal actions.
--- a/tests/rules.rs
+++ b/crates/balance/tests/rules.rs
@@ -2,9 +2,9 @@
 
 mod common;
 use common::*;
+use corkhollow_balance::interface::*;
 use rand_core::{RngCore, SeedableRng};
 use std::collections::BTreeMap;
-use yarrowfield::interface::*;
 
 const ENDINGS: [Ending; 9] = [
     Ending::Ok,
@@ -64,7 +64,7 @@
         let took = if late { 650 * MS } else { 50 * MS };
         bed.now += took;
         let actions = bed.outcome(id, first, 0, took, Ending::Reset);
-        let of = |e: Endpoint| list.iter().find(|s| s.endpoint == e).unwrap();
+        let of = |e: ServerId| list.iter().find(|s| s.id == e).unwrap();
         match sent(&actions, id) {
             Some(second) => {
                 assert!(!late && second != first);
@@ -89,7 +89,7 @@
         // For each request: when it ends, its open attempts, whether one may have run, whether it is answered.
         struct Life {
             until: Nanos,
-            open: Vec<(u8, Endpoint, Nanos)>,
+            open: Vec<(u8, ServerId, Nanos)>,
             attempts: u8,
             may_have_run: bool,
             answers: u32,
@@ -117,7 +117,7 @@
                 let k = rng.next_u32() as u8 % 8;
                 draining[usize::from(k)] ^= true;
                 let phase = if draining[usize::from(k)] { Phase::Draining } else { Phase::Ready };
-                bed.list(ListKind::Changes, vec![Server { phase, ..Server::warm(endpoint(k)) }])
+                bed.list(ListKind::Changes, vec![Server { phase, ..Server::warm(server(k)) }])
             } else if rng.next_u32() % 3 == 0 {
                 bed.feed(Event::Timer { token: rng.next_u32() })
             } else {
@@ -133,10 +133,7 @@
                         let life = lives.get_mut(&request).unwrap();
                         assert_eq!(life.answers, 0, "seed {seed}: sent after the answer");
                         assert!(bed.now < life.until && life.attempts < 4);
-                        assert!(
-                            !draining[usize::from(server.address[3])],
-                            "seed {seed}: sent to a draining server"
-                        );
+                        assert!(!draining[server.0 as usize], "seed {seed}: sent to a draining server");
                         assert!(effect != Effect::Unsafe || (!life.may_have_run && life.open.is_empty()));
                         assert!(life.open.is_empty() || (seed % 2 == 0 && effect == Effect::Safe));
                         life.open.push((life.attempts, server, bed.now));
@@ -165,14 +162,14 @@
 #[test]
 fn drains_are_kept() {
     let mut bed = Bed::new(settings(Effect::Safe), servers(4), 1);
-    bed.list(ListKind::Changes, vec![Server { phase: Phase::Draining, ..Server::warm(endpoint(0)) }]);
-    bed.list(ListKind::Changes, vec![Server { phase: Phase::Gone, ..Server::warm(endpoint(1)) }]);
+    bed.list(ListKind::Changes, vec![Server { phase: Phase::Draining, ..Server::warm(server(0)) }]);
+    bed.list(ListKind::Changes, vec![Server { phase: Phase::Gone, ..Server::warm(server(1)) }]);
     for _ in 0..50 {
-        assert!(bed.served(20 * MS).unwrap() >= endpoint(2));
+        assert!(bed.served(20 * MS).unwrap() >= server(2));
     }
-    bed.list(ListKind::Full, vec![Server::warm(endpoint(3))]);
+    bed.list(ListKind::Full, vec![Server::warm(server(3))]);
     for _ in 0..50 {
-        assert_eq!(bed.served(20 * MS), Some(endpoint(3)));
+        assert_eq!(bed.served(20 * MS), Some(server(3)));
     }
 }
 
@@ -189,7 +186,7 @@
     let cold: Vec<_> = servers(5).into_iter().map(|s| Server { started_at: start, ..s }).collect();
     bed.list(ListKind::Changes, cold);
     // Warm, each of the five took 20 requests a second; the ramp lasts 8 s and starts at 0.3.
-    let mut sends: BTreeMap<Endpoint, Vec<Nanos>> = BTreeMap::new();
+    let mut sends: BTreeMap<ServerId, Vec<Nanos>> = BTreeMap::new();
     for _ in 0..800 {
         bed.now += step;
         if let Some(server) = bed.served(20 * MS) {
@@ -219,10 +216,10 @@
 #[test]
 fn odd_events_are_harmless() {
     let mut bed = Bed::new(settings(Effect::Safe), servers(3), 1);
-    assert!(bed.outcome(77, endpoint(0), 0, MS, Ending::Error).is_empty());
+    assert!(bed.outcome(77, server(0), 0, MS, Ending::Error).is_empty());
     assert!(bed.feed(Event::ClientGone { request: 77 }).is_empty());
     assert!(bed.feed(Event::Timer { token: 9 }).is_empty());
-    let gone = Server { phase: Phase::Gone, ..Server::warm(endpoint(99)) };
+    let gone = Server { phase: Phase::Gone, ..Server::warm(server(99)) };
     assert!(bed.list(ListKind::Changes, vec![gone]).is_empty());
     let (id, actions) = bed.request();
     let server = sent(&actions, id).unwrap();
@@ -257,7 +254,7 @@
     let refusal = |edit: fn(&mut Settings)| {
         let mut s = settings(Effect::Safe);
         edit(&mut s);
-        yarrowfield::Balancer::new(s, 1).err()
+        corkhollow_balance::Balancer::new(s, 1).err()
     };
     assert_eq!(refusal(|s| s.classes.clear()), Some(SettingsError::Empty("classes")));
     assert_eq!(refusal(|s| s.classes[0].give_up = 0), Some(SettingsError::Zero("give_up")));
--- a/src/main.rs
+++ b/crates/corkhollow/src/main.rs
@@ -1,11 +1,11 @@
 //! One load-balancing node: configuration, runtime, signals.
 
-mod net;
-
-use net::clients::Clients;
-use net::config::{Config, ConfigError};
-use net::discovery::Watcher;
-use net::gateway::Gateway;
+use corkhollow_engine::{log, Clock, Engine};
+use corkhollow_plan::limits::Budget;
+use corkhollow_plan::platform::{Config, ConfigError};
+use corkhollow_proxy::http1::{Clients, Service};
+use corkhollow_proxy::upstream::{Following, Sender, Upstreams, Watcher};
+use std::cell::Cell;
 use std::net::SocketAddr;
 use std::process::ExitCode;
 use std::rc::Rc;
@@ -28,7 +28,7 @@
     #[error("{0}")]
     Config(#[from] ConfigError),
     #[error("settings: {0}")]
-    Settings(#[from] yarrowfield::interface::SettingsError),
+    Settings(#[from] corkhollow_balance::interface::SettingsError),
     #[error("cannot listen on {address}: {error}")]
     Listen { address: SocketAddr, error: std::io::Error },
     #[error("{0}")]
@@ -39,7 +39,7 @@
     match start() {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
-            eprintln!("yarrowfield: {error}");
+            eprintln!("corkhollow: {error}");
             ExitCode::FAILURE
         }
     }
@@ -66,25 +66,39 @@
     let (push, known) =
         (!config.settings.must_subscribe, config.known.as_ref().is_some_and(|k| !k.hosts.is_empty()));
     let (list_calls, calls) = mpsc::unbounded_channel();
-    let gateway = Gateway::new(config, list_calls)?;
+    let clock = Clock::start();
+    let budget = Budget::new(config.limits.sockets, config.limits.memory_mb);
+    let upstreams =
+        Upstreams::new(config.conn_idle, config.connect_timeout, budget.clone(), clock, list_calls);
+    let engine =
+        Engine::new(config.settings.clone(), config.seed, clock, Rc::new(Sender(upstreams.clone())))?;
+    let following = Following {
+        zones: config.zones.clone(),
+        kinds: config.kinds.clone(),
+        must_subscribe: config.settings.must_subscribe,
+        known: config.known.clone(),
+        seed: config.seed,
+    };
     let listener = listen(address).map_err(|error| StartError::Listen { address, error })?;
-    net::log(format_args!("listening on {}", listener.local_addr()?));
-    let watcher = Watcher::new(gateway.clone(), discovery_seen);
+    log(format_args!("listening on {}", listener.local_addr()?));
+    let ready = Rc::new(Cell::new(false));
+    let watcher = Watcher::new(engine.clone(), upstreams.clone(), following, discovery_seen, ready.clone());
     if push {
         spawn_local(watcher.follow());
     } else {
         spawn_local(watcher.obey(calls));
     }
-    spawn_local(gateway.clone().run_timers());
-    let clients = Clients::new(gateway.clone());
+    spawn_local(engine.clone().run_timers());
+    let leaving = Cell::new(false);
+    let service = Rc::new(Service { config, engine, clock, budget, leaving, ready: ready.clone() });
+    let clients = Clients::new(service.clone());
     let stop = Rc::new(Notify::new());
     let accepting = spawn_local(clients.clone().accept(listener, stop.clone()));
-    let ready = gateway.clone();
     spawn_local(async move {
         tokio::time::sleep(READY_KNOWN).await;
-        ready.ready.set(ready.ready.get() || known);
+        ready.set(ready.get() || known);
     });
-    spawn_local(sweep(gateway.clone(), clients.clone()));
+    spawn_local(sweep(upstreams, clients.clone()));
 
     loop {
         tokio::select! {
@@ -93,7 +107,7 @@
         }
     }
     let told = Instant::now();
-    gateway.leaving.set(true);
+    service.leaving.set(true);
     tokio::time::sleep(STILL_ACCEPT).await;
     stop.notify_one();
     let _ = accepting.await;
@@ -108,23 +122,24 @@
 fn reload(listen: SocketAddr, discovery: &watch::Sender<SocketAddr>) {
     match Config::load() {
         Ok(config) if config.listen != listen => {
-            net::log(format_args!("not reloaded: `listen` changes with a restart only"));
+            log(format_args!("not reloaded: `listen` changes with a restart only"));
         }
         Ok(config) => {
-            net::log(format_args!("reloaded: discovery at {}", config.discovery));
+            log(format_args!("reloaded: discovery at {}", config.discovery));
             discovery.send_if_modified(|old| std::mem::replace(old, config.discovery) != config.discovery);
         }
-        Err(error) => net::log(format_args!("not reloaded: {error}")),
+        Err(error) => log(format_args!("not reloaded: {error}")),
     }
 }
 
-async fn sweep(gateway: Rc<Gateway>, clients: Rc<Clients>) {
+async fn sweep(upstreams: Rc<Upstreams>, clients: Rc<Clients>) {
     loop {
         for _ in 0..5 {
             tokio::time::sleep(Duration::from_millis(200)).await;
             clients.cut_heads();
+            upstreams.cut_lingering();
         }
         clients.sweep();
-        gateway.fleet(|f| f.sweep(gateway.clock.now()));
+        upstreams.sweep();
     }
 }
--- a/tests/node.rs
+++ b/crates/corkhollow/tests/platform.rs
@@ -1,8 +1,6 @@
 //! The real node between scripted peers: every ending of an attempt, deadlines, drains, shutdown, bad input.
 
-mod peers;
-
-use peers::*;
+use corkhollow_standin::*;
 use std::io::{Read, Write};
 use std::sync::atomic::Ordering::SeqCst;
 use std::time::{Duration, Instant};
--- a/src/net/clock.rs
+++ b/crates/engine/src/clock.rs
@@ -1,7 +1,7 @@
 //! The node's one clock: nanoseconds since the Unix epoch, so that a server's start time compares with it.
 
+use corkhollow_balance::interface::Nanos;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
-use yarrowfield::interface::Nanos;
 
 /// The system's clock is read once; from then on time only goes forward.
 #[derive(Clone, Copy, Debug)]
@@ -11,11 +11,13 @@
 }
 
 impl Clock {
+    /// Reads the system's clock.
     pub fn start() -> Self {
         let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
         Clock { epoch: since.as_nanos() as Nanos, start: Instant::now() }
     }
 
+    /// The present time.
     pub fn now(&self) -> Nanos {
         self.epoch + self.start.elapsed().as_nanos() as Nanos
     }
--- a/src/net/gateway.rs
+++ b/crates/engine/src/engine.rs
@@ -1,65 +1,58 @@
-//! Between the sockets and the module: what happens becomes an event, what the module wants is carried out, in
-//! order. The gateway owns the balancer, the requests that are under way and all timers.
+//! The requests of one pool, its balancer and its timers.
 //!
 //! Everything runs on one thread. The state is borrowed only inside the methods here, never across an await.
 
-use super::body::{Broken, Pieces};
-use super::budget::Budget;
-use super::clock::Clock;
-use super::config::Config;
-use super::io::Socket;
-use super::servers::{self, Fleet};
-use bytes::Bytes;
-use hyper::header::{HeaderMap, HeaderValue};
-use hyper::{Method, Uri};
-use std::cell::{Cell, RefCell};
+use crate::body::Pieces;
+use crate::clock::Clock;
+use crate::log::log;
+use crate::message::{Answer, AttemptId, Message};
+use corkhollow_balance::interface::{
+    Action, Ending, Event, ListKind, Nanos, Request, RequestId, Server, ServerId, Settings, SettingsError,
+};
+use corkhollow_balance::Balancer;
+use http::header::{HeaderMap, HeaderValue};
+use std::cell::RefCell;
 use std::cmp::Reverse;
-use std::collections::{BinaryHeap, HashMap, HashSet, VecDeque};
+use std::collections::{BinaryHeap, HashMap, HashSet};
 use std::rc::Rc;
-use tokio::sync::{mpsc, oneshot, Notify};
-use tokio::task::AbortHandle;
-use yarrowfield::interface::{
-    Action, Ending, Endpoint, Event, ListKind, Nanos, Request, RequestId, SettingsError,
-};
-use yarrowfield::Balancer;
-
-/// How long an attempt that was given up may go on, so that its connection can be used again. Giving it up by
-/// closing costs the server a new handshake, and the work goes on there all the same.
-const LINGER: Nanos = 1_000_000_000;
+use tokio::sync::{oneshot, Notify};
 
-/// A client's request as every attempt sends it.
-#[derive(Debug)]
-pub struct Message {
-    pub method: Method,
-    pub uri: Uri,
-    pub headers: HeaderMap,
-    pub body: Rc<Pieces>,
-    pub give_up_at: Nanos,
+/// What discovery is asked to do, where the list has to be asked for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ListCall {
+    /// Open a watch.
+    Subscribe,
+    /// Fetch the list once.
+    Fetch,
 }
 
-/// The one final answer to a request.
-#[derive(Debug)]
-pub enum Answer {
-    Whole { headers: HeaderMap, body: Pieces },
-    Stream { headers: HeaderMap, length: Option<u64>, pieces: mpsc::Receiver<Result<Bytes, Broken>> },
-    Refused { retry_after: Nanos },
-    Failed { late: bool },
+/// The side that holds the connections to servers. It is called while the engine is at work and must not call back
+/// before it returns.
+pub trait Carrier {
+    /// Begins an attempt. How it goes is told by [`Engine::served`], [`Engine::streams`] or [`Engine::ended`].
+    fn send(
+        &self,
+        engine: &Rc<Engine>,
+        id: AttemptId,
+        server: ServerId,
+        message: Rc<Message>,
+    ) -> Box<dyn Running>;
+
+    /// Asks discovery.
+    fn ask(&self, call: ListCall);
 }
 
-/// What an attempt is known by.
-#[derive(Clone, Copy, Debug)]
-pub struct AttemptId {
-    pub request: RequestId,
-    pub number: u8,
+/// An attempt that is under way.
+pub trait Running {
+    /// Nobody waits for it any longer.
+    fn give_up(self: Box<Self>);
 }
 
 struct Attempt {
-    server: Endpoint,
+    server: ServerId,
     sent_at: Nanos,
     open: bool,
-    /// The connection that it has, once it has one.
-    socket: Rc<RefCell<Option<Rc<Socket>>>>,
-    task: Option<AbortHandle>,
+    running: Option<Box<dyn Running>>,
 }
 
 struct Live {
@@ -79,7 +72,6 @@
 
 struct State {
     balancer: Balancer,
-    fleet: Fleet,
     /// Bounded by the clients' connections: each carries one request, and attempts outlive it by a deadline.
     live: HashMap<RequestId, Live>,
     /// The clients' ids of all that is live: a second request under one of them would be a second copy.
@@ -87,63 +79,47 @@
     /// Bounded by the rate of requests times the longest give-up time: an entry stays until it is due.
     timers: BinaryHeap<Reverse<(Nanos, Wake)>>,
     armed: Nanos,
-    /// Attempts whose outcome is told already; bounded by the connections to servers.
-    lingering: VecDeque<(Nanos, AbortHandle)>,
     next_id: RequestId,
 }
 
-/// What the discovery task is asked to do, where the list has to be asked for.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum ListCall {
-    Subscribe,
-    Fetch,
-}
-
 /// See the module's documentation.
-pub struct Gateway {
-    pub config: Config,
-    pub clock: Clock,
-    pub budget: Rc<Budget>,
-    /// SIGTERM has come: no more requests on kept connections.
-    pub leaving: Cell<bool>,
-    /// Discovery has told the list, so that new clients may come.
-    pub ready: Cell<bool>,
-    /// Bounded by the module, which asks again only after an answer.
-    pub list_calls: mpsc::UnboundedSender<ListCall>,
+pub struct Engine {
+    clock: Clock,
+    most_attempts: usize,
+    carrier: Rc<dyn Carrier>,
     state: RefCell<State>,
     timer: Notify,
 }
 
-impl Gateway {
+impl Engine {
+    /// An engine without any servers yet. The seed settles its balancer's random draws.
     pub fn new(
-        config: Config,
-        list_calls: mpsc::UnboundedSender<ListCall>,
+        settings: Settings,
+        seed: u64,
+        clock: Clock,
+        carrier: Rc<dyn Carrier>,
     ) -> Result<Rc<Self>, SettingsError> {
+        let most_attempts = settings.max_attempts as usize;
         let state = State {
-            balancer: Balancer::new(config.settings.clone(), config.seed)?,
-            fleet: Fleet::new(config.conn_idle),
+            balancer: Balancer::new(settings, seed)?,
             live: HashMap::new(),
             ids: HashSet::new(),
             timers: BinaryHeap::new(),
             armed: Nanos::MAX,
-            lingering: VecDeque::new(),
             next_id: 0,
         };
-        Ok(Rc::new(Gateway {
-            budget: Budget::new(config.limits.sockets, config.limits.memory_mb),
-            clock: Clock::start(),
-            leaving: Cell::new(false),
-            ready: Cell::new(false),
-            list_calls,
+        Ok(Rc::new(Engine {
+            clock,
+            most_attempts,
+            carrier,
             state: RefCell::new(state),
             timer: Notify::new(),
-            config,
         }))
     }
 
-    /// Runs `f` on the fleet's connections.
-    pub fn fleet<T>(&self, f: impl FnOnce(&mut Fleet) -> T) -> T {
-        f(&mut self.state.borrow_mut().fleet)
+    /// The engine's clock.
+    pub fn clock(&self) -> Clock {
+        self.clock
     }
 
     /// Takes a request; the ticket brings its answer. Dropped without one, the client has left. None where
@@ -161,7 +137,7 @@
         state.live.insert(id, live);
         self.start_timer(&mut state, give_up_at, Wake::Deadline(id));
         self.handle(&mut state, Event::Request(Request { id, ..request }));
-        Some(Ticket { gateway: self.clone(), id, answer, owed: true })
+        Some(Ticket { engine: self.clone(), id, answer, owed: true })
     }
 
     /// An attempt has come to an end without an answer for the client.
@@ -208,11 +184,9 @@
         }
     }
 
-    /// Discovery has spoken. The node's own table is told first: what the module then sends must find it.
-    pub fn list(self: &Rc<Self>, kind: ListKind, entries: Vec<servers::Entry>) {
+    /// Discovery has spoken. The carrier must have been told before: what the module then sends must find it.
+    pub fn list(self: &Rc<Self>, kind: ListKind, servers: Vec<Server>) {
         let mut state = self.state.borrow_mut();
-        let now = self.clock.now();
-        let servers = state.fleet.follow(now, kind, entries);
         self.handle(&mut state, Event::List { kind, servers });
     }
 
@@ -221,9 +195,7 @@
         loop {
             let next = {
                 let mut state = self.state.borrow_mut();
-                let next = state.timers.peek().map_or(Nanos::MAX, |Reverse((at, _))| *at);
-                let linger = state.lingering.front().map_or(Nanos::MAX, |(at, _)| *at);
-                state.armed = next.min(linger);
+                state.armed = state.timers.peek().map_or(Nanos::MAX, |Reverse((at, _))| *at);
                 state.armed
             };
             let sleep =
@@ -251,14 +223,6 @@
                 }
             }
         }
-        while let Some((at, _)) = state.lingering.front() {
-            if *at > self.clock.now() {
-                break;
-            }
-            if let Some((_, task)) = state.lingering.pop_front() {
-                task.abort();
-            }
-        }
     }
 
     /// The client waits no longer: all that is out has timed out.
@@ -288,13 +252,8 @@
             report: None,
         };
         if matches!(ending, Ending::TimedOut | Ending::Cancelled) {
-            if let Some(task) = attempt.task.take() {
-                let written = attempt.socket.borrow().as_ref().is_some_and(|s| s.written());
-                if written {
-                    state.lingering.push_back((self.clock.now() + LINGER, task));
-                } else {
-                    task.abort();
-                }
+            if let Some(running) = attempt.running.take() {
+                running.give_up();
             }
         }
         self.handle(state, event);
@@ -337,27 +296,20 @@
                 let at = self.clock.now().saturating_add(after);
                 self.start_timer(state, at, Wake::Module(token));
             }
-            Action::Subscribe => drop(self.list_calls.send(ListCall::Subscribe)),
-            Action::FetchList => drop(self.list_calls.send(ListCall::Fetch)),
-            Action::Log { text } => super::log(format_args!("{text}")),
+            Action::Subscribe => self.carrier.ask(ListCall::Subscribe),
+            Action::FetchList => self.carrier.ask(ListCall::Fetch),
+            Action::Log { text } => log(format_args!("{text}")),
             // The site allows neither, and the module asks for neither.
             Action::Probe { .. } | Action::Tell { .. } => {}
         }
     }
 
-    fn send(self: &Rc<Self>, state: &mut State, request: RequestId, server: Endpoint, timeout: Nanos) {
+    fn send(self: &Rc<Self>, state: &mut State, request: RequestId, server: ServerId, timeout: Nanos) {
         let Some(live) = state.live.get_mut(&request) else { return };
         let id = AttemptId { request, number: live.attempts.len() as u8 };
-        let mut attempt =
-            Attempt { server, sent_at: self.clock.now(), open: true, socket: Rc::default(), task: None };
-        let most = self.config.settings.max_attempts as usize;
-        let wanted = live.reply.is_some() && live.attempts.len() < most;
-        if wanted {
-            let task =
-                servers::attempt(self.clone(), id, server, live.message.clone(), attempt.socket.clone());
-            attempt.task = Some(tokio::task::spawn_local(task).abort_handle());
-        }
-        live.attempts.push(attempt);
+        let wanted = live.reply.is_some() && live.attempts.len() < self.most_attempts;
+        let running = wanted.then(|| self.carrier.send(self, id, server, live.message.clone()));
+        live.attempts.push(Attempt { server, sent_at: self.clock.now(), open: true, running });
         if !wanted {
             self.conclude(state, id, Ending::NotSent);
         } else if timeout > 0 {
@@ -380,17 +332,11 @@
             self.timer.notify_one();
         }
     }
-
-    /// Closes one connection whose attempt is long told of, to make room; false where there is none.
-    pub fn stop_lingering(&self) -> bool {
-        let oldest = self.state.borrow_mut().lingering.pop_front();
-        oldest.inspect(|(_, task)| task.abort()).is_some()
-    }
 }
 
 /// A client's claim to one answer.
 pub struct Ticket {
-    gateway: Rc<Gateway>,
+    engine: Rc<Engine>,
     id: RequestId,
     answer: oneshot::Receiver<Answer>,
     owed: bool,
@@ -408,7 +354,7 @@
 impl Drop for Ticket {
     fn drop(&mut self) {
         if self.owed {
-            self.gateway.client_gone(self.id);
+            self.engine.client_gone(self.id);
         }
     }
 }
--- a/src/net/budget.rs
+++ b/crates/plan/src/limits.rs
@@ -28,6 +28,7 @@
 }
 
 impl Budget {
+    /// What these limits leave for clients, servers and bodies.
     pub fn new(sockets: usize, memory_mb: u64) -> Rc<Self> {
         let rest = sockets.saturating_sub(OWN_SOCKETS).max(8);
         // One in eight of the clients' is kept for those that are only told to come back.
@@ -42,6 +43,7 @@
         })
     }
 
+    /// Clients' connections at present.
     pub fn clients(&self) -> usize {
         self.clients.get()
     }
@@ -51,6 +53,7 @@
         self.clients.get() >= self.most_clients + self.most_clients / 8
     }
 
+    /// A place for one more client; the caller sees to it that there is one.
     pub fn client(self: &Rc<Self>) -> Slot {
         Slot::take(self, |b| &b.clients)
     }
--- a/src/net/config.rs
+++ b/crates/plan/src/platform.rs
@@ -1,15 +1,16 @@
-//! The configuration file: read once, refused with one line when it cannot be acted on.
+//! The platform's configuration, the file that `GW_CONFIG` names: read once, refused with one line when it cannot be acted on.
 
-use super::discovery::HostList;
+use crate::hosts::HostList;
+use corkhollow_balance::interface::{Nanos, Settings};
+use corkhollow_balance::settings::{self, Pairs};
 use serde::Deserialize;
 use serde_json::Value;
 use std::net::SocketAddr;
 use std::path::Path;
-use yarrowfield::interface::{Nanos, Settings};
-use yarrowfield::settings::{self, Pairs};
 
 /// Why the node cannot start.
 #[derive(Debug, thiserror::Error)]
+#[allow(missing_docs)] // The messages say it all.
 pub enum ConfigError {
     #[error("GW_CONFIG does not name a configuration file")]
     Unset,
@@ -37,31 +38,43 @@
 /// What the machine gives the node.
 #[derive(Clone, Copy, Debug, Deserialize)]
 pub struct Limits {
+    /// Memory, in MB.
     pub memory_mb: u64,
+    /// File descriptors.
     pub sockets: usize,
 }
 
 /// All that the node is told at its start.
 #[derive(Debug)]
 pub struct Config {
+    /// Where clients connect.
     pub listen: SocketAddr,
+    /// Where discovery is.
     pub discovery: SocketAddr,
+    /// For random numbers; new with each start.
     pub seed: u64,
+    /// What the machine gives the node.
     pub limits: Limits,
     /// The list of servers as an earlier life of this node had it.
     pub known: Option<HostList>,
+    /// What the decision module is told.
     pub settings: Settings,
     /// A server may close a connection that has stood idle for this long.
     pub conn_idle: Nanos,
     /// A connection that is not up after this has failed.
     pub connect_timeout: Nanos,
+    /// Classes by their index in the settings.
     pub classes: Vec<String>,
+    /// Tenants by their index in the settings.
     pub tenants: Vec<String>,
+    /// Zones by their index.
     pub zones: Vec<String>,
+    /// Kinds of machines by their index.
     pub kinds: Vec<String>,
 }
 
 impl Config {
+    /// Reads the file that `GW_CONFIG` names.
     pub fn load() -> Result<Self, ConfigError> {
         let path = std::env::var("GW_CONFIG").map_err(|_| ConfigError::Unset)?;
         let bytes = std::fs::read(Path::new(&path))
@@ -95,7 +108,7 @@
             listen: file.listen,
             discovery: file.discovery,
             // Any text is a seed: what counts is that it is new with each start.
-            seed: u64::from_str_radix(&file.seed, 16).unwrap_or_else(|_| super::mix(file.seed.as_bytes())),
+            seed: u64::from_str_radix(&file.seed, 16).unwrap_or_else(|_| crate::mix(file.seed.as_bytes())),
             limits: file.limits,
             known: file.known,
             settings,
--- a/src/net/body.rs
+++ b/crates/proxy/src/body.rs
@@ -1,7 +1,7 @@
-//! Bodies as they are held and passed on.
+//! Bodies as hyper takes them.
 
-use super::budget::Lease;
 use bytes::Bytes;
+use corkhollow_engine::{Broken, Pieces};
 use hyper::body::{Body, Frame, SizeHint};
 use std::convert::Infallible;
 use std::pin::Pin;
@@ -9,39 +9,6 @@
 use std::task::{Context, Poll};
 use tokio::sync::mpsc;
 
-/// A whole body, in the pieces in which it came: it can be sent again without a copy.
-#[derive(Debug)]
-pub struct Pieces {
-    pieces: Vec<Bytes>,
-    len: u64,
-    lease: Lease,
-}
-
-impl Pieces {
-    pub fn new(lease: Lease) -> Self {
-        Pieces { pieces: Vec::new(), len: 0, lease }
-    }
-
-    /// Adds a piece; false, with nothing added, where the budget has no room for it.
-    pub fn push(&mut self, piece: Bytes) -> bool {
-        let fits = piece.is_empty() || self.lease.grow(piece.len());
-        if fits && !piece.is_empty() {
-            self.len += piece.len() as u64;
-            self.pieces.push(piece);
-        }
-        fits
-    }
-
-    pub fn len(&self) -> u64 {
-        self.len
-    }
-
-    /// The pieces, and what holds their bytes in the budget.
-    pub fn into_parts(self) -> (Vec<Bytes>, Lease) {
-        (self.pieces, self.lease)
-    }
-}
-
 /// Pieces on their way out.
 pub struct PieceBody {
     pieces: Rc<Pieces>,
@@ -51,7 +18,7 @@
 
 impl PieceBody {
     pub fn new(pieces: Rc<Pieces>) -> Self {
-        PieceBody { left: pieces.len, pieces, at: 0 }
+        PieceBody { left: pieces.len(), pieces, at: 0 }
     }
 }
 
@@ -63,7 +30,7 @@
         mut self: Pin<&mut Self>,
         _: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, Infallible>>> {
-        let piece = self.pieces.pieces.get(self.at).cloned();
+        let piece = self.pieces.piece(self.at).cloned();
         if let Some(piece) = &piece {
             self.at += 1;
             self.left -= piece.len() as u64;
@@ -80,11 +47,6 @@
     }
 }
 
-/// The server's side of a long answer has broken: the client has to see that it is cut.
-#[derive(Debug, thiserror::Error)]
-#[error("the answer broke off")]
-pub struct Broken;
-
 /// What goes back to a client.
 pub enum AnswerBody {
     Text(Option<Bytes>),
--- a/src/net/clients.rs
+++ b/crates/proxy/src/http1/clients.rs
@@ -1,11 +1,13 @@
 //! Towards the clients: the listener, requests coming in, final answers going out.
 
-use super::body::{AnswerBody, Broken, PieceBody, Pieces};
-use super::budget::{Slot, MOST_BODY};
-use super::gateway::{Answer, Gateway, Message};
-use super::io::{exhausted, Socket, SocketIo};
-use super::servers::{self, ID, TIMEOUT};
+use crate::body::{AnswerBody, PieceBody};
+use crate::headers::{strip, ID, TIMEOUT};
+use crate::socket::{exhausted, Socket, SocketIo};
 use bytes::Bytes;
+use corkhollow_balance::interface::{self, Nanos};
+use corkhollow_engine::{log, Answer, Broken, Clock, Engine, Message, Pieces};
+use corkhollow_plan::limits::{Budget, Slot, MOST_BODY};
+use corkhollow_plan::platform::Config;
 use http_body_util::BodyExt;
 use hyper::body::{Body, Frame, Incoming, SizeHint};
 use hyper::header::{self, HeaderMap, HeaderName, HeaderValue};
@@ -23,7 +25,6 @@
 use std::time::{Duration, Instant};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Notify;
-use yarrowfield::interface::{self, Nanos};
 
 /// Read buffer of a client's connection and the longest head; it bounds what 1,000 connections hold.
 const BUFFER: usize = 16 * 1024;
@@ -46,7 +47,7 @@
     Idle,
     /// In a body.
     Reading,
-    /// The request is with the gateway, whose deadline bounds it.
+    /// The request is with the service, whose deadline bounds it.
     Waiting,
     /// The answer is on its way.
     Writing,
@@ -93,9 +94,25 @@
     }
 }
 
+/// What all clients' connections work with.
+pub struct Service {
+    /// What the node has been told.
+    pub config: Config,
+    /// Its requests under way.
+    pub engine: Rc<Engine>,
+    /// Its clock.
+    pub clock: Clock,
+    /// What it may hold.
+    pub budget: Rc<Budget>,
+    /// SIGTERM has come: no more requests on kept connections.
+    pub leaving: Cell<bool>,
+    /// Discovery has told the list, so that new clients may come.
+    pub ready: Rc<Cell<bool>>,
+}
+
 /// All clients' connections; bounded by the budget.
 pub struct Clients {
-    gateway: Rc<Gateway>,
+    service: Rc<Service>,
     open: RefCell<HashMap<u64, Rc<Client>>>,
     next: Cell<u64>,
     left: Notify,
@@ -103,9 +120,10 @@
 }
 
 impl Clients {
-    pub fn new(gateway: Rc<Gateway>) -> Rc<Self> {
+    /// No connection yet.
+    pub fn new(service: Rc<Service>) -> Rc<Self> {
         Rc::new(Clients {
-            gateway,
+            service,
             open: RefCell::default(),
             next: Cell::new(0),
             left: Notify::new(),
@@ -117,7 +135,7 @@
     pub async fn accept(self: Rc<Self>, listener: TcpListener, stop: Rc<Notify>) {
         let mut stop = pin!(stop.notified());
         loop {
-            while self.gateway.budget.clients_exhausted() {
+            while self.service.budget.clients_exhausted() {
                 if !self.make_room() {
                     self.report();
                 }
@@ -144,12 +162,12 @@
     }
 
     fn open(self: &Rc<Self>, stream: TcpStream) {
-        let budget = &self.gateway.budget;
+        let budget = &self.service.budget;
         let surplus = budget.clients() >= budget.most_clients && !self.make_room();
         let client = Rc::new(Client {
             socket: Socket::new(stream),
             stage: Cell::new(Stage::Idle),
-            idle_since: Cell::new(self.gateway.clock.now()),
+            idle_since: Cell::new(self.service.clock.now()),
             fresh_since: Cell::new(Some(Instant::now())),
             still_s: Cell::new(0),
             surplus,
@@ -163,7 +181,7 @@
         self.open.borrow_mut().insert(id, client.clone());
         let clients = self.clone();
         tokio::task::spawn_local(async move {
-            serve(&clients.gateway, client).await;
+            serve(&clients.service, client).await;
             clients.open.borrow_mut().remove(&id);
             clients.left.notify_one();
         });
@@ -178,7 +196,7 @@
 
     /// Says what the connections are doing that leave no room, now and then.
     fn report(&self) {
-        let now = self.gateway.clock.now();
+        let now = self.service.clock.now();
         if now.saturating_sub(self.reported_at.get()) < REPORT_EVERY {
             return;
         }
@@ -186,7 +204,7 @@
         let open = self.open.borrow();
         let count = |stage| open.values().filter(|c| c.stage.get() == stage).count();
         let idle = open.values().filter(|c| c.resting()).count();
-        super::log(format_args!(
+        log(format_args!(
             "no room for clients: {} open, {idle} idle, {} in a head, {} in a body, {} waiting, {} being answered",
             open.len(),
             count(Stage::Idle) - idle,
@@ -224,10 +242,10 @@
     }
 }
 
-async fn serve(gateway: &Rc<Gateway>, client: Rc<Client>) {
+async fn serve(service: &Rc<Service>, client: Rc<Client>) {
     let mut builder = http1::Builder::new();
     builder.max_buf_size(BUFFER).timer(hyper_util::rt::TokioTimer::new()).header_read_timeout(None);
-    let service = service_fn(|request| respond(gateway, &client, request));
+    let service = service_fn(|request| respond(service, &client, request));
     let io = TokioIo::new(SocketIo(client.socket.clone()));
     let mut connection = pin!(builder.serve_connection(io, service));
     loop {
@@ -248,7 +266,7 @@
 /// An answer that keeps its connection from counting as idle until hyper has taken all of it.
 struct Outgoing {
     body: AnswerBody,
-    gateway: Rc<Gateway>,
+    service: Rc<Service>,
     client: Rc<Client>,
 }
 
@@ -272,7 +290,7 @@
 impl Drop for Outgoing {
     fn drop(&mut self) {
         self.client.stage.set(Stage::Idle);
-        self.client.idle_since.set(self.gateway.clock.now());
+        self.client.idle_since.set(self.service.clock.now());
         self.client.socket.heard.set(None);
     }
 }
@@ -280,51 +298,51 @@
 /// Answers a request, and ends the connection with it where the node leaves or the client has no place. So it does
 /// behind a chunked body: a length beside it may hide another request in what follows (RFC 9112, 6.1).
 async fn respond(
-    gateway: &Rc<Gateway>,
+    service: &Rc<Service>,
     client: &Rc<Client>,
     request: Request<Incoming>,
 ) -> Result<Response<Outgoing>, Infallible> {
     client.stage.set(Stage::Reading);
     client.fresh_since.set(None);
     let chunked = request.headers().contains_key(header::TRANSFER_ENCODING);
-    let mut response = answer(gateway, client, request).await;
+    let mut response = answer(service, client, request).await;
     client.stage.set(Stage::Writing);
-    if gateway.leaving.get() || client.surplus || chunked {
+    if service.leaving.get() || client.surplus || chunked {
         response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
     }
-    Ok(response.map(|body| Outgoing { body, gateway: gateway.clone(), client: client.clone() }))
+    Ok(response.map(|body| Outgoing { body, service: service.clone(), client: client.clone() }))
 }
 
-async fn answer(gateway: &Rc<Gateway>, client: &Client, request: Request<Incoming>) -> Response<AnswerBody> {
+async fn answer(service: &Rc<Service>, client: &Client, request: Request<Incoming>) -> Response<AnswerBody> {
     let (head, body) = request.into_parts();
     if head.uri.path() == "/up" && head.method == Method::GET {
-        let up = gateway.ready.get() && !gateway.leaving.get();
+        let up = service.ready.get() && !service.leaving.get();
         return text(if up { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE }, "");
     }
     if head.headers.contains_key(header::TRANSFER_ENCODING) && client.socket.said("\ncontent-length:") {
         return closing(text(StatusCode::BAD_REQUEST, "two lengths\n"));
     }
     let name = head.uri.path().split('/').nth(1).unwrap_or_default();
-    let Some(class) = gateway.config.classes.iter().position(|c| c == name) else {
+    let Some(class) = service.config.classes.iter().position(|c| c == name) else {
         return closing(text(StatusCode::NOT_FOUND, "no such class of requests\n"));
     };
-    let body = match take(gateway, client.surplus, body).await {
+    let body = match take(service, client.surplus, body).await {
         Ok(body) => Rc::new(body),
         Err(BodyError::TooLarge) => return closing(text(StatusCode::PAYLOAD_TOO_LARGE, "over 32 MB\n")),
-        Err(BodyError::NoRoom) => return closing(refused(interface::Nanos::MAX, gateway)),
+        Err(BodyError::NoRoom) => return closing(refused(interface::Nanos::MAX, service)),
         Err(BodyError::Late) => {
             return closing(text(StatusCode::REQUEST_TIMEOUT, "the body took too long\n"))
         }
         Err(BodyError::Broken) => return closing(text(StatusCode::BAD_REQUEST, "the body broke off\n")),
     };
     let mut headers = head.headers;
-    servers::strip(&mut headers);
+    strip(&mut headers);
     headers.remove(header::EXPECT);
     // Servers know a request by its id, and take one that they have for a second copy.
     let Some(id) = only(&headers, ID).filter(|id| !id.is_empty()).cloned() else {
         return closing(text(StatusCode::BAD_REQUEST, "one X-Request-ID is needed\n"));
     };
-    let longest = gateway.config.settings.classes[class].give_up;
+    let longest = service.config.settings.classes[class].give_up;
     // No client waits longer than its class: a longer figure would only hold memory.
     let wait = match only(&headers, TIMEOUT).map(|v| v.to_str().ok()?.trim().parse::<u64>().ok()) {
         Some(Some(ms)) => ms.saturating_mul(1_000_000).min(longest),
@@ -332,11 +350,11 @@
         _ => return closing(text(StatusCode::BAD_REQUEST, "X-Timeout-Ms is no whole number\n")),
     };
     client.stage.set(Stage::Waiting);
-    let now = gateway.clock.now();
+    let now = service.clock.now();
     let give_up_at = now + wait;
     let number = |name: &str| headers.get(name).and_then(|v| v.to_str().ok()?.trim().parse::<f64>().ok());
     let tenant = headers.get("x-tenant-id").map(HeaderValue::as_bytes);
-    let tenant = gateway.config.tenants.iter().position(|t| Some(t.as_bytes()) == tenant);
+    let tenant = service.config.tenants.iter().position(|t| Some(t.as_bytes()) == tenant);
     let request = interface::Request {
         class: class as u8,
         tenant: tenant.map_or(u32::MAX, |t| t as u32),
@@ -348,7 +366,7 @@
             .is_some_and(|v| v.to_str().unwrap_or_default().split(',').any(|a| a.trim() == "write=1")),
         ..interface::Request::new(0, give_up_at)
     };
-    if !headers.contains_key(header::CONTENT_LENGTH) && body.len() > 0 {
+    if !headers.contains_key(header::CONTENT_LENGTH) && !body.is_empty() {
         headers.insert(header::CONTENT_LENGTH, HeaderValue::from(body.len()));
     }
     let uri = match head.uri.path_and_query() {
@@ -356,13 +374,13 @@
         _ => head.uri,
     };
     let message = Message { method: head.method, uri, headers, body, give_up_at };
-    let Some(mut ticket) = gateway.submit(id, request, message) else {
+    let Some(mut ticket) = service.engine.submit(id, request, message) else {
         return closing(text(StatusCode::CONFLICT, "a request with this X-Request-ID is open\n"));
     };
     match ticket.answer().await {
         Answer::Whole { headers, body } => served(headers, AnswerBody::Whole(PieceBody::new(Rc::new(body)))),
         Answer::Stream { headers, length, pieces } => served(headers, AnswerBody::Stream { pieces, length }),
-        Answer::Refused { retry_after } => refused(retry_after, gateway),
+        Answer::Refused { retry_after } => refused(retry_after, service),
         Answer::Failed { late: true } => text(StatusCode::GATEWAY_TIMEOUT, "no answer in time\n"),
         Answer::Failed { late: false } => text(StatusCode::BAD_GATEWAY, "failed\n"),
     }
@@ -376,7 +394,7 @@
 
 fn route_key(text: &[u8]) -> u64 {
     let hex = std::str::from_utf8(text).ok().and_then(|t| u64::from_str_radix(t, 16).ok());
-    hex.unwrap_or_else(|| super::mix(text))
+    hex.unwrap_or_else(|| corkhollow_plan::mix(text))
 }
 
 fn served(headers: HeaderMap, body: AnswerBody) -> Response<AnswerBody> {
@@ -385,11 +403,11 @@
     response
 }
 
-fn refused(retry_after: Nanos, gateway: &Gateway) -> Response<AnswerBody> {
+fn refused(retry_after: Nanos, service: &Service) -> Response<AnswerBody> {
     let mut response = text(StatusCode::SERVICE_UNAVAILABLE, "busy\n");
-    let seconds = retry_after.min(gateway.config.settings.max_retry_after) as f64 / 1e9;
+    let seconds = retry_after.min(service.config.settings.max_retry_after) as f64 / 1e9;
     if let Ok(value) = HeaderValue::try_from(format!("{seconds:.3}")) {
-        if retry_after > 0 && gateway.config.settings.retry_after {
+        if retry_after > 0 && service.config.settings.retry_after {
             response.headers_mut().insert(header::RETRY_AFTER, value);
         }
     }
@@ -417,11 +435,11 @@
 
 /// Reads a body whole. Without room for it the rest is read and thrown away: the client gets its refusal when
 /// it listens, and not a reset in the middle of its sending.
-async fn take(gateway: &Gateway, throw_away: bool, mut body: Incoming) -> Result<Pieces, BodyError> {
+async fn take(service: &Service, throw_away: bool, mut body: Incoming) -> Result<Pieces, BodyError> {
     if body.size_hint().lower() > MOST_BODY {
         return Err(BodyError::TooLarge);
     }
-    let mut pieces = Some(Pieces::new(gateway.budget.lease())).filter(|_| !throw_away);
+    let mut pieces = Some(Pieces::new(service.budget.lease())).filter(|_| !throw_away);
     let mut len = 0;
     let end = Instant::now() + LONGEST_BODY;
     loop {
--- /dev/null
+++ b/crates/proxy/src/lib.rs
@@ -0,0 +1,8 @@
+//! Fronts and sockets: clients' connections on one side, servers' connections on the other, the engine between them.
+//! No decision is made here.
+
+mod body;
+mod headers;
+pub mod http1;
+mod socket;
+pub mod upstream;
--- a/src/net/discovery.rs
+++ b/crates/proxy/src/upstream/discovery.rs
@@ -1,23 +1,24 @@
 //! The list of servers: read once, then watched. Nonsense leaves the old list in place and the watch is opened
 //! anew.
 
-use super::gateway::{Gateway, ListCall};
-use super::io::{Socket, SocketIo};
-use super::servers::Entry;
+use super::servers::{Entry, Upstreams};
+use crate::socket::{Socket, SocketIo};
+use corkhollow_balance::interface::{ListKind, Phase, Server, ServerId};
+use corkhollow_engine::{log, Engine, ListCall};
+use corkhollow_plan::hosts::{Health, Host, HostList};
 use http_body_util::{BodyExt, Empty};
 use hyper::body::{Bytes, Incoming};
 use hyper::{Request, StatusCode};
 use hyper_util::rt::TokioIo;
 use rand_core::{RngCore, SeedableRng};
 use rand_pcg::Pcg64Mcg;
-use serde::Deserialize;
+use std::cell::Cell;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::TcpStream;
 use tokio::sync::{mpsc, watch};
 use tokio::time::timeout;
-use yarrowfield::interface::{Endpoint, ListKind, Phase, Server};
 
 /// A watch says something at least every 2 s; one that is silent for longer hangs.
 const SILENCE: Duration = Duration::from_millis(2600);
@@ -33,41 +34,6 @@
 /// numbers, but more likely it was one stale copy, which would bring drained servers back.
 const STUBBORN: u32 = 4;
 
-/// One line of discovery.
-#[derive(Clone, Debug, Deserialize)]
-pub struct HostList {
-    pub seq: u64,
-    #[serde(default)]
-    pub whole: bool,
-    pub hosts: Vec<Host>,
-}
-
-/// One server, as discovery words it.
-#[derive(Clone, Debug, Deserialize)]
-pub struct Host {
-    host: String,
-    dial: SocketAddr,
-    #[serde(default)]
-    site: Option<String>,
-    #[serde(default)]
-    class: Option<String>,
-    #[serde(default)]
-    block: Option<u16>,
-    health: Health,
-    #[serde(default)]
-    share: Option<f32>,
-    #[serde(default)]
-    born_ms: Option<u64>,
-}
-
-#[derive(Clone, Copy, Debug, Deserialize)]
-#[serde(rename_all = "lowercase")]
-enum Health {
-    Active,
-    Leaving,
-    Left,
-}
-
 /// Waits until another address for discovery is in force.
 async fn moved(address: &mut watch::Receiver<SocketAddr>) {
     if address.changed().await.is_err() {
@@ -96,9 +62,28 @@
     Ended,
 }
 
+/// What a watcher has to know of its pool.
+#[derive(Clone, Debug)]
+pub struct Following {
+    /// Zones by their index.
+    pub zones: Vec<String>,
+    /// Kinds of machines by their index.
+    pub kinds: Vec<String>,
+    /// Lists come only to those who ask.
+    pub must_subscribe: bool,
+    /// The list as an earlier life of this node had it.
+    pub known: Option<HostList>,
+    /// Settles the spread of its waits.
+    pub seed: u64,
+}
+
 /// Follows discovery.
 pub struct Watcher {
-    gateway: Rc<Gateway>,
+    engine: Rc<Engine>,
+    upstreams: Rc<Upstreams>,
+    following: Following,
+    /// Set once discovery has told the list.
+    ready: Rc<Cell<bool>>,
     /// Where discovery is, by the configuration in force.
     address: watch::Receiver<SocketAddr>,
     seq: u64,
@@ -111,16 +96,19 @@
 
 impl Watcher {
     /// Starts with the list that the configuration holds.
-    pub fn new(gateway: Rc<Gateway>, address: watch::Receiver<SocketAddr>) -> Self {
-        let rng = Pcg64Mcg::seed_from_u64(gateway.config.seed ^ 0x6469_7363);
-        let mut watcher = Watcher { gateway, address, seq: 0, blank: true, older: 0, lines: 0, rng };
-        if let Some(known) = watcher.gateway.config.known.clone() {
-            watcher.seq = known.seq;
-            watcher.blank = false;
-            watcher.tell(ListKind::Cached, known);
-        } else {
-            watcher.gateway.list(ListKind::Cached, Vec::new());
-        }
+    pub fn new(
+        engine: Rc<Engine>,
+        upstreams: Rc<Upstreams>,
+        mut following: Following,
+        address: watch::Receiver<SocketAddr>,
+        ready: Rc<Cell<bool>>,
+    ) -> Self {
+        let rng = Pcg64Mcg::seed_from_u64(following.seed ^ 0x6469_7363);
+        let known = following.known.take();
+        let (seq, blank) = (known.as_ref().map_or(0, |k| k.seq), known.is_none());
+        let watcher =
+            Watcher { engine, upstreams, following, ready, address, seq, blank, older: 0, lines: 0, rng };
+        watcher.tell(ListKind::Cached, known.map(|k| k.hosts).unwrap_or_default());
         watcher
     }
 
@@ -136,7 +124,7 @@
                 if self.lines > lines {
                     pause = PAUSE_FIRST;
                 }
-                super::log(format_args!("discovery: {error}"));
+                log(format_args!("discovery: {error}"));
                 tokio::time::sleep(Duration::from_secs_f64(pause * spread)).await;
             };
             tokio::select! {
@@ -161,8 +149,8 @@
                 },
             };
             if let Some(error) = error {
-                super::log(format_args!("discovery: {error}"));
-                self.gateway.list(ListKind::Failed, Vec::new());
+                log(format_args!("discovery: {error}"));
+                self.engine.list(ListKind::Failed, Vec::new());
             }
             next = calls.recv().await;
         }
@@ -190,7 +178,7 @@
         }
         let mut body = self.get(path).await?;
         let mut held: Vec<u8> = Vec::new();
-        let patience = if self.gateway.config.settings.must_subscribe { CALL } else { SILENCE };
+        let patience = if self.following.must_subscribe { CALL } else { SILENCE };
         let mut within = patience;
         while let Some(frame) = timeout(within, body.frame()).await.map_err(|_| WatchError::Silent)? {
             within = SILENCE;
@@ -225,13 +213,12 @@
         self.lines += 1;
         self.seq = list.seq;
         self.blank = false;
-        self.tell(if list.whole { ListKind::Full } else { ListKind::Changes }, list);
-        self.gateway.ready.set(true);
+        self.tell(if list.whole { ListKind::Full } else { ListKind::Changes }, list.hosts);
+        self.ready.set(true);
         Ok(())
     }
 
-    fn tell(&self, kind: ListKind, list: HostList) {
-        let config = &self.gateway.config;
+    fn tell(&self, kind: ListKind, hosts: Vec<Host>) {
         // A name that the settings do not hold stands for something of its own, after all that they hold.
         let place = |names: &[String], name: &Option<String>| {
             let name = name.as_deref().unwrap_or_default();
@@ -241,9 +228,9 @@
             host: h.host,
             dial: h.dial,
             server: Server {
-                endpoint: Endpoint { address: [0; 4], port: 0 },
-                zone: place(&config.zones, &h.site).min(255) as u8,
-                kind: place(&config.kinds, &h.class).min(usize::from(u16::MAX)) as u16,
+                id: ServerId(0),
+                zone: place(&self.following.zones, &h.site).min(255) as u8,
+                kind: place(&self.following.kinds, &h.class).min(usize::from(u16::MAX)) as u16,
                 cell: h.block.unwrap_or(0),
                 phase: match h.health {
                     Health::Active => Phase::Ready,
@@ -254,7 +241,8 @@
                 started_at: h.born_ms.unwrap_or(0).saturating_mul(1_000_000),
             },
         };
-        self.gateway.list(kind, list.hosts.into_iter().map(entry).collect());
+        let servers = self.upstreams.follow(kind, hosts.into_iter().map(entry).collect());
+        self.engine.list(kind, servers);
     }
 
     async fn get(&self, path: String) -> Result<Incoming, WatchError> {
@@ -271,7 +259,7 @@
         *request.uri_mut() = path.parse().unwrap_or_default();
         let host = hyper::header::HeaderValue::try_from(address.to_string());
         request.headers_mut().extend(host.ok().map(|h| (hyper::header::HOST, h)));
-        let wait = if self.gateway.config.settings.must_subscribe { CALL } else { SILENCE };
+        let wait = if self.following.must_subscribe { CALL } else { SILENCE };
         let answer = timeout(wait, sender.send_request(request)).await.map_err(|_| WatchError::Silent)??;
         match answer.status() {
             StatusCode::OK => Ok(answer.into_body()),
--- a/src/net/servers.rs
+++ b/crates/proxy/src/upstream/servers.rs
@@ -1,10 +1,14 @@
 //! Towards the servers: the fleet's addresses, kept connections and attempts.
 
-use super::body::{Broken, PieceBody, Pieces};
-use super::budget::{Slot, MOST_BODY};
-use super::gateway::{Answer, AttemptId, Gateway, Message};
-use super::io::{exhausted, Socket, SocketIo};
+use crate::body::PieceBody;
+use crate::headers::{strip, TIMEOUT};
+use crate::socket::{exhausted, Socket, SocketIo};
 use bytes::Bytes;
+use corkhollow_balance::interface::{Ending, ListKind, Nanos, Phase, Server, ServerId};
+use corkhollow_engine::{
+    Answer, AttemptId, Broken, Carrier, Clock, Engine, ListCall, Message, Pieces, Running,
+};
+use corkhollow_plan::limits::{Budget, Slot, MOST_BODY};
 use http_body_util::BodyExt;
 use hyper::body::{Body, Incoming};
 use hyper::client::conn::http1::{self, Connection, SendRequest};
@@ -12,7 +16,7 @@
 use hyper::{Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
 use std::cell::RefCell;
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::future::{poll_fn, Future};
 use std::net::SocketAddr;
 use std::pin::{pin, Pin};
@@ -21,7 +25,7 @@
 use std::time::Duration;
 use tokio::net::TcpStream;
 use tokio::sync::mpsc;
-use yarrowfield::interface::{Ending, Endpoint, ListKind, Nanos, Phase, Server};
+use tokio::task::AbortHandle;
 
 /// Longer answers are passed on as they come.
 const WHOLE: u64 = 64 * 1024;
@@ -39,9 +43,11 @@
 /// One entry of discovery's list.
 #[derive(Clone, Debug)]
 pub struct Entry {
+    /// Its name, the same at every node.
     pub host: String,
+    /// Where it listens for this node.
     pub dial: SocketAddr,
-    /// All that the module is told; the endpoint is filled in by the fleet.
+    /// All that the module is told; its id is filled in by the fleet.
     pub server: Server,
 }
 
@@ -57,7 +63,7 @@
 
 /// The servers that the list has named, by the identity under which the module knows them.
 pub struct Fleet {
-    upstreams: BTreeMap<Endpoint, Upstream>,
+    upstreams: BTreeMap<ServerId, Upstream>,
     lives: Lives,
 }
 
@@ -116,11 +122,10 @@
     }
 }
 
-fn identity(host: &str, round: u8) -> Endpoint {
+fn identity(host: &str, round: u8) -> ServerId {
     let mut name = host.as_bytes().to_vec();
     name.extend((round > 0).then_some(round));
-    let h = super::mix(&name).to_be_bytes();
-    Endpoint { address: [h[0], h[1], h[2], h[3]], port: u16::from_be_bytes([h[4], h[5]]) }
+    ServerId(corkhollow_plan::mix(&name))
 }
 
 impl Fleet {
@@ -130,8 +135,8 @@
         Fleet { upstreams: BTreeMap::new(), lives }
     }
 
-    fn endpoint(&self, host: &str) -> Endpoint {
-        let free = |e: &Endpoint| self.upstreams.get(e).is_none_or(|u| u.host == host);
+    fn id(&self, host: &str) -> ServerId {
+        let free = |id: &ServerId| self.upstreams.get(id).is_none_or(|u| u.host == host);
         (0..=u8::MAX).map(|round| identity(host, round)).find(free).unwrap_or(identity(host, 0))
     }
 
@@ -139,9 +144,9 @@
     pub fn follow(&mut self, now: Nanos, kind: ListKind, entries: Vec<Entry>) -> Vec<Server> {
         let mut servers = Vec::with_capacity(entries.len());
         for entry in entries {
-            let endpoint = self.endpoint(&entry.host);
+            let id = self.id(&entry.host);
             let (dial, started_at) = (entry.dial, entry.server.started_at);
-            let upstream = self.upstreams.entry(endpoint).or_insert_with(|| Upstream {
+            let upstream = self.upstreams.entry(id).or_insert_with(|| Upstream {
                 host: entry.host,
                 dial,
                 started_at,
@@ -157,21 +162,21 @@
             } else {
                 upstream.close(now);
             }
-            servers.push(Server { endpoint, ..entry.server });
+            servers.push(Server { id, ..entry.server });
         }
         if matches!(kind, ListKind::Full | ListKind::Cached) {
-            let listed: BTreeSet<_> = servers.iter().map(|s| s.endpoint).collect();
-            self.upstreams.iter_mut().filter(|(e, _)| !listed.contains(e)).for_each(|(_, u)| u.close(now));
+            let listed: BTreeSet<_> = servers.iter().map(|s| s.id).collect();
+            self.upstreams.iter_mut().filter(|(id, _)| !listed.contains(id)).for_each(|(_, u)| u.close(now));
         }
         self.upstreams.retain(|_, u| u.closed_at.is_none_or(|at| now.saturating_sub(at) < MEMORY));
         servers
     }
 
-    fn dial(&self, server: Endpoint) -> Option<SocketAddr> {
+    fn dial(&self, server: ServerId) -> Option<SocketAddr> {
         self.upstreams.get(&server).filter(|u| u.closed_at.is_none()).map(|u| u.dial)
     }
 
-    fn checkout(&mut self, server: Endpoint, now: Nanos) -> Option<Idle> {
+    fn checkout(&mut self, server: ServerId, now: Nanos) -> Option<Idle> {
         let oldest = now.saturating_sub(self.lives.keep);
         let upstream = self.upstreams.get_mut(&server)?;
         while let Some(idle) = upstream.idle.pop() {
@@ -184,7 +189,7 @@
         None
     }
 
-    fn checkin(&mut self, server: Endpoint, dial: SocketAddr, idle: Idle) {
+    fn checkin(&mut self, server: ServerId, dial: SocketAddr, idle: Idle) {
         if let Some(u) = self.upstreams.get_mut(&server) {
             if u.closed_at.is_none() && u.dial == dial && u.started_at <= idle.opened {
                 u.idle.push(idle);
@@ -258,6 +263,117 @@
     }
 }
 
+/// How long an attempt that was given up may go on, so that its connection can be used again. Giving it up by
+/// closing costs the server a new handshake, and the work goes on there all the same.
+const LINGER: Nanos = 1_000_000_000;
+
+/// The servers of one pool with their connections, and the attempts on these.
+pub struct Upstreams {
+    fleet: RefCell<Fleet>,
+    budget: Rc<Budget>,
+    clock: Clock,
+    connect_timeout: Duration,
+    /// Attempts that were given up and go on for a while; bounded by the connections to servers.
+    lingering: Rc<RefCell<VecDeque<(Nanos, AbortHandle)>>>,
+    /// Bounded by the module, which asks again only after an answer.
+    list_calls: mpsc::UnboundedSender<ListCall>,
+}
+
+impl Upstreams {
+    /// No servers yet. Kept connections are closed before `conn_idle` is over.
+    pub fn new(
+        conn_idle: Nanos,
+        connect_timeout: Nanos,
+        budget: Rc<Budget>,
+        clock: Clock,
+        list_calls: mpsc::UnboundedSender<ListCall>,
+    ) -> Rc<Self> {
+        Rc::new(Upstreams {
+            fleet: RefCell::new(Fleet::new(conn_idle)),
+            budget,
+            clock,
+            connect_timeout: Duration::from_nanos(connect_timeout),
+            lingering: Rc::default(),
+            list_calls,
+        })
+    }
+
+    /// Runs `f` on the fleet's connections.
+    fn fleet<T>(&self, f: impl FnOnce(&mut Fleet) -> T) -> T {
+        f(&mut self.fleet.borrow_mut())
+    }
+
+    /// Takes over a list or changes to it, and puts it into the module's words.
+    pub fn follow(&self, kind: ListKind, entries: Vec<Entry>) -> Vec<Server> {
+        self.fleet(|f| f.follow(self.clock.now(), kind, entries))
+    }
+
+    /// Closes what has stood idle for too long or was closed by its server.
+    pub fn sweep(&self) {
+        self.fleet(|f| f.sweep(self.clock.now()));
+    }
+
+    /// Ends attempts that have lingered for long enough.
+    pub fn cut_lingering(&self) {
+        let now = self.clock.now();
+        let mut lingering = self.lingering.borrow_mut();
+        while let Some((_, task)) = lingering.pop_front_if(|(at, _)| *at <= now) {
+            task.abort();
+        }
+    }
+
+    /// Closes one connection whose attempt is long told of, to make room; false where there is none.
+    fn stop_lingering(&self) -> bool {
+        let oldest = self.lingering.borrow_mut().pop_front();
+        oldest.inspect(|(_, task)| task.abort()).is_some()
+    }
+}
+
+/// A handle on the upstreams that an engine can own.
+pub struct Sender(pub Rc<Upstreams>);
+
+impl Carrier for Sender {
+    fn send(
+        &self,
+        engine: &Rc<Engine>,
+        id: AttemptId,
+        server: ServerId,
+        message: Rc<Message>,
+    ) -> Box<dyn Running> {
+        let socket = Rc::default();
+        let task = attempt(self.0.clone(), engine.clone(), id, server, message, Rc::clone(&socket));
+        Box::new(Sent {
+            socket,
+            task: tokio::task::spawn_local(task).abort_handle(),
+            lingering: self.0.lingering.clone(),
+            clock: self.0.clock,
+        })
+    }
+
+    fn ask(&self, call: ListCall) {
+        let _ = self.0.list_calls.send(call);
+    }
+}
+
+struct Sent {
+    /// The connection that it has, once it has one.
+    socket: Rc<RefCell<Option<Rc<Socket>>>>,
+    task: AbortHandle,
+    lingering: Rc<RefCell<VecDeque<(Nanos, AbortHandle)>>>,
+    clock: Clock,
+}
+
+impl Running for Sent {
+    fn give_up(self: Box<Self>) {
+        let written = self.socket.borrow().as_ref().is_some_and(|s| s.written());
+        if written {
+            self.lingering.borrow_mut().push_back((self.clock.now() + LINGER, self.task));
+        } else {
+            self.task.abort();
+        }
+    }
+}
+
 /// Why no connection was to be had.
 enum NoLink {
     /// The server's side: it counts against the server.
@@ -266,22 +382,21 @@
     Exhausted,
 }
 
-async fn connect(gateway: &Rc<Gateway>, dial: SocketAddr) -> Result<Link, NoLink> {
+async fn connect(upstreams: &Upstreams, dial: SocketAddr) -> Result<Link, NoLink> {
     let slot = loop {
-        if let Some(slot) = gateway.budget.server() {
+        if let Some(slot) = upstreams.budget.server() {
             break slot;
         }
-        if gateway.fleet(Fleet::evict) {
+        if upstreams.fleet(Fleet::evict) {
             continue;
         }
-        if !gateway.stop_lingering() {
+        if !upstreams.stop_lingering() {
             return Err(NoLink::Exhausted);
         }
         // What was told to stop gives its descriptor back when the runtime gets to it.
         tokio::task::yield_now().await;
     };
-    let limit = Duration::from_nanos(gateway.config.connect_timeout);
-    let stream = match tokio::time::timeout(limit, TcpStream::connect(dial)).await {
+    let stream = match tokio::time::timeout(upstreams.connect_timeout, TcpStream::connect(dial)).await {
         Ok(Ok(stream)) => stream,
         Ok(Err(e)) if exhausted(&e) => return Err(NoLink::Exhausted),
         Ok(Err(_)) | Err(_) => return Err(NoLink::Failed),
@@ -294,62 +409,64 @@
     Ok(Link { socket, sender, connection: Some(connection), _slot: slot })
 }
 
-/// Plays one attempt to its end and tells the gateway how it went. Where the gateway has stopped waiting, the
+/// Plays one attempt to its end and tells the engine how it went. Where the engine has stopped waiting, the
 /// attempt may go on for a while, so that its connection can be kept.
 pub async fn attempt(
-    gateway: Rc<Gateway>,
+    upstreams: Rc<Upstreams>,
+    engine: Rc<Engine>,
     id: AttemptId,
-    server: Endpoint,
+    server: ServerId,
     message: Rc<Message>,
     seen: Rc<RefCell<Option<Rc<Socket>>>>,
 ) {
-    if let Err(ending) = exchange(&gateway, id, server, &message, &seen).await {
-        gateway.ended(id, ending);
+    if let Err(ending) = exchange(&upstreams, &engine, id, server, &message, &seen).await {
+        engine.ended(id, ending);
     }
 }
 
 async fn exchange(
-    gateway: &Rc<Gateway>,
+    upstreams: &Upstreams,
+    engine: &Rc<Engine>,
     id: AttemptId,
-    server: Endpoint,
+    server: ServerId,
     message: &Rc<Message>,
     seen: &RefCell<Option<Rc<Socket>>>,
 ) -> Result<(), Ending> {
-    let Some(dial) = gateway.fleet(|f| f.dial(server)) else { return Err(Ending::NotSent) };
-    let mut kept = gateway.fleet(|f| f.checkout(server, gateway.clock.now()));
+    let Some(dial) = upstreams.fleet(|f| f.dial(server)) else { return Err(Ending::NotSent) };
+    let mut kept = upstreams.fleet(|f| f.checkout(server, upstreams.clock.now()));
     loop {
-        let rested = kept.as_ref().map(|idle| gateway.clock.now().saturating_sub(idle.since));
+        let rested = kept.as_ref().map(|idle| upstreams.clock.now().saturating_sub(idle.since));
         let (mut link, opened) = match kept.take() {
             Some(idle) => (idle.link, idle.opened),
-            None => match connect(gateway, dial).await {
-                Ok(link) => (link, gateway.clock.now()),
+            None => match connect(upstreams, dial).await {
+                Ok(link) => (link, upstreams.clock.now()),
                 Err(NoLink::Failed) => return Err(Ending::ConnectFailed),
                 Err(NoLink::Exhausted) => return Err(Ending::NotSent),
             },
         };
         // Connecting takes time, and discovery may have spoken: nothing new to a server that drains.
-        if gateway.fleet(|f| f.dial(server)) != Some(dial) {
+        if upstreams.fleet(|f| f.dial(server)) != Some(dial) {
             return Err(Ending::ConnectFailed);
         }
         link.socket.expect_request(message.body.len());
         *seen.borrow_mut() = Some(link.socket.clone());
-        let begun = gateway.clock.now();
+        let begun = upstreams.clock.now();
         let response = link.sender.send_request(request(message, begun));
         let socket = link.socket.clone();
         return match link.drive(response).await {
             Ok(response) => {
-                gateway.fleet(|f| f.lives.note(gateway.clock.now(), rested, false));
-                let keep = answer(gateway, id, &mut link, response).await;
+                upstreams.fleet(|f| f.lives.note(upstreams.clock.now(), rested, false));
+                let keep = answer(upstreams, engine, id, &mut link, response).await;
                 if keep && link.reusable().await {
-                    let idle = Idle { link, opened, since: gateway.clock.now() };
-                    gateway.fleet(|f| f.checkin(server, dial, idle));
+                    let idle = Idle { link, opened, since: upstreams.clock.now() };
+                    upstreams.fleet(|f| f.checkin(server, dial, idle));
                 }
                 Ok(())
             }
             Err(_) if socket.written() => {
-                let now = gateway.clock.now();
+                let now = upstreams.clock.now();
                 let lost = now.saturating_sub(begun) < AT_ONCE;
-                gateway.fleet(|f| f.lives.note(now, rested, lost));
+                upstreams.fleet(|f| f.lives.note(now, rested, lost));
                 Err(Ending::Reset)
             }
             // A kept connection that the server was just closing: it does not have the request, whose
@@ -372,15 +489,17 @@
     request
 }
 
-/// What a request is known by, from its client to its server.
-pub const ID: HeaderName = HeaderName::from_static("x-request-id");
-/// How long the sender waits, in milliseconds.
-pub const TIMEOUT: HeaderName = HeaderName::from_static("x-timeout-ms");
 /// A server's word that the request never ran.
 const NOT_PROCESSED: HeaderName = HeaderName::from_static("x-not-processed");
 
 /// Takes an answer and tells of it; true where the connection came to the answer's end.
-async fn answer(gateway: &Rc<Gateway>, id: AttemptId, link: &mut Link, response: Response<Incoming>) -> bool {
+async fn answer(
+    upstreams: &Upstreams,
+    engine: &Rc<Engine>,
+    id: AttemptId,
+    link: &mut Link,
+    response: Response<Incoming>,
+) -> bool {
     let (head, mut body) = response.into_parts();
     let not_processed = head.headers.get(NOT_PROCESSED).is_some_and(|v| v == "1");
     let turned_away = matches!(head.status, StatusCode::SERVICE_UNAVAILABLE | StatusCode::GATEWAY_TIMEOUT);
@@ -390,7 +509,7 @@
             status if status.is_client_error() => Ending::Rejected,
             _ => Ending::Error,
         };
-        gateway.ended(id, ending);
+        engine.ended(id, ending);
         return drain(link, body).await;
     }
     let mut headers = head.headers;
@@ -398,20 +517,20 @@
     headers.remove(header::CONTENT_LENGTH);
     let length = body.size_hint().exact();
     if length.is_some_and(|l| l > LONGEST) {
-        gateway.ended(id, Ending::Reset);
+        engine.ended(id, Ending::Reset);
         return false;
     }
-    let mut pieces = Pieces::new(gateway.budget.lease());
+    let mut pieces = Pieces::new(upstreams.budget.lease());
     let mut next = None;
     while length.is_none_or(|l| l <= WHOLE) {
         match tokio::time::timeout(SHORT_STALL, link.drive(body.frame())).await {
             Ok(None) => {
-                gateway.served(id, headers, pieces);
+                engine.served(id, headers, pieces);
                 return true;
             }
             // It may have run. Waited for to the deadline it would look to the module like a server in a jam.
             Ok(Some(Err(_))) | Err(_) => {
-                gateway.ended(id, Ending::Reset);
+                engine.ended(id, Ending::Reset);
                 return false;
             }
             Ok(Some(Ok(frame))) => {
@@ -424,7 +543,7 @@
             }
         }
     }
-    stream(gateway, id, link, headers, length, pieces, next, body).await
+    stream(engine, id, link, headers, length, pieces, next, body).await
 }
 
 /// Reads the rest of an answer that nobody wants, so that the connection can be kept; not for long.
@@ -448,7 +567,7 @@
 /// Passes a long answer on as fast as the client takes it.
 #[allow(clippy::too_many_arguments)]
 async fn stream(
-    gateway: &Rc<Gateway>,
+    engine: &Rc<Engine>,
     id: AttemptId,
     link: &mut Link,
     headers: HeaderMap,
@@ -458,7 +577,7 @@
     mut body: Incoming,
 ) -> bool {
     let (to_client, pieces) = mpsc::channel(1);
-    if !gateway.streams(id, Answer::Stream { headers, length, pieces }) {
+    if !engine.streams(id, Answer::Stream { headers, length, pieces }) {
         return false;
     }
     let (held, _lease) = held.into_parts();
@@ -490,27 +609,6 @@
     }
 }
 
-/// Headers that belong to one connection and not to the message.
-pub fn strip(headers: &mut HeaderMap) {
-    if let Some(named) = headers.remove(header::CONNECTION) {
-        for name in named.to_str().unwrap_or_default().split(',') {
-            headers.remove(name.trim());
-        }
-    }
-    const HOP: [HeaderName; 6] = [
-        header::PROXY_AUTHENTICATE,
-        header::PROXY_AUTHORIZATION,
-        header::TE,
-        header::TRAILER,
-        header::TRANSFER_ENCODING,
-        header::UPGRADE,
-    ];
-    for name in HOP {
-        headers.remove(name);
-    }
-    headers.remove("keep-alive");
-}
-
 #[cfg(test)]
 mod tests {
     use super::*;
@@ -554,15 +652,11 @@
             let mut peer = listener.accept().unwrap().0;
             let io = TokioIo::new(SocketIo(socket.clone()));
             let (sender, connection) = http1::handshake(io).await.unwrap();
-            let slot = super::super::budget::Budget::new(100, 100).server().unwrap();
+            let slot = Budget::new(100, 100).server().unwrap();
             let link = Link { socket: socket.clone(), sender, connection: Some(connection), _slot: slot };
             let mut fleet = Fleet::new(10_000 * MS);
-            let entry = Entry {
-                host: "s-0".into(),
-                dial,
-                server: Server::warm(Endpoint { address: [0; 4], port: 0 }),
-            };
-            let server = fleet.follow(0, ListKind::Full, vec![entry])[0].endpoint;
+            let entry = Entry { host: "s-0".into(), dial, server: Server::warm(ServerId(0)) };
+            let server = fleet.follow(0, ListKind::Full, vec![entry])[0].id;
             fleet.checkin(server, dial, Idle { link, opened: 0, since: 0 });
             let idle = fleet.checkout(server, 0).expect("a quiet one is used");
             fleet.checkin(server, dial, idle);
@@ -583,13 +677,13 @@
             let entry = |(k, dial): (usize, &&str)| Entry {
                 host: format!("s-{k}"),
                 dial: dial.parse().unwrap(),
-                server: Server::warm(Endpoint { address: [0; 4], port: 0 }),
+                server: Server::warm(ServerId(0)),
             };
             let entries = dials.iter().enumerate().map(entry).collect();
             Fleet::new(1).follow(0, ListKind::Full, entries)
         };
         let (a, b) = (list(["127.0.0.1:1", "127.0.0.1:2"]), list(["127.0.0.2:9", "127.0.0.1:1"]));
         assert_eq!(a, b);
-        assert_ne!(a[0].endpoint, a[1].endpoint);
+        assert_ne!(a[0].id, a[1].id);
     }
 }
--- a/tests/peers/mod.rs
+++ b/crates/standin/src/lib.rs
@@ -1,6 +1,4 @@
 //! Scripted peers of a real node on loopback sockets: discovery, servers and clients of a few lines each.
-#![allow(dead_code)]
-
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::path::PathBuf;
@@ -25,7 +23,9 @@
 /// A message as it came: its head and its body.
 #[derive(Clone, Debug)]
 pub struct Message {
+    /// Its head, with the blank line.
     pub head: String,
+    /// Its body as it came.
     pub body: Vec<u8>,
     /// The body came to its end.
     pub whole: bool,
@@ -34,10 +34,12 @@
 }
 
 impl Message {
+    /// The status of an answer; 0 where there is none.
     pub fn status(&self) -> u16 {
         self.head.split(' ').nth(1).and_then(|s| s.parse().ok()).unwrap_or(0)
     }
 
+    /// The first header of this name.
     pub fn header(&self, name: &str) -> Option<&str> {
         let lines = self.head.lines().skip(1).filter_map(|l| l.split_once(':'));
         lines.clone().find(|(n, _)| n.eq_ignore_ascii_case(name)).map(|(_, v)| v.trim())
@@ -82,6 +84,7 @@
     Some(message)
 }
 
+/// The bytes of an answer with a length.
 pub fn response(status: &str, headers: &str, body: &[u8]) -> Vec<u8> {
     let mut out =
         format!("HTTP/1.1 {status}\r\n{headers}Content-Length: {}\r\n\r\n", body.len()).into_bytes();
@@ -101,6 +104,7 @@
     Silence,
 }
 
+/// A good answer.
 pub fn ok(body: &str) -> Reply {
     Reply::Say(response("200 OK", "", body.as_bytes()))
 }
@@ -108,14 +112,18 @@
 /// Some servers that share one script: it gets the number of the request, counted over all of them, and the
 /// request. Requests that never come whole do not count.
 pub struct Servers {
+    /// Where they listen.
     pub dials: Vec<SocketAddr>,
+    /// All whole requests, in the order in which they came.
     pub requests: Arc<Mutex<Vec<Message>>>,
+    /// Connections accepted.
     pub connections: Arc<AtomicUsize>,
     /// Connections ended by `Reply::Last` that the node has closed too.
     pub closed: Arc<AtomicUsize>,
 }
 
 impl Servers {
+    /// As many servers, all with this script.
     pub fn new(count: usize, script: impl Fn(usize, &Message) -> Reply + Send + Sync + 'static) -> Self {
         let script = Arc::new(script);
         let mut servers = Servers {
@@ -165,10 +173,12 @@
         servers
     }
 
+    /// Whole requests so far.
     pub fn seen(&self) -> usize {
         self.requests.lock().unwrap().len()
     }
 
+    /// Connections so far.
     pub fn connected(&self) -> usize {
         self.connections.load(Ordering::SeqCst)
     }
@@ -191,19 +201,23 @@
     TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap()
 }
 
+/// One server in the words of discovery.
 pub fn host(name: &str, dial: SocketAddr, health: &str) -> String {
     format!(
         r#"{{"host":"{name}","dial":"{dial}","site":"a","class":"std","block":0,"health":"{health}","share":1.0,"born_ms":0}}"#
     )
 }
 
+/// A line of discovery.
 pub fn list(seq: u64, whole: bool, hosts: &[String]) -> String {
     format!(r#"{{"seq":{seq},"whole":{whole},"hosts":[{}]}}"#, hosts.join(","))
 }
 
 /// Discovery: every watch gets the next of the opening lines (the last again and again), and then what is said.
 pub struct Discovery {
+    /// Where it listens.
     pub address: SocketAddr,
+    /// Watches opened so far.
     pub watches: Arc<AtomicUsize>,
     say: Arc<Mutex<Vec<mpsc::Sender<String>>>>,
 }
@@ -253,15 +267,21 @@
         let _ = self.say.lock().unwrap().last().unwrap().send(line);
     }
 
+    /// Watches so far.
     pub fn watched(&self) -> usize {
         self.watches.load(Ordering::SeqCst)
     }
 }
 
+/// What a platform configuration says.
 pub struct Options {
+    /// Its memory limit.
     pub memory_mb: u64,
+    /// Its limit on descriptors.
     pub sockets: u64,
+    /// The list of servers that it had, as JSON.
     pub known: String,
+    /// How long a kept connection lives.
     pub idle_ms: u64,
 }
 
@@ -271,6 +291,7 @@
     }
 }
 
+/// A platform configuration with a class `safe` and a class `once`.
 pub fn config(discovery: SocketAddr, o: &Options) -> String {
     let class = |name: &str, effect: &str| {
         format!(
@@ -294,25 +315,38 @@
     )
 }
 
-/// A node of its own, from the release binary.
+/// The program under test: beside the test that runs, in the folder that cargo builds into.
+fn program() -> PathBuf {
+    let mut path = std::env::current_exe().expect("the test knows where it is");
+    path.pop();
+    if path.ends_with("deps") {
+        path.pop();
+    }
+    path.join("corkhollow")
+}
+
+/// A node of its own, from the built program.
 pub struct Node {
     child: Child,
     config: PathBuf,
+    /// Where it listens.
     pub address: SocketAddr,
+    /// What it has logged.
     pub log: Arc<Mutex<Vec<String>>>,
 }
 
 impl Node {
-    /// Runs the program on this configuration; where its file is.
+    /// Runs the program on this platform configuration; where its file is.
     pub fn spawn(config: &str) -> (Child, PathBuf) {
         static NEXT: AtomicUsize = AtomicUsize::new(0);
-        let name = format!("yarrowfield-{}-{}.json", std::process::id(), NEXT.fetch_add(1, Ordering::SeqCst));
+        let name = format!("corkhollow-{}-{}.json", std::process::id(), NEXT.fetch_add(1, Ordering::SeqCst));
         let path = std::env::temp_dir().join(name);
         std::fs::write(&path, config).unwrap();
-        let mut command = Command::new(env!("CARGO_BIN_EXE_yarrowfield"));
+        let mut command = Command::new(program());
         (command.env("GW_CONFIG", &path).stderr(Stdio::piped()).spawn().expect("the node starts"), path)
     }
 
+    /// Starts it and waits until it listens.
     pub fn start(discovery: SocketAddr, options: &Options) -> Self {
         let (mut child, config) = Self::spawn(&config(discovery, options));
         let mut lines = BufReader::new(child.stderr.take().unwrap()).lines();
@@ -336,10 +370,12 @@
         (node, discovery)
     }
 
+    /// Waits until it takes clients.
     pub fn ready(&self) {
         until("the node is ready", || self.get("/up", "").is_some_and(|m| m.status() == 200));
     }
 
+    /// A new connection to it.
     pub fn connect(&self) -> TcpStream {
         let stream = TcpStream::connect(self.address).unwrap();
         stream.set_read_timeout(Some(PATIENCE)).unwrap();
@@ -353,10 +389,12 @@
         read(&mut stream)
     }
 
+    /// A request without a body, on a new connection.
     pub fn get(&self, path: &str, headers: &str) -> Option<Message> {
         self.raw(&get(path, headers))
     }
 
+    /// A request with a body, on a new connection.
     pub fn post(&self, path: &str, body: &[u8]) -> Option<Message> {
         self.raw(&post(path, body))
     }
@@ -372,11 +410,13 @@
         until(words, || self.log.lock().unwrap().iter().filter(|l| l.contains(words)).count() >= count);
     }
 
+    /// Sends it a signal.
     pub fn signal(&self, name: &str) {
         let pid = self.child.id().to_string();
         assert!(Command::new("kill").args([name, &pid]).status().unwrap().success());
     }
 
+    /// Waits for its end.
     pub fn exit(&mut self) -> ExitStatus {
         self.child.wait().unwrap()
     }
@@ -396,10 +436,12 @@
     NEXT.fetch_add(1, Ordering::SeqCst)
 }
 
+/// The bytes of a request without a body, with an id of its own.
 pub fn get(path: &str, headers: &str) -> Vec<u8> {
     format!("GET {path} HTTP/1.1\r\nHost: app.svc\r\nX-Request-ID: {}\r\n{headers}\r\n", id()).into_bytes()
 }
 
+/// The bytes of a request with a body, with an id of its own.
 pub fn post(path: &str, body: &[u8]) -> Vec<u8> {
     let mut out = format!(
         "POST {path} HTTP/1.1\r\nHost: app.svc\r\nX-Request-ID: {}\r\nX-Timeout-Ms: 2500\r\nContent-Length: {}\r\n\r\n",
