Add routes and the operator's file: checked whole, explained, with its reference from the schema

Need: a newcomer cannot write GW_CONFIG, and there was nothing that says which request goes where. Listeners, routes, classes, tenants, pools and limits need one file that the operator owns.

Change: plan::routes finds the first route of the file whose conditions hold, behind an index by listener, host and first path segment; hosts and paths are put into one form before, and what can be read in two ways is refused. plan::file reads TOML against one schema (toml for the text, serde for the values): every fault with line, column, key and what is allowed, misspelt keys with the one that was meant, names and choices checked over the whole file. `corkhollow check`, `explain` and `reference` (clap) use it; docs/operate/configuration.md holds the reference and a test holds it against the schema. `run` does not serve by such a file yet.

Result: 2,000 random tables against a matcher that tries every route in turn, printed files read the same, torn files are refused within their lines; 26 kinds of fault in whole files are each named. All former tests pass.

--- /dev/null
+++ b/crates/corkhollow/src/commands/check.rs
@@ -0,0 +1,30 @@
+//! `corkhollow check FILE`.
+
+use super::{load, Failure};
+use crate::cli::CheckArgs;
+use corkhollow_plan::file::read_servers;
+use corkhollow_plan::plan::Source;
+use std::io::Write;
+
+/// Checks the file and those that it names.
+pub fn check(args: &CheckArgs) -> Result<(), Failure> {
+    let plan = load(&args.file)?.plan;
+    for pool in &plan.pools {
+        let Source::Watch(path) = &pool.source else { continue };
+        let text = std::fs::read_to_string(path)
+            .map_err(|error| Failure::Unreadable { path: path.clone(), error })?;
+        if let Err(faults) = read_servers(&text, &plan) {
+            super::print(path, &faults);
+            return Err(Failure::Faulty { path: path.clone(), count: faults.len() });
+        }
+    }
+    let (routes, pools) = (plan.routes.routes().len(), plan.pools.len());
+    writeln!(
+        std::io::stdout(),
+        "{}: sound; listeners: {}, routes: {routes}, pools: {pools}, classes: {}",
+        args.file.display(),
+        plan.listeners.len(),
+        plan.classes.len(),
+    )?;
+    Ok(())
+}
--- /dev/null
+++ b/crates/corkhollow/src/commands/mod.rs
@@ -0,0 +1,56 @@
+//! One file per command.
+
+pub mod check;
+pub mod explain;
+pub mod run;
+
+use corkhollow_plan::file::{self, Checked, Fault};
+use std::io::Write;
+use std::path::{Path, PathBuf};
+
+/// Why a command has failed.
+#[derive(Debug, thiserror::Error)]
+pub enum Failure {
+    #[error("cannot read {}: {error}", path.display())]
+    Unreadable { path: PathBuf, error: std::io::Error },
+    #[error("{} has {count} {}", path.display(), if *count == 1 { "error" } else { "errors" })]
+    Faulty { path: PathBuf, count: usize },
+    #[error("{0}")]
+    Request(String),
+    #[error("{0}")]
+    Run(#[from] run::StartError),
+    #[error("cannot write: {0}")]
+    Output(#[from] std::io::Error),
+}
+
+/// Reads an operator's file. What is wrong with it is printed, one line a fault.
+pub fn load(path: &Path) -> Result<Checked, Failure> {
+    let text = std::fs::read_to_string(path)
+        .map_err(|error| Failure::Unreadable { path: path.to_owned(), error })?;
+    let folder = path.parent().unwrap_or(Path::new(""));
+    match file::read(&text, folder) {
+        Ok(checked) => {
+            print(path, &checked.warnings);
+            Ok(checked)
+        }
+        Err(faults) => {
+            print(path, &faults);
+            let count = faults.iter().filter(|f| f.severity == file::Severity::Error).count();
+            Err(Failure::Faulty { path: path.to_owned(), count })
+        }
+    }
+}
+
+fn print(path: &Path, faults: &[Fault]) {
+    let mut out = std::io::stderr().lock();
+    for fault in faults {
+        // Without standard error there is nobody to tell.
+        let _ = writeln!(out, "{}:{fault}", path.display());
+    }
+}
+
+/// `corkhollow reference`.
+pub fn reference() -> Result<(), Failure> {
+    std::io::stdout().write_all(file::guide::reference().as_bytes())?;
+    Ok(())
+}
--- /dev/null
+++ b/crates/plan/src/file/model.rs
@@ -0,0 +1,393 @@
+//! The operator's file as serde reads and writes it. What each key means stands in [`super::schema`].
+#![allow(missing_docs)] // Each key is documented once, in the schema.
+
+use super::values::{Duration, Size};
+use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct File {
+    pub node: Node,
+    pub limits: Limits,
+    pub listener: Vec<Listener>,
+    pub class: Vec<Class>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub tenants: Option<Tenants>,
+    pub pool: Vec<Pool>,
+    pub route: Vec<Route>,
+}
+
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Node {
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub zone: Option<String>,
+    pub drain_timeout: Duration,
+}
+
+impl Default for Node {
+    fn default() -> Self {
+        Node { zone: None, drain_timeout: Duration::ms(30_000) }
+    }
+}
+
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Limits {
+    pub descriptors: usize,
+    pub memory: Size,
+    pub replay_buffer: Size,
+    pub header_bytes: Size,
+    pub header_timeout: Duration,
+    pub idle_timeout: Duration,
+    pub stall_timeout: Duration,
+}
+
+impl Default for Limits {
+    fn default() -> Self {
+        Limits {
+            descriptors: 1024,
+            memory: Size(192_000_000),
+            replay_buffer: Size(64 << 10),
+            header_bytes: Size(16 << 10),
+            header_timeout: Duration::ms(10_000),
+            idle_timeout: Duration::ms(90_000),
+            stall_timeout: Duration::ms(20_000),
+        }
+    }
+}
+
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Forwarded {
+    #[default]
+    None,
+    XForwarded,
+    Forwarded,
+    Both,
+}
+
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Listener {
+    pub name: String,
+    pub address: SocketAddr,
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub via: Option<String>,
+    #[serde(default)]
+    pub forwarded: Forwarded,
+    #[serde(default)]
+    pub trust_forwarded: bool,
+    #[serde(default = "request_id")]
+    pub request_id: String,
+    #[serde(default = "yes")]
+    pub merge_slashes: bool,
+    #[serde(default)]
+    pub keep_escaped_slashes: bool,
+}
+
+fn request_id() -> String {
+    "x-request-id".to_owned()
+}
+
+fn yes() -> bool {
+    true
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum Effect {
+    Safe,
+    Keyed,
+    Unsafe,
+}
+
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum Group {
+    #[default]
+    All,
+    Zone,
+}
+
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Class {
+    pub name: String,
+    pub effect: Effect,
+    #[serde(default)]
+    pub methods: Vec<String>,
+    #[serde(default = "aim")]
+    pub aim: Duration,
+    #[serde(default = "deadline")]
+    pub deadline: Duration,
+    #[serde(default = "one")]
+    pub worth: f64,
+    #[serde(default = "half")]
+    pub late_worth: f64,
+    #[serde(default)]
+    pub group: Group,
+    #[serde(default = "window")]
+    pub window: Duration,
+}
+
+impl Class {
+    /// A class with nothing but its name, its effect and its methods told.
+    pub fn new(name: &str, effect: Effect, methods: &[&str]) -> Self {
+        Class {
+            name: name.to_owned(),
+            effect,
+            methods: methods.iter().map(|m| (*m).to_owned()).collect(),
+            aim: aim(),
+            deadline: deadline(),
+            worth: one(),
+            late_worth: half(),
+            group: Group::All,
+            window: window(),
+        }
+    }
+}
+
+fn aim() -> Duration {
+    Duration::ms(1_000)
+}
+
+fn deadline() -> Duration {
+    Duration::ms(30_000)
+}
+
+fn one() -> f64 {
+    1.0
+}
+
+fn half() -> f64 {
+    0.5
+}
+
+fn window() -> Duration {
+    Duration::ms(10_000)
+}
+
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Tenants {
+    pub header: String,
+    pub over_share_worth: f64,
+    pub tenant: Vec<Tenant>,
+}
+
+impl Default for Tenants {
+    fn default() -> Self {
+        Tenants { header: "x-tenant-id".to_owned(), over_share_worth: 0.05, tenant: Vec::new() }
+    }
+}
+
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Tenant {
+    pub name: String,
+    pub rate: f64,
+}
+
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Pool {
+    pub name: String,
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub servers: Option<Vec<Server>>,
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub watch: Option<String>,
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub discovery: Option<SocketAddr>,
+    #[serde(default = "three")]
+    pub max_attempts: u32,
+    #[serde(default)]
+    pub second_copies: bool,
+    #[serde(default = "connect_timeout")]
+    pub connect_timeout: Duration,
+    #[serde(default = "window")]
+    pub idle_timeout: Duration,
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub max_connections: Option<usize>,
+    #[serde(default = "max_waiting")]
+    pub max_waiting: usize,
+    #[serde(default = "cold_from")]
+    pub cold_from: f64,
+    #[serde(default = "window")]
+    pub cold_ramp: Duration,
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub check: Option<Check>,
+}
+
+fn three() -> u32 {
+    3
+}
+
+fn connect_timeout() -> Duration {
+    Duration::ms(500)
+}
+
+fn max_waiting() -> usize {
+    256
+}
+
+fn cold_from() -> f64 {
+    0.3
+}
+
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Server {
+    pub address: SocketAddr,
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub name: Option<String>,
+    #[serde(default = "one")]
+    pub weight: f64,
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub zone: Option<String>,
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub kind: Option<String>,
+    #[serde(default)]
+    pub backup: bool,
+}
+
+impl Server {
+    /// Its identity in the pool.
+    pub fn identity(&self) -> String {
+        self.name.clone().unwrap_or_else(|| self.address.to_string())
+    }
+}
+
+/// A file that a pool watches.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct ServersFile {
+    pub servers: Vec<Server>,
+}
+
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Check {
+    pub path: String,
+    #[serde(default = "every")]
+    pub every: Duration,
+    #[serde(default = "aim")]
+    pub timeout: Duration,
+    #[serde(default = "two")]
+    pub rise: u32,
+    #[serde(default = "three")]
+    pub fall: u32,
+    #[serde(default = "ok")]
+    pub status: Vec<u16>,
+}
+
+fn every() -> Duration {
+    Duration::ms(2_000)
+}
+
+fn two() -> u32 {
+    2
+}
+
+fn ok() -> Vec<u16> {
+    vec![200]
+}
+
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Field {
+    pub name: String,
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub is: Option<String>,
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub begins: Option<String>,
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub matches: Option<String>,
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub present: Option<bool>,
+}
+
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Edits {
+    pub remove: Vec<String>,
+    pub set: BTreeMap<String, String>,
+    pub add: BTreeMap<String, String>,
+}
+
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Rewrite {
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub path: Option<String>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub prefix: Option<String>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub regex: Option<String>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub with: Option<String>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub host: Option<String>,
+    pub request: Edits,
+    pub response: Edits,
+}
+
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Redirect {
+    pub to: String,
+    #[serde(default = "found")]
+    pub status: u16,
+}
+
+fn found() -> u16 {
+    302
+}
+
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Answer {
+    pub status: u16,
+    #[serde(default)]
+    pub body: String,
+    #[serde(default = "plain")]
+    pub content_type: String,
+}
+
+fn plain() -> String {
+    "text/plain; charset=utf-8".to_owned()
+}
+
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Route {
+    pub name: String,
+    #[serde(default)]
+    pub listeners: Vec<String>,
+    #[serde(default)]
+    pub hosts: Vec<String>,
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub path: Option<String>,
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub path_prefix: Option<String>,
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub path_regex: Option<String>,
+    #[serde(default)]
+    pub methods: Vec<String>,
+    #[serde(default)]
+    pub headers: Vec<Field>,
+    #[serde(default)]
+    pub query: Vec<Field>,
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub class: Option<String>,
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub pool: Option<String>,
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub rewrite: Option<Rewrite>,
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub redirect: Option<Redirect>,
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub answer: Option<Answer>,
+}
--- /dev/null
+++ b/crates/plan/src/file/schema.rs
@@ -0,0 +1,339 @@
+//! What the operator's file may hold: the one description that the checker, its messages and the operators' guide
+//! are made from.
+
+use super::values;
+
+/// A kind of value.
+#[derive(Clone, Copy, Debug)]
+pub enum Kind {
+    /// A text of some form.
+    Text(&'static Form),
+    /// `true` or `false`.
+    Flag,
+    /// A whole number within bounds.
+    Whole(i64, i64),
+    /// A number within bounds.
+    Number(f64, f64),
+    /// One of these texts.
+    OneOf(&'static [&'static str]),
+    /// One of these whole numbers.
+    OneOfNumbers(&'static [i64]),
+    /// A list of values.
+    List(&'static Kind),
+    /// A table.
+    Table(&'static Table),
+    /// A list of tables.
+    Tables(&'static Table),
+    /// A table of texts under names of the operator's choosing: the form of the names, that of the values.
+    Map(&'static Form, &'static Form),
+}
+
+/// A form of text.
+#[derive(Debug)]
+pub struct Form {
+    /// What is allowed, in words.
+    pub allowed: &'static str,
+    /// Says what is wrong with a text.
+    pub check: fn(&str) -> Result<(), String>,
+}
+
+/// What holds where a key is absent.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Absent {
+    /// It must be there.
+    Required,
+    /// This value, as it would stand in the file.
+    Value(&'static str),
+    /// In words.
+    Means(&'static str),
+}
+
+/// One key.
+#[derive(Debug)]
+pub struct Field {
+    /// Its name.
+    pub name: &'static str,
+    /// What it holds.
+    pub kind: Kind,
+    /// What holds where it is absent.
+    pub absent: Absent,
+    /// What it is for.
+    pub doc: &'static str,
+}
+
+/// A table and its keys.
+#[derive(Debug)]
+pub struct Table {
+    /// What it is for.
+    pub doc: &'static str,
+    /// Its keys, in the order in which they are explained.
+    pub fields: &'static [Field],
+}
+
+impl Kind {
+    /// What is allowed, in words.
+    pub fn allowed(&self) -> String {
+        let listed = |texts: Vec<String>| texts.join(", ");
+        match self {
+            Kind::Text(form) => form.allowed.to_owned(),
+            Kind::Flag => "true or false".to_owned(),
+            Kind::Whole(least, most) => format!("a whole number from {least} to {most}"),
+            Kind::Number(least, most) => format!("a number from {least} to {most}"),
+            Kind::OneOf(texts) => listed(texts.iter().map(|t| format!("{t:?}")).collect()),
+            Kind::OneOfNumbers(all) => listed(all.iter().map(i64::to_string).collect()),
+            Kind::List(of) => format!("a list, each item {}", of.allowed()),
+            Kind::Table(_) => "a table".to_owned(),
+            Kind::Tables(_) => "a list of tables".to_owned(),
+            Kind::Map(keys, values) => {
+                format!("a table, each key {}, each value {}", keys.allowed, values.allowed)
+            }
+        }
+    }
+}
+
+macro_rules! forms {
+    ($($name:ident: $allowed:expr, $check:path;)*) => {
+        $(static $name: Form = Form { allowed: $allowed, check: $check };)*
+    };
+}
+
+forms! {
+    ANY: "a text", values::any;
+    NAME: "a name of letters, digits, `-`, `_` and `.`, at most 64", values::name;
+    DURATION: "a duration such as \"250ms\", \"2s\" or \"5m\"", values::duration;
+    SIZE: "a size such as \"64KiB\" or \"192MB\"", values::size;
+    ADDRESS: "an IP address with a port, such as \"127.0.0.1:8080\" or \"[::1]:8080\"", values::address;
+    HOST: "a host name without port, or `*.` and a host name", values::host;
+    PATH: "a path that begins with `/`", values::path;
+    REGEX: "a regular expression in the syntax of Rust's regex crate", values::regex;
+    METHOD: "a method in capitals, such as \"GET\"", values::method;
+    HEADER: "a header's name", values::header_name;
+    HEADER_VALUE: "a header's value: visible ASCII, blanks and tabs", values::header_value;
+    TEMPLATE: "a location; {scheme}, {host}, {path} and {query} stand for the request's", values::template;
+}
+
+macro_rules! table {
+    ($name:ident, $doc:expr, $($field:ident: $kind:expr, $absent:expr, $what:expr;)*) => {
+        static $name: Table = Table {
+            doc: $doc,
+            fields: &[$(Field { name: stringify!($field), kind: $kind, absent: $absent, doc: $what }),*],
+        };
+    };
+}
+
+use Absent::{Means, Required, Value};
+use Kind::{Flag, List, Map, Number, OneOf, OneOfNumbers, Tables, Text, Whole};
+
+table! { NODE, "The program as a whole.",
+    zone: Text(&NAME), Means("no zone"),
+        "The zone it stands in; servers of other zones are second choice.";
+    drain_timeout: Text(&DURATION), Value("\"30s\""),
+        "How long SIGTERM waits for what is under way.";
+}
+
+table! { LIMITS, "What the program may hold in all.",
+    descriptors: Whole(48, 1_000_000), Value("1024"),
+        "File descriptors, for clients and servers together.";
+    memory: Text(&SIZE), Value("\"192MB\""),
+        "Memory, 16MB or more. About a third of it may be bodies under way.";
+    replay_buffer: Text(&SIZE), Value("\"64KiB\""),
+        "A request's body up to this size is kept until the request is answered, so that it can be sent again. A \
+         longer one is sent once.";
+    header_bytes: Text(&SIZE), Value("\"16KiB\""),
+        "The longest head of a request or an answer, 8KiB to 1MiB.";
+    header_timeout: Text(&DURATION), Value("\"10s\""),
+        "How long a client may take over a request's head.";
+    idle_timeout: Text(&DURATION), Value("\"90s\""),
+        "How long a client's connection may stand idle.";
+    stall_timeout: Text(&DURATION), Value("\"20s\""),
+        "How long a body may stand still, on either side.";
+}
+
+table! { LISTENER, "Where clients connect.",
+    name: Text(&NAME), Required, "Its name, for routes.";
+    address: Text(&ADDRESS), Required, "Where it listens; port 0 takes a free one.";
+    via: Text(&NAME), Means("no `Via`"), "The name that it puts into `Via`, in requests and answers.";
+    forwarded: OneOf(&["none", "x-forwarded", "forwarded", "both"]), Value("\"none\""),
+        "Which headers tell servers of the client: `X-Forwarded-For`, `-Host` and `-Proto`, or `Forwarded` \
+         (RFC 7239).";
+    trust_forwarded: Flag, Value("false"),
+        "Adds to what the client's own such headers say, instead of replacing them.";
+    request_id: Text(&HEADER), Value("\"x-request-id\""),
+        "The header that names a request; an id is made where none came.";
+    merge_slashes: Flag, Value("true"), "Makes runs of slashes in paths one.";
+    keep_escaped_slashes: Flag, Value("false"),
+        "Lets `%2F`, `%5C` and a backslash in paths pass, instead of answering 400.";
+}
+
+table! { CLASS, "A class of requests: how far they may be repeated, and how long they may take. Where the file has \
+    none for a method, `read` (GET, HEAD, OPTIONS, TRACE: safe) or `write` (all others: unsafe) takes its place.",
+    name: Text(&NAME), Required, "Its name, for routes.";
+    effect: OneOf(&["safe", "keyed", "unsafe"]), Required,
+        "`safe`: repeats do no harm. `keyed`: the servers of one group drop repeats within a window. `unsafe`: must \
+         not run twice.";
+    methods: List(&Text(&METHOD)), Value("[]"),
+        "Methods whose requests are of this class where their route names none.";
+    aim: Text(&DURATION), Value("\"1s\""), "The time within which an answer is wanted.";
+    deadline: Text(&DURATION), Value("\"30s\""), "The time within which an answer must have begun.";
+    worth: Number(0.0, 1e9), Value("1.0"),
+        "What one answer is worth beside those of other classes: under overload the least worth goes first.";
+    late_worth: Number(0.0, 1.0), Value("0.5"), "The part of the worth that is left after the aim.";
+    group: OneOf(&["all", "zone"]), Value("\"all\""), "Keyed only: the servers that drop each other's repeats.";
+    window: Text(&DURATION), Value("\"10s\""), "Keyed only: for how long they do.";
+}
+
+table! { TENANTS, "Who requests are made for.",
+    header: Text(&HEADER), Value("\"x-tenant-id\""), "The header that names the tenant.";
+    over_share_worth: Number(0.0, 1.0), Value("0.05"),
+        "The part of its worth that a request over its tenant's share keeps.";
+    tenant: Tables(&TENANT), Value("[]"), "The tenants.";
+}
+
+table! { TENANT, "One tenant.",
+    name: Text(&NAME), Required, "As the header names it.";
+    rate: Number(0.0, 1e9), Required, "Its share, in requests a second over all nodes.";
+}
+
+table! { POOL, "Servers that do the same work. Exactly one of `servers`, `watch` and `discovery` says which.",
+    name: Text(&NAME), Required, "Its name, for routes.";
+    servers: Tables(&SERVER), Means("see `watch` and `discovery`"), "The servers.";
+    watch: Text(&ANY), Means("see `servers` and `discovery`"),
+        "A TOML file of `[[servers]]`, relative to this file. It is read again when it changes; a bad one leaves \
+         the old list in force.";
+    discovery: Text(&ADDRESS), Means("see `servers` and `watch`"), "Where the platform's discovery answers.";
+    max_attempts: Whole(1, 16), Value("3"), "Most attempts for one request.";
+    second_copies: Flag, Value("false"), "Lets a safe request that is slow go to a second server too.";
+    connect_timeout: Text(&DURATION), Value("\"500ms\""), "A connection that is not up after this has failed.";
+    idle_timeout: Text(&DURATION), Value("\"10s\""),
+        "Servers may close connections that have stood idle for this long; the program closes them before.";
+    max_connections: Whole(1, 1_000_000), Means("what `limits.descriptors` leaves"),
+        "Most connections to its servers in all.";
+    max_waiting: Whole(0, 1_000_000), Value("256"),
+        "Most requests that wait for a connection; more are refused at once.";
+    cold_from: Number(0.001, 1.0), Value("0.3"), "The share of its capacity that a server has when it starts.";
+    cold_ramp: Text(&DURATION), Value("\"10s\""), "A started server is warm after this.";
+    check: Kind::Table(&CHECK), Means("no checks"), "Active checks of its servers.";
+}
+
+table! { SERVER, "One server.",
+    address: Text(&ADDRESS), Required, "Where it listens.";
+    name: Text(&NAME), Means("its address"), "Its identity in the pool.";
+    weight: Number(0.001, 1e6), Value("1.0"), "Its size beside the others'.";
+    zone: Text(&NAME), Means("the program's own"), "The zone it stands in.";
+    kind: Text(&NAME), Means("none"), "Its kind of machine.";
+    backup: Flag, Value("false"), "Takes requests only while no other server of the pool can.";
+}
+
+table! { CHECK, "An active check: `GET` of a path. A server that fails takes nothing new until it passes again.",
+    path: Text(&PATH), Required, "What is asked for.";
+    every: Text(&DURATION), Value("\"2s\""), "How often, spread by chance.";
+    timeout: Text(&DURATION), Value("\"1s\""), "An answer that takes longer is a failure.";
+    rise: Whole(1, 100), Value("2"), "Passes in a row that bring a server back.";
+    fall: Whole(1, 100), Value("3"), "Failures in a row that take it out.";
+    status: List(&Whole(100, 599)), Value("[200]"), "Statuses that pass.";
+}
+
+table! { FIELD, "A condition on a header or a query parameter: exactly one of `is`, `begins`, `matches`, `present`.",
+    name: Text(&ANY), Required, "The header's or the parameter's name.";
+    is: Text(&ANY), Means("no condition"), "One of its values is this.";
+    begins: Text(&ANY), Means("no condition"), "One of its values begins with this.";
+    matches: Text(&REGEX), Means("no condition"), "The whole of one of its values matches.";
+    present: Flag, Means("no condition"), "It is there, or it is not.";
+}
+
+table! { EDITS, "Changes to headers, made in this order.",
+    remove: List(&Text(&HEADER)), Value("[]"), "Headers taken out.";
+    set: Map(&HEADER, &HEADER_VALUE), Value("{}"), "Headers put in place of what there is.";
+    add: Map(&HEADER, &HEADER_VALUE), Value("{}"), "Headers put beside what there is.";
+}
+
+table! { REWRITE, "What changes on the way to a server and back. At most one of `path`, `prefix` and `regex`.",
+    path: Text(&PATH), Means("unchanged"), "The path, whatever it was.";
+    prefix: Text(&PATH), Means("unchanged"), "Stands in place of the route's `path_prefix`.";
+    regex: Text(&REGEX), Means("unchanged"), "What is looked for in the path; it need not be all of it.";
+    with: Text(&ANY), Means("needed with `regex`"),
+        "Stands in place of the first match; `$1` or `${name}` is a group.";
+    host: Text(&HEADER_VALUE), Means("the client's"), "`Host` for the server.";
+    request: Kind::Table(&EDITS), Means("unchanged"), "The request's headers.";
+    response: Kind::Table(&EDITS), Means("unchanged"), "The answer's headers.";
+}
+
+table! { REDIRECT, "Sends the client elsewhere.",
+    to: Text(&TEMPLATE), Required, "Where to.";
+    status: OneOfNumbers(&[301, 302, 303, 307, 308]), Value("302"), "The status.";
+}
+
+table! { ANSWER, "A fixed answer.",
+    status: Whole(200, 599), Required, "The status.";
+    body: Text(&ANY), Value("\"\""), "The body.";
+    content_type: Text(&HEADER_VALUE), Value("\"text/plain; charset=utf-8\""), "Its type.";
+}
+
+table! { ROUTE, "Conditions, of which all have to hold, and exactly one of `pool`, `redirect` and `answer`. Routes are \
+    tried in the order of the file; the first that fits is taken.",
+    name: Text(&NAME), Required, "Its name, for logs and `explain`.";
+    listeners: List(&Text(&NAME)), Value("[]"), "The listeners it is for; none means all.";
+    hosts: List(&Text(&HOST)), Value("[]"),
+        "The hosts it is for; none means all. `*.a.org` stands for all below a.org, at any depth.";
+    path: Text(&PATH), Means("any path"), "This path only.";
+    path_prefix: Text(&PATH), Means("any path"), "This path and all below it, by whole segments.";
+    path_regex: Text(&REGEX), Means("any path"), "Paths that match as a whole.";
+    methods: List(&Text(&METHOD)), Value("[]"), "The methods it is for; none means all.";
+    headers: Tables(&FIELD), Value("[]"), "Conditions on headers.";
+    query: Tables(&FIELD), Value("[]"), "Conditions on query parameters.";
+    class: Text(&NAME), Means("by the method"), "The class of its requests.";
+    pool: Text(&NAME), Means("see `redirect` and `answer`"), "The pool that serves it.";
+    rewrite: Kind::Table(&REWRITE), Means("nothing changes"), "With `pool`: what changes on the way.";
+    redirect: Kind::Table(&REDIRECT), Means("see `pool` and `answer`"), "Sends the client elsewhere.";
+    answer: Kind::Table(&ANSWER), Means("see `pool` and `redirect`"), "A fixed answer.";
+}
+
+/// The whole file.
+pub static FILE: Table = Table {
+    doc: "The operator's file.",
+    fields: &[
+        Field {
+            name: "node",
+            kind: Kind::Table(&NODE),
+            absent: Means("all defaults"),
+            doc: "The program as a whole.",
+        },
+        Field {
+            name: "limits",
+            kind: Kind::Table(&LIMITS),
+            absent: Means("all defaults"),
+            doc: "What the program may hold in all.",
+        },
+        Field {
+            name: "listener",
+            kind: Tables(&LISTENER),
+            absent: Required,
+            doc: "Where clients connect; at least one.",
+        },
+        Field {
+            name: "class",
+            kind: Tables(&CLASS),
+            absent: Means("`read` and `write`"),
+            doc: "Classes of requests.",
+        },
+        Field {
+            name: "tenants",
+            kind: Kind::Table(&TENANTS),
+            absent: Means("no tenants"),
+            doc: "Who requests are made for.",
+        },
+        Field { name: "pool", kind: Tables(&POOL), absent: Value("[]"), doc: "Pools of servers." },
+        Field {
+            name: "route",
+            kind: Tables(&ROUTE),
+            absent: Required,
+            doc: "Routes, in the order in which they are tried; at least one.",
+        },
+    ],
+};
+
+/// A file that a pool watches.
+pub static SERVERS_FILE: Table = Table {
+    doc: "The servers of one pool.",
+    fields: &[Field { name: "servers", kind: Tables(&SERVER), absent: Required, doc: "The servers." }],
+};
--- a/crates/plan/src/lib.rs
+++ b/crates/plan/src/lib.rs
@@ -1,8 +1,11 @@
 //! What the program has been told to do, and how much it may hold: no sockets, no clock.
 
+pub mod file;
 pub mod hosts;
 pub mod limits;
+pub mod plan;
 pub mod platform;
+pub mod routes;
 
 /// A stable hash: FNV-1a with its bits mixed, so that its low ones are as good as its high ones.
 pub fn mix(bytes: &[u8]) -> u64 {
--- /dev/null
+++ b/crates/plan/src/plan.rs
@@ -0,0 +1,242 @@
+//! The plan: a configuration that has been checked, with every name resolved to an index.
+
+use crate::routes::{PathRules, RouteTable, Target};
+use corkhollow_balance::interface::{Class, Nanos};
+use http::header::{HeaderName, HeaderValue};
+use http::Method;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+
+/// All that the program does, as told by the operator's file.
+#[derive(Clone, Debug)]
+pub struct Plan {
+    /// The zone it stands in, as an index into [`Plan::zones`].
+    pub zone: u8,
+    /// Zones by their index.
+    pub zones: Vec<String>,
+    /// How long SIGTERM waits for what is under way.
+    pub drain_timeout: Nanos,
+    /// What it may hold.
+    pub limits: Limits,
+    /// Where clients connect.
+    pub listeners: Vec<Listener>,
+    /// Classes of requests.
+    pub classes: Vec<RequestClass>,
+    /// Who requests are made for.
+    pub tenants: Tenants,
+    /// Pools of servers.
+    pub pools: Vec<Pool>,
+    /// Which request goes where.
+    pub routes: RouteTable,
+}
+
+/// What the program may hold, and for how long.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Limits {
+    /// File descriptors.
+    pub descriptors: usize,
+    /// Memory, in bytes.
+    pub memory: u64,
+    /// The longest body of a request that is kept for another attempt, in bytes.
+    pub replay_buffer: u64,
+    /// The longest head, in bytes.
+    pub header_bytes: usize,
+    /// How long a client may take over a head.
+    pub header_timeout: Nanos,
+    /// How long a client's connection may stand idle.
+    pub idle_timeout: Nanos,
+    /// How long a body may stand still.
+    pub stall_timeout: Nanos,
+}
+
+/// Where clients connect.
+#[derive(Clone, Debug)]
+pub struct Listener {
+    /// Its name.
+    pub name: String,
+    /// Its address.
+    pub address: SocketAddr,
+    /// What it calls itself in `Via`.
+    pub via: Option<String>,
+    /// Tells servers of the client by `X-Forwarded-For`, `-Host`, `-Proto`.
+    pub x_forwarded: bool,
+    /// Tells servers of the client by `Forwarded`.
+    pub forwarded: bool,
+    /// Adds to what clients say by these headers.
+    pub trust_forwarded: bool,
+    /// The header that names a request.
+    pub request_id: HeaderName,
+    /// How paths are read.
+    pub paths: PathRules,
+}
+
+/// A class of requests with its name.
+#[derive(Clone, Debug)]
+pub struct RequestClass {
+    /// Its name.
+    pub name: String,
+    /// What the decision module is told of it.
+    pub class: Class,
+    /// Methods whose requests are of this class where their route names none.
+    pub methods: Vec<Method>,
+}
+
+/// Who requests are made for.
+#[derive(Clone, Debug)]
+pub struct Tenants {
+    /// The header that names the tenant.
+    pub header: HeaderName,
+    /// Names and shares in requests a second.
+    pub shares: Vec<(String, f64)>,
+    /// Part of its worth that a request over its tenant's share keeps.
+    pub over_share_worth: f64,
+}
+
+/// Servers that do the same work.
+#[derive(Clone, Debug)]
+pub struct Pool {
+    /// Its name.
+    pub name: String,
+    /// Who its servers are.
+    pub source: Source,
+    /// Most attempts for one request.
+    pub max_attempts: u32,
+    /// A slow safe request may go to a second server.
+    pub second_copies: bool,
+    /// A connection that is not up after this has failed.
+    pub connect_timeout: Nanos,
+    /// Servers may close connections that have stood idle for this long.
+    pub idle_timeout: Nanos,
+    /// Most connections in all.
+    pub max_connections: Option<usize>,
+    /// Most requests that wait for a connection.
+    pub max_waiting: usize,
+    /// The share of its capacity that a server has when it starts.
+    pub cold_from: f64,
+    /// A started server is warm after this.
+    pub cold_ramp: Nanos,
+    /// Active checks.
+    pub check: Option<Check>,
+}
+
+/// Who a pool's servers are.
+#[derive(Clone, Debug)]
+pub enum Source {
+    /// These.
+    Static(Vec<Server>),
+    /// Those that a file names, now and whenever it changes.
+    Watch(PathBuf),
+    /// Those that the platform's discovery names.
+    Discovery(SocketAddr),
+}
+
+/// One server.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Server {
+    /// Its identity in the pool.
+    pub name: String,
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// Its size beside the others'.
+    pub weight: f64,
+    /// Its zone, as an index into [`Plan::zones`].
+    pub zone: u8,
+    /// Takes requests only while no other server can.
+    pub backup: bool,
+}
+
+/// An active check of servers.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Check {
+    /// What is asked for.
+    pub path: String,
+    /// How often.
+    pub every: Nanos,
+    /// An answer that takes longer is a failure.
+    pub timeout: Nanos,
+    /// Passes in a row that bring a server back.
+    pub rise: u32,
+    /// Failures in a row that take it out.
+    pub fall: u32,
+    /// Statuses that pass.
+    pub status: Vec<u16>,
+}
+
+impl Plan {
+    /// The class of a request: that of its route, or the one for its method. The last class stands for all methods
+    /// that no class names.
+    pub fn class_of(&self, route: Option<usize>, method: &Method) -> usize {
+        let by_method = || self.classes.iter().position(|c| c.methods.contains(method));
+        route.or_else(by_method).unwrap_or(self.classes.len() - 1)
+    }
+
+    /// The tenant that a header's value names.
+    pub fn tenant(&self, value: Option<&HeaderValue>) -> Option<usize> {
+        let value = value?.as_bytes();
+        self.tenants.shares.iter().position(|(name, _)| name.as_bytes() == value)
+    }
+
+    /// Why a request goes where it goes, in lines for the operator.
+    pub fn explain(&self, target: &Target<'_>) -> Vec<String> {
+        let mut lines = Vec::new();
+        if let Some(listener) = self.listeners.get(target.listener) {
+            lines.push(format!("listener  {} at {}", listener.name, listener.address));
+        }
+        lines.push(format!("host      {}", if target.host.is_empty() { "(none)" } else { target.host }));
+        lines.push(format!("path      {}", target.path));
+        for (at, miss) in self.routes.misses(target) {
+            lines.push(format!("passed    route {}: {miss}", self.routes.routes()[at].name));
+        }
+        let Some((at, route)) = self.routes.find(target) else {
+            let allowed = self.routes.other_methods(target);
+            lines.push(match allowed.is_empty() {
+                true => "answer    404: no route takes it".to_owned(),
+                false => {
+                    let names: Vec<_> = allowed.iter().map(Method::as_str).collect();
+                    format!("answer    405: only with {}", names.join(", "))
+                }
+            });
+            return lines;
+        };
+        lines.push(format!("route     {} (number {} of {})", route.name, at + 1, self.routes.routes().len()));
+        self.explain_outcome(target, route, &mut lines);
+        lines
+    }
+
+    fn explain_outcome(&self, target: &Target<'_>, route: &crate::routes::Route, lines: &mut Vec<String>) {
+        use crate::routes::Outcome;
+        match &route.outcome {
+            Outcome::Answer { status, .. } => lines.push(format!("answer    {status}, fixed by the route")),
+            Outcome::Redirect(redirect) => {
+                let location = redirect.location("http", target.host, target.path, target.query);
+                let location = location.as_ref().and_then(|l| l.to_str().ok()).unwrap_or("(no location)");
+                lines.push(format!("redirect  {} to {location}", redirect.status));
+            }
+            Outcome::Forward { pool, rewrite } => {
+                let class = &self.classes[self.class_of(route.class, target.method)];
+                let why = if route.class.is_some() { "named by the route" } else { "by the method" };
+                let effect = format!("{:?}", class.class.effect).to_lowercase();
+                lines.push(format!(
+                    "class     {} ({why}): {effect}, wanted within {} ms, given up after {} ms",
+                    class.name,
+                    class.class.aim / 1_000_000,
+                    class.class.give_up / 1_000_000,
+                ));
+                let pool = &self.pools[*pool];
+                let servers = match &pool.source {
+                    Source::Static(servers) => format!("{} servers", servers.len()),
+                    Source::Watch(path) => format!("servers by {}", path.display()),
+                    Source::Discovery(address) => format!("servers by discovery at {address}"),
+                };
+                lines.push(format!(
+                    "pool      {}: {servers}, at most {} attempts",
+                    pool.name, pool.max_attempts
+                ));
+                lines.push(match rewrite.target(target.path, target.query) {
+                    Ok(sent) => format!("sent as   {} {sent}", target.method),
+                    Err(e) => format!("answer    500: {e}"),
+                });
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/plan/src/routes/fields.rs
@@ -0,0 +1,123 @@
+//! Conditions on headers and on the query.
+
+use regex::Regex;
+
+/// A condition on the values that stand under one name.
+#[derive(Clone, Debug)]
+pub struct FieldMatch {
+    /// The name: of a header in small letters, of a query parameter as it is.
+    pub name: String,
+    /// What has to hold.
+    pub test: FieldTest,
+}
+
+/// What has to hold for the values under a name. Of several, one has to fit.
+#[derive(Clone, Debug)]
+pub enum FieldTest {
+    /// There is one.
+    Present,
+    /// There is none.
+    Absent,
+    /// It is this.
+    Is(String),
+    /// It begins with this.
+    Begins(String),
+    /// The whole of it matches.
+    Matches(Regex),
+}
+
+impl FieldMatch {
+    /// Whether the condition holds for these values.
+    pub fn holds<'v>(&self, mut values: impl Iterator<Item = &'v [u8]>) -> bool {
+        match &self.test {
+            FieldTest::Present => values.next().is_some(),
+            FieldTest::Absent => values.next().is_none(),
+            FieldTest::Is(own) => values.any(|v| v == own.as_bytes()),
+            FieldTest::Begins(own) => values.any(|v| v.starts_with(own.as_bytes())),
+            FieldTest::Matches(regex) => {
+                values.any(|v| std::str::from_utf8(v).is_ok_and(|text| regex.is_match(text)))
+            }
+        }
+    }
+
+    /// Whether the condition holds for a query, as it stands behind the `?`.
+    pub fn holds_in_query(&self, query: &str) -> bool {
+        let values: Vec<Vec<u8>> = query
+            .split('&')
+            .filter(|part| !part.is_empty())
+            .map(|part| part.split_once('=').unwrap_or((part, "")))
+            .filter(|(name, _)| decode(name) == self.name.as_bytes())
+            .map(|(_, value)| decode(value))
+            .collect();
+        self.holds(values.iter().map(Vec::as_slice))
+    }
+}
+
+/// Undoes escapes and `+` (application/x-www-form-urlencoded); what is no escape stays as it is.
+fn decode(text: &str) -> Vec<u8> {
+    let bytes = text.as_bytes();
+    let mut out = Vec::with_capacity(bytes.len());
+    let mut at = 0;
+    while at < bytes.len() {
+        let pair = (bytes[at] == b'%').then(|| text.get(at + 1..at + 3)).flatten();
+        let byte = pair.filter(|p| p.bytes().all(|b| b.is_ascii_hexdigit()));
+        match byte.and_then(|p| u8::from_str_radix(p, 16).ok()) {
+            Some(byte) => {
+                out.push(byte);
+                at += 3;
+            }
+            None => {
+                out.push(if bytes[at] == b'+' { b' ' } else { bytes[at] });
+                at += 1;
+            }
+        }
+    }
+    out
+}
+
+impl std::fmt::Display for FieldMatch {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        let name = &self.name;
+        match &self.test {
+            FieldTest::Present => write!(f, "{name} is there"),
+            FieldTest::Absent => write!(f, "{name} is not there"),
+            FieldTest::Is(own) => write!(f, "{name} is {own:?}"),
+            FieldTest::Begins(own) => write!(f, "{name} begins with {own:?}"),
+            FieldTest::Matches(regex) => write!(f, "{name} matches {regex}"),
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use proptest::prelude::*;
+
+    fn is(name: &str, value: &str) -> FieldMatch {
+        FieldMatch { name: name.into(), test: FieldTest::Is(value.into()) }
+    }
+
+    #[test]
+    fn queries_are_read_decoded() {
+        for (query, hit) in [
+            ("a=b+c", true),
+            ("x=1&a=b%20c", true),
+            ("%61=b%20c", true),
+            ("a=b&a=b+c", true),
+            ("a=b", false),
+            ("", false),
+            ("a", false),
+        ] {
+            assert_eq!(is("a", "b c").holds_in_query(query), hit, "{query}");
+        }
+        let absent = FieldMatch { name: "a".into(), test: FieldTest::Absent };
+        assert!(absent.holds_in_query("b=1") && !absent.holds_in_query("a"));
+    }
+
+    proptest! {
+        #[test]
+        fn no_query_panics(query in ".{0,60}") {
+            let _ = is("a", "b").holds_in_query(&query);
+        }
+    }
+}
--- /dev/null
+++ b/crates/plan/tests/routes.rs
@@ -0,0 +1,106 @@
+//! The route table against a matcher that looks at every route in turn, on tables and requests made at random.
+
+use corkhollow_plan::routes::path::normalise;
+use corkhollow_plan::routes::*;
+use http::{HeaderMap, HeaderName, HeaderValue, Method};
+use proptest::collection::vec;
+use proptest::option;
+use proptest::prelude::*;
+use proptest::sample::select;
+
+const HOSTS: [&str; 6] = ["a.org", "b.a.org", "c.b.a.org", "org", "x.net", ""];
+const SEGMENTS: [&str; 4] = ["a", "b", "ab", ""];
+
+fn path() -> impl Strategy<Value = String> {
+    vec(select(&SEGMENTS[..]), 1..4).prop_map(|s| format!("/{}", s.join("/")))
+}
+
+fn host_pattern() -> impl Strategy<Value = HostPattern> {
+    let names = &["a.org", "b.a.org", "*.a.org", "*.org", "*.b.a.org", "x.net"][..];
+    select(names).prop_map(|name| HostPattern::parse(name).unwrap())
+}
+
+fn path_pattern() -> impl Strategy<Value = PathPattern> {
+    let rules = PathRules::default();
+    prop_oneof![
+        path().prop_map(move |p| PathPattern::exact(&p, rules).unwrap()),
+        path().prop_map(move |p| PathPattern::prefix(&p, rules).unwrap()),
+        select(&["/a.*", "/(a|b)", ".*b", "/a/[ab]+"][..]).prop_map(|r| PathPattern::regex(r).unwrap()),
+    ]
+}
+
+fn method() -> impl Strategy<Value = Method> {
+    select(&[Method::GET, Method::POST, Method::PUT][..])
+}
+
+fn field() -> impl Strategy<Value = FieldMatch> {
+    let test = prop_oneof![
+        Just(FieldTest::Present),
+        Just(FieldTest::Absent),
+        select(&["1", "2"][..]).prop_map(|v| FieldTest::Is(v.to_owned())),
+        Just(FieldTest::Begins("1".to_owned())),
+    ];
+    (select(&["x-a", "x-b"][..]), test).prop_map(|(name, test)| FieldMatch { name: name.to_owned(), test })
+}
+
+prop_compose! {
+    fn route()(
+        listeners in vec(0usize..3, 0..2),
+        hosts in vec(host_pattern(), 0..3),
+        path in option::of(path_pattern()),
+        methods in vec(method(), 0..2),
+        headers in vec(field(), 0..2),
+        query in vec(field(), 0..2),
+    ) -> Route {
+        let redirect = Redirect::parse("/", 302).unwrap();
+        let outcome = Outcome::Redirect(redirect);
+        Route { name: String::new(), listeners, hosts, path, methods, headers, query, class: None, outcome }
+    }
+}
+
+type Asked = (usize, &'static str, String, Method, Vec<(&'static str, &'static str)>, Option<&'static str>);
+
+fn asked() -> impl Strategy<Value = Asked> {
+    let header = (select(&["x-a", "x-b"][..]), select(&["1", "2", "12"][..]));
+    let query = option::of(select(&["x-a=1", "x-b=12&x-a=2", "x-a"][..]));
+    (0usize..3, select(&HOSTS[..]), path(), method(), vec(header, 0..3), query)
+}
+
+fn with<T>(asked: &Asked, f: impl FnOnce(&Target<'_>) -> T) -> T {
+    let (listener, host, path, method, fields, query) = asked;
+    let mut headers = HeaderMap::new();
+    for (name, value) in fields {
+        headers.append(HeaderName::from_static(name), HeaderValue::from_static(value));
+    }
+    let path = normalise(path, PathRules::default()).unwrap();
+    f(&Target { listener: *listener, host, path: &path, query: *query, method, headers: &headers })
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig::with_cases(2000))]
+
+    /// The index leaves out no route that would have been the first.
+    #[test]
+    fn the_first_route_that_matches_is_taken(routes in vec(route(), 0..12), asked in vec(asked(), 1..8)) {
+        let table = RouteTable::new(routes, 3);
+        for asked in &asked {
+            with(asked, |target| {
+                let naive = table.routes().iter().position(|r| r.miss(target).is_none());
+                assert_eq!(table.find(target).map(|(at, _)| at), naive, "{asked:?}");
+                assert_eq!(table.misses(target).len(), naive.unwrap_or(table.routes().len()));
+            });
+        }
+    }
+
+    /// A route that is said to be covered is never needed.
+    #[test]
+    fn a_covered_route_takes_nothing(earlier in route(), later in route(), asked in vec(asked(), 1..20)) {
+        if earlier.covers(&later) {
+            for asked in &asked {
+                with(asked, |target| {
+                    assert!(later.miss(target).is_some() || earlier.miss(target).is_none(), "{asked:?}");
+                });
+            }
+        }
+    }
+}
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -343,6 +343,7 @@
         let path = std::env::temp_dir().join(name);
         std::fs::write(&path, config).unwrap();
         let mut command = Command::new(program());
+        command.arg("run");
         (command.env("GW_CONFIG", &path).stderr(Stdio::piped()).spawn().expect("the node starts"), path)
     }
 
