--- a/crates/balance/src/balancer/attempts.rs
+++ b/crates/balance/src/balancer/attempts.rs
@@ -34,7 +34,7 @@
         (id, attempt): (RequestId, u8),
         finished: bool,
         took: Nanos,
-        ending: Ending,
+        (ending, spent): (Ending, bool),
         sink: &mut Vec<Action>,
     ) {
         let Some(p) = self.pending.get_mut(&id) else { return };
@@ -57,11 +57,17 @@
         if p.open() > 0 && now < p.request.give_up_at {
             return;
         }
-        self.again(now, id, ending, sink);
+        self.again(now, id, (ending, spent), sink);
     }
 
     /// Sends a request again whose attempts have all ended without an answer, or ends it.
-    pub(super) fn again(&mut self, now: Nanos, id: RequestId, ending: Ending, sink: &mut Vec<Action>) {
+    pub(super) fn again(
+        &mut self,
+        now: Nanos,
+        id: RequestId,
+        (ending, spent): (Ending, bool),
+        sink: &mut Vec<Action>,
+    ) {
         let Some(p) = self.pending.remove(&id) else { return };
         let class = usize::from(p.request.class);
         let effect = self.settings.classes[class].effect;
@@ -71,6 +77,7 @@
         let rejected = ending == Ending::Rejected;
         let allowed = !p.streaming
             && !rejected
+            && !spent
             && p.attempts.len() < self.settings.max_attempts as usize
             && (!may_have_run || effect != Effect::Unsafe)
             && (free || self.budget >= 1.0)
--- a/crates/balance/src/balancer/choice.rs
+++ b/crates/balance/src/balancer/choice.rs
@@ -22,7 +22,7 @@
         let node = &self.nodes[i];
         node.blocked_until <= now
             && (node.strikes == 0 || node.out == 0)
-            && node.cold_next <= now
+            && (node.cold_next <= now || self.cold_share(now, i) >= 1.0)
             && (node.place.is_some() || self.cold_share(now, i) >= 1.0)
             && !pending.attempts.iter().any(|a| a.node == i)
             && self.inside(now, i, pending)
@@ -112,7 +112,7 @@
         let mut best = local.map(|(i, q)| (i, q, q * CROSS_GAIN));
         for k in 0..self.ranks.len() {
             let zone = (k + skip) % self.ranks.len();
-            if zone != home {
+            if zone != home && zone < usize::from(self.settings.backup_zone) {
                 if let Some((i, q)) = self.choose_in(now, zone, pending) {
                     if best.is_none_or(|b| q < b.2) && self.cold_share(now, i) >= 1.0 {
                         best = Some((i, q, q));
@@ -120,6 +120,8 @@
                 }
             }
         }
-        best.map(|(i, q, _)| (i, q))
+        let backups = usize::from(self.settings.backup_zone)..self.ranks.len();
+        let backup = || backups.filter_map(|zone| self.choose_in(now, zone, pending)).next();
+        best.map(|(i, q, _)| (i, q)).or_else(backup)
     }
 }
--- a/crates/balance/src/balancer/cold.rs
+++ b/crates/balance/src/balancer/cold.rs
@@ -21,6 +21,9 @@
         let zone = usize::from(self.settings.zone);
         let size: f64 = self.ranks.get(zone).map_or(0.0, |r| r.iter().map(|&j| self.nodes[j].size).sum());
         let rate = self.arrivals.read(now, self.settings.ramp as f64) / size.max(self.nodes[i].size);
-        1e9 / (COLD_SHARE * self.cold_share(now, i) * rate * self.nodes[i].size).max(1e-6)
+        // Where little comes, one request in the time of a fall from each node pushes nobody over.
+        let most = self.settings.fall as f64 * f64::from(self.settings.group_size);
+        let interval = 1e9 / (COLD_SHARE * self.cold_share(now, i) * rate * self.nodes[i].size).max(1e-6);
+        interval.min(most)
     }
 }
--- a/crates/balance/src/balancer/mod.rs
+++ b/crates/balance/src/balancer/mod.rs
@@ -150,9 +150,9 @@
         match event {
             Event::List { kind, servers } => self.follow_list(now, kind, &servers, sink),
             Event::Request(request) => self.admit(now, request, sink),
-            Event::Outcome { request, server, attempt, finished, took, ending, report } => {
+            Event::Outcome { request, server, attempt, finished, took, ending, spent, report } => {
                 self.learn(now, server, report);
-                self.outcome(now, (request, attempt), finished, took, ending, sink)
+                self.outcome(now, (request, attempt), finished, took, (ending, spent), sink)
             }
             Event::StreamStarted { request, .. } => {
                 if let Some(p) = self.pending.get_mut(&request) {
--- a/crates/balance/src/interface.rs
+++ b/crates/balance/src/interface.rs
@@ -163,6 +163,8 @@
     pub warm_keys: bool,
     /// Points lost for each request that crosses zones, as a share of 1.
     pub cross_price: f64,
+    /// Servers of zones from this one on are backups: they are chosen only while no other can be.
+    pub backup_zone: u8,
 }
 
 impl Settings {
@@ -201,6 +203,7 @@
             sizes_known: true,
             warm_keys: false,
             cross_price: 0.0,
+            backup_zone: u8::MAX,
         }
     }
 
@@ -378,6 +381,8 @@
         took: Nanos,
         /// How it ended.
         ending: Ending,
+        /// The request's body has gone with it: there is nothing to send again.
+        spent: bool,
         /// The server's load, where told.
         report: Option<Report>,
     },
--- a/crates/balance/tests/common/mod.rs
+++ b/crates/balance/tests/common/mod.rs
@@ -68,7 +68,16 @@
         ending: Ending,
     ) -> Vec<Action> {
         let finished = ending == Ending::Ok;
-        self.feed(Event::Outcome { request, server, attempt, finished, took, ending, report: None })
+        self.feed(Event::Outcome {
+            request,
+            server,
+            attempt,
+            finished,
+            took,
+            ending,
+            spent: false,
+            report: None,
+        })
     }
 
     /// Sends one request and answers it at once after `took`; tells where it went.
--- a/crates/balance/tests/incidents.rs
+++ b/crates/balance/tests/incidents.rs
@@ -249,3 +249,22 @@
     }
     assert!(bed.balancer.remembered() <= 12, "{} servers", bed.balancer.remembered());
 }
+
+/// Where little comes, a cold server's share of it is next to nothing: it has to be tried all the same, and once it
+/// is warm nothing holds it back.
+#[test]
+fn a_cold_server_of_a_quiet_site_is_used() {
+    let mut settings = settings(Effect::Safe);
+    (settings.fall, settings.ramp) = (2_000 * MS, 20_000 * MS);
+    for (ramp, wait) in [(20_000, 2_001), (1, 2)] {
+        settings.ramp = ramp * MS;
+        let mut bed = Bed::new(settings.clone(), Vec::new(), 3);
+        let cold = Server { started_at: bed.now, ..Server::warm(server(1)) };
+        bed.list(ListKind::Full, vec![cold]);
+        bed.now += wait * MS;
+        for _ in 0..3 {
+            assert_eq!(bed.served(50 * MS), Some(server(1)), "ramp of {ramp} ms");
+            bed.now += 2_001 * MS;
+        }
+    }
+}
--- a/crates/balance/tests/replay.rs
+++ b/crates/balance/tests/replay.rs
@@ -168,8 +168,16 @@
                         _ => (Ending::Ok, (5 + u64::from(draw >> 8) % 60) * slow),
                     };
                     let (took, finished) = (took * MS, ending == Ending::Ok);
-                    let outcome =
-                        Event::Outcome { request, server, attempt, finished, took, ending, report: None };
+                    let outcome = Event::Outcome {
+                        request,
+                        server,
+                        attempt,
+                        finished,
+                        took,
+                        ending,
+                        spent: false,
+                        report: None,
+                    };
                     due.insert((now + took, serial), outcome);
                 }
                 Action::StartTimer { after, token } => {
--- a/crates/balance/tests/rules.rs
+++ b/crates/balance/tests/rules.rs
@@ -112,7 +112,16 @@
                 let finished = ending == Ending::Ok || life.answers > 0;
                 life.answers += u32::from(ending == Ending::Ok && life.answers == 0);
                 let (request, took) = (id, bed.now - at);
-                bed.feed(Event::Outcome { request, server, attempt, finished, took, ending, report: None })
+                bed.feed(Event::Outcome {
+                    request,
+                    server,
+                    attempt,
+                    finished,
+                    took,
+                    ending,
+                    spent: false,
+                    report: None,
+                })
             } else if rng.next_u32() % 10 == 0 {
                 let k = rng.next_u32() as u8 % 8;
                 draining[usize::from(k)] ^= true;
--- a/crates/corkhollow/src/commands/run.rs
+++ b/crates/corkhollow/src/commands/run.rs
@@ -1,141 +1,230 @@
-//! `corkhollow run`: runtime, signals, reload.
+//! `corkhollow run`: runtime, listeners, signals, reload.
 
-use super::Failure;
+use super::{load, Failure};
 use crate::cli::RunArgs;
-use corkhollow_engine::{log, Clock, Engine};
+use corkhollow_engine::{log, Clock};
 use corkhollow_plan::limits::Budget;
+use corkhollow_plan::plan::{Plan, Source};
 use corkhollow_plan::platform::{Config, ConfigError};
 use corkhollow_proxy::http1::{Clients, Service};
-use corkhollow_proxy::upstream::{Following, Sender, Upstreams, Watcher};
+use corkhollow_proxy::site::{Current, PoolError, Site};
+use corkhollow_proxy::upstream::Shared;
 use std::cell::Cell;
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
+use std::path::PathBuf;
 use std::rc::Rc;
-use std::time::{Duration, Instant};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 use tokio::net::{TcpListener, TcpSocket};
 use tokio::signal::unix::{signal, SignalKind};
-use tokio::sync::{mpsc, watch, Notify};
-use tokio::task::{spawn_local, LocalSet};
+use tokio::sync::Notify;
+use tokio::task::{spawn_local, JoinHandle, LocalSet};
 
 /// Connections that the kernel may hold for us while we are busy; it cuts this down to what it allows.
 const BACKLOG: u32 = 4096;
-/// From the start, a node with no word from discovery serves by the list in its configuration after this ...
-const READY_KNOWN: Duration = Duration::from_millis(700);
-/// At a planned restart new connections go on coming for a while, and SIGKILL follows the longest deadline.
+/// At a planned restart new connections go on coming for a while.
 const STILL_ACCEPT: Duration = Duration::from_millis(500);
-const LEAVE_WITHIN: Duration = Duration::from_millis(3600);
 
 /// Why the program cannot serve.
 #[derive(Debug, thiserror::Error)]
 pub enum StartError {
     #[error("{0}")]
     Config(#[from] ConfigError),
-    #[error("settings: {0}")]
-    Settings(#[from] corkhollow_balance::interface::SettingsError),
+    #[error("{0}")]
+    Pool(#[from] PoolError),
     #[error("cannot listen on {address}: {error}")]
     Listen { address: SocketAddr, error: std::io::Error },
     #[error("{0}")]
     System(#[from] std::io::Error),
 }
 
+/// Where the plan comes from, now and at each reload.
+enum Told {
+    File(PathBuf),
+    Platform,
+}
+
 /// Serves until SIGTERM.
 pub fn run(args: RunArgs) -> Result<(), Failure> {
-    if args.config.is_some() {
-        return Err(Failure::Request("an operator's file is checked, and not yet served".to_owned()));
-    }
-    let config = Config::load().map_err(StartError::from)?;
-    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
-    Ok(LocalSet::new().block_on(&runtime, serve(config))?)
+    let (told, plan) = match args.config {
+        Some(path) => {
+            let plan = load(&path)?.plan;
+            (Told::File(path), plan)
+        }
+        None => (Told::Platform, Config::load().map_err(StartError::from)?.plan()),
+    };
+    let runtime =
+        tokio::runtime::Builder::new_current_thread().enable_all().build().map_err(StartError::from)?;
+    Ok(LocalSet::new().block_on(&runtime, serve(told, plan))?)
+}
+
+fn listen(address: SocketAddr) -> Result<TcpListener, StartError> {
+    let open = || {
+        let socket = if address.is_ipv4() { TcpSocket::new_v4()? } else { TcpSocket::new_v6()? };
+        socket.set_reuseaddr(true)?;
+        socket.bind(address)?;
+        socket.listen(BACKLOG)
+    };
+    open().map_err(|error| StartError::Listen { address, error })
+}
+
+/// A listener that takes connections.
+struct Open {
+    told: SocketAddr,
+    stop: Rc<Notify>,
+    accepting: JoinHandle<()>,
 }
 
-fn listen(address: SocketAddr) -> std::io::Result<TcpListener> {
-    let socket = TcpSocket::new_v4()?;
-    socket.set_reuseaddr(true)?;
-    socket.bind(address)?;
-    socket.listen(BACKLOG)
+/// All listeners, by name.
+#[derive(Default)]
+struct Listeners(BTreeMap<String, Open>);
+
+impl Listeners {
+    /// Opens those of a plan that are not open yet; nothing is accepted before `start`.
+    fn bind(&self, plan: &Plan) -> Result<Vec<(String, SocketAddr, TcpListener)>, StartError> {
+        let new = plan.listeners.iter().filter(|l| self.0.get(&l.name).is_none_or(|o| o.told != l.address));
+        new.map(|l| Ok((l.name.clone(), l.address, listen(l.address)?))).collect()
+    }
+
+    /// Takes connections on new listeners, and none on those that a plan no longer has.
+    fn start(
+        &mut self,
+        plan: &Plan,
+        bound: Vec<(String, SocketAddr, TcpListener)>,
+        clients: &Rc<Clients>,
+    ) -> std::io::Result<()> {
+        let gone: Vec<_> =
+            self.0.keys().filter(|name| !plan.listeners.iter().any(|l| l.name == **name)).cloned().collect();
+        for name in gone {
+            if let Some(open) = self.0.remove(&name) {
+                open.stop.notify_one();
+            }
+            clients.leave(&name);
+            log(format_args!("listener {name} is closed"));
+        }
+        for (name, told, listener) in bound {
+            let label = if plan.seed.is_some() { String::new() } else { format!("listener {name} ") };
+            log(format_args!("{label}listening on {}", listener.local_addr()?));
+            let stop = Rc::new(Notify::new());
+            let accepting = spawn_local(clients.clone().accept(name.as_str().into(), listener, stop.clone()));
+            if let Some(old) = self.0.insert(name, Open { told, stop, accepting }) {
+                old.stop.notify_one();
+            }
+        }
+        Ok(())
+    }
+
+    /// Takes what the kernel has accepted by now, and then no more.
+    async fn close(self) {
+        self.0.values().for_each(|open| open.stop.notify_one());
+        for open in self.0.into_values() {
+            let _ = open.accepting.await;
+        }
+    }
 }
 
-async fn serve(config: Config) -> Result<(), StartError> {
+async fn serve(told: Told, plan: Plan) -> Result<(), StartError> {
     let mut terminate = signal(SignalKind::terminate())?;
     let mut hang_up = signal(SignalKind::hangup())?;
-    let address = config.listen;
-    let (discovery, discovery_seen) = watch::channel(config.discovery);
-    let (push, known) =
-        (!config.settings.must_subscribe, config.known.as_ref().is_some_and(|k| !k.hosts.is_empty()));
-    let (list_calls, calls) = mpsc::unbounded_channel();
     let clock = Clock::start();
-    let budget = Budget::new(config.limits.sockets, config.limits.memory_mb);
-    let upstreams =
-        Upstreams::new(config.conn_idle, config.connect_timeout, budget.clone(), clock, list_calls);
-    let engine =
-        Engine::new(config.settings.clone(), config.seed, clock, Rc::new(Sender(upstreams.clone())))?;
-    let following = Following {
-        zones: config.zones.clone(),
-        kinds: config.kinds.clone(),
-        must_subscribe: config.settings.must_subscribe,
-        known: config.known.clone(),
-        seed: config.seed,
-    };
-    let listener = listen(address).map_err(|error| StartError::Listen { address, error })?;
-    log(format_args!("listening on {}", listener.local_addr()?));
-    let ready = Rc::new(Cell::new(false));
-    let watcher = Watcher::new(engine.clone(), upstreams.clone(), following, discovery_seen, ready.clone());
-    if push {
-        spawn_local(watcher.follow());
-    } else {
-        spawn_local(watcher.obey(calls));
-    }
-    spawn_local(engine.clone().run_timers());
-    let leaving = Cell::new(false);
-    let service = Rc::new(Service { config, engine, clock, budget, leaving, ready: ready.clone() });
-    let clients = Clients::new(service.clone());
-    let stop = Rc::new(Notify::new());
-    let accepting = spawn_local(clients.clone().accept(listener, stop.clone()));
-    spawn_local(async move {
-        tokio::time::sleep(READY_KNOWN).await;
-        ready.set(ready.get() || known);
+    let budget = Budget::new(plan.limits.descriptors, plan.limits.memory);
+    let shared = Shared { clock, budget: budget.clone() };
+    let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    let seed = plan.seed.unwrap_or(since.as_nanos() as u64 ^ u64::from(std::process::id()));
+    let mut listeners = Listeners::default();
+    let bound = listeners.bind(&plan)?;
+    let site = Site::start(plan, None, &shared, seed)?;
+    let current = Current::new(site.clone());
+    let service = Rc::new(Service {
+        site: current.clone(),
+        clock,
+        budget,
+        leaving: Cell::new(false),
+        ids: Cell::new(seed),
     });
-    spawn_local(sweep(upstreams, clients.clone()));
+    let clients = Clients::new(service.clone());
+    listeners.start(&site.plan, bound, &clients)?;
+    drop(site);
+    spawn_local(sweep(current.clone(), clients.clone()));
 
     loop {
         tokio::select! {
             _ = terminate.recv() => break,
-            _ = hang_up.recv() => reload(address, &discovery),
+            _ = hang_up.recv() => match &told {
+                Told::Platform => move_discovery(&current),
+                Told::File(path) => {
+                    if let Err(why) = reload(path, &current, &mut listeners, &clients, &shared, seed) {
+                        log(format_args!("not reloaded: {why}"));
+                    }
+                }
+            },
         }
     }
     let told = Instant::now();
     service.leaving.set(true);
     tokio::time::sleep(STILL_ACCEPT).await;
-    stop.notify_one();
-    let _ = accepting.await;
-    while clients.close_idle() > 0 && told.elapsed() < LEAVE_WITHIN {
+    listeners.close().await;
+    let leave_within = Duration::from_nanos(current.get().plan.drain_timeout);
+    while clients.close_idle() > 0 && told.elapsed() < leave_within {
         tokio::time::sleep(Duration::from_millis(10)).await;
     }
     Ok(())
 }
 
-/// Takes over what a new configuration says of discovery; all else that it says counts from the next start. One
-/// that cannot be read leaves the old one in force.
-fn reload(listen: SocketAddr, discovery: &watch::Sender<SocketAddr>) {
+/// Takes over a whole new file between two requests, or none of it.
+fn reload(
+    path: &std::path::Path,
+    current: &Current,
+    listeners: &mut Listeners,
+    clients: &Rc<Clients>,
+    shared: &Shared,
+    seed: u64,
+) -> Result<(), Failure> {
+    let plan = load(path)?.plan;
+    let old = current.get();
+    let bound = listeners.bind(&plan)?;
+    let site = Site::start(plan, Some(&old), shared, seed).map_err(StartError::from)?;
+    let (now, then) = (&site.plan.limits, &old.plan.limits);
+    if (now.descriptors, now.memory) != (then.descriptors, then.memory) {
+        log(format_args!("`limits.descriptors` and `limits.memory` change with a restart only"));
+    }
+    current.put(site.clone());
+    listeners.start(&site.plan, bound, clients).map_err(StartError::from)?;
+    let plan = &site.plan;
+    let (routes, pools) = (plan.routes.routes().len(), plan.pools.len());
+    log(format_args!("reloaded: listeners: {}, routes: {routes}, pools: {pools}", plan.listeners.len()));
+    Ok(())
+}
+
+/// Takes over what a new configuration of the platform says of discovery; all else that it says counts from the
+/// next start. One that cannot be read leaves the old one in force.
+fn move_discovery(current: &Current) {
+    let site = current.get();
     match Config::load() {
-        Ok(config) if config.listen != listen => {
+        Ok(config) if site.plan.listeners.iter().any(|l| l.address != config.listen) => {
             log(format_args!("not reloaded: `listen` changes with a restart only"));
         }
         Ok(config) => {
             log(format_args!("reloaded: discovery at {}", config.discovery));
-            discovery.send_if_modified(|old| std::mem::replace(old, config.discovery) != config.discovery);
+            for (pool, told) in site.pools.iter().zip(&site.plan.pools) {
+                if matches!(told.source, Source::Discovery(_)) {
+                    pool.move_to(config.discovery);
+                }
+            }
         }
         Err(error) => log(format_args!("not reloaded: {error}")),
     }
 }
 
-async fn sweep(upstreams: Rc<Upstreams>, clients: Rc<Clients>) {
+/// Closes what stands still, for good.
+async fn sweep(current: Rc<Current>, clients: Rc<Clients>) {
     loop {
         for _ in 0..5 {
             tokio::time::sleep(Duration::from_millis(200)).await;
             clients.cut_heads();
-            upstreams.cut_lingering();
+            current.get().pools.iter().for_each(|p| p.upstreams.cut_lingering());
         }
         clients.sweep();
-        upstreams.sweep();
+        current.get().pools.iter().for_each(|p| p.upstreams.sweep());
     }
 }
--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -11,7 +11,8 @@
 };
 use corkhollow_balance::Balancer;
 use http::header::{HeaderMap, HeaderValue};
-use std::cell::RefCell;
+use http::StatusCode;
+use std::cell::{Cell, RefCell};
 use std::cmp::Reverse;
 use std::collections::{BinaryHeap, HashMap, HashSet};
 use std::rc::Rc;
@@ -56,11 +57,15 @@
 }
 
 struct Live {
-    /// Its client's id, held in `State::ids`.
-    name: HeaderValue,
+    /// Its client's id, held in `State::ids`, where the front wants it to be the only one.
+    name: Option<HeaderValue>,
     message: Rc<Message>,
     reply: Option<oneshot::Sender<Answer>>,
     attempts: Vec<Attempt>,
+    /// How long it may take from the end of its body.
+    patience: Nanos,
+    /// A server's own answer that tells of a failure: the client's, unless a later attempt brings a better one.
+    fallback: Option<Answer>,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -122,18 +127,31 @@
         self.clock
     }
 
-    /// Takes a request; the ticket brings its answer. Dropped without one, the client has left. None where
-    /// another one with its name is live.
-    pub fn submit(self: &Rc<Self>, name: HeaderValue, request: Request, message: Message) -> Option<Ticket> {
+    /// Takes a request; the ticket brings its answer. Dropped without one, the client has left. None where it has a
+    /// name and another one of that name is live.
+    pub fn submit(
+        self: &Rc<Self>,
+        name: Option<HeaderValue>,
+        request: Request,
+        message: Message,
+    ) -> Option<Ticket> {
         let (reply, answer) = oneshot::channel();
         let mut state = self.state.borrow_mut();
-        if !state.ids.insert(name.clone()) {
+        if name.as_ref().is_some_and(|name| !state.ids.insert(name.clone())) {
             return None;
         }
         let id = state.next_id;
         state.next_id = id.wrapping_add(1);
         let give_up_at = message.give_up_at;
-        let live = Live { name, message: Rc::new(message), reply: Some(reply), attempts: Vec::new() };
+        let patience = give_up_at.saturating_sub(self.clock.now());
+        let live = Live {
+            patience,
+            name,
+            message: Rc::new(message),
+            reply: Some(reply),
+            attempts: Vec::new(),
+            fallback: None,
+        };
         state.live.insert(id, live);
         self.start_timer(&mut state, give_up_at, Wake::Deadline(id));
         self.handle(&mut state, Event::Request(Request { id, ..request }));
@@ -147,12 +165,12 @@
     }
 
     /// An attempt has brought a whole answer: the first one is the client's.
-    pub fn served(self: &Rc<Self>, id: AttemptId, headers: HeaderMap, body: Pieces) {
+    pub fn served(self: &Rc<Self>, id: AttemptId, status: StatusCode, headers: HeaderMap, body: Pieces) {
         let mut state = self.state.borrow_mut();
         let Some(live) = state.live.get_mut(&id.request) else { return };
         if live.attempts[usize::from(id.number)].open {
             if let Some(reply) = live.reply.take() {
-                let _ = reply.send(Answer::Whole { headers, body });
+                let _ = reply.send(Answer::Whole { status, headers, body });
             }
             self.conclude(&mut state, id, Ending::Ok);
         }
@@ -175,6 +193,16 @@
         taken
     }
 
+    /// An attempt has brought an answer that tells of a failure. It goes to the client if nothing better comes.
+    pub fn errored(self: &Rc<Self>, id: AttemptId, ending: Ending, answer: Answer) {
+        let mut state = self.state.borrow_mut();
+        let Some(live) = state.live.get_mut(&id.request) else { return };
+        if live.attempts[usize::from(id.number)].open {
+            live.fallback = Some(answer);
+            self.conclude(&mut state, id, ending);
+        }
+    }
+
     fn client_gone(self: &Rc<Self>, request: RequestId) {
         let mut state = self.state.borrow_mut();
         let Some(live) = state.live.get_mut(&request) else { return };
@@ -190,9 +218,9 @@
         self.handle(&mut state, Event::List { kind, servers });
     }
 
-    /// Waits for timers and tells the module of them, for good.
-    pub async fn run_timers(self: Rc<Self>) {
-        loop {
+    /// Waits for timers and tells the module of them, until the engine is retired and its last request is over.
+    pub async fn run_timers(self: Rc<Self>, retired: Rc<Cell<bool>>) {
+        while !(retired.get() && self.state.borrow().live.is_empty()) {
             let next = {
                 let mut state = self.state.borrow_mut();
                 state.armed = state.timers.peek().map_or(Nanos::MAX, |Reverse((at, _))| *at);
@@ -228,6 +256,14 @@
     /// The client waits no longer: all that is out has timed out.
     fn deadline(self: &Rc<Self>, state: &mut State, request: RequestId) {
         let Some(live) = state.live.get(&request) else { return };
+        // Its time counts from the end of its body.
+        if let Some(upload) = live.message.upload().filter(|_| live.reply.is_some()) {
+            let now = self.clock.now();
+            let due = upload.progress.ended_at.get().unwrap_or(now).saturating_add(live.patience);
+            if due > now {
+                return self.start_timer(state, due, Wake::Deadline(request));
+            }
+        }
         for number in 0..live.attempts.len() as u8 {
             self.conclude(state, AttemptId { request, number }, Ending::TimedOut);
         }
@@ -249,6 +285,7 @@
             finished: live.reply.is_none(),
             took: self.clock.now().saturating_sub(attempt.sent_at),
             ending,
+            spent: live.message.spent(),
             report: None,
         };
         if matches!(ending, Ending::TimedOut | Ending::Cancelled) {
@@ -265,7 +302,9 @@
         let over = |l: &Live| l.reply.is_none() && l.attempts.iter().all(|a| !a.open);
         if state.live.get(&request).is_some_and(over) {
             if let Some(live) = state.live.remove(&request) {
-                state.ids.remove(&live.name);
+                if let Some(name) = live.name {
+                    state.ids.remove(&name);
+                }
             }
         }
     }
@@ -308,6 +347,7 @@
         let Some(live) = state.live.get_mut(&request) else { return };
         let id = AttemptId { request, number: live.attempts.len() as u8 };
         let wanted = live.reply.is_some() && live.attempts.len() < self.most_attempts;
+        live.fallback = None;
         let running = wanted.then(|| self.carrier.send(self, id, server, live.message.clone()));
         live.attempts.push(Attempt { server, sent_at: self.clock.now(), open: true, running });
         if !wanted {
@@ -319,8 +359,11 @@
     }
 
     fn answer(&self, state: &mut State, request: RequestId, answer: Answer) {
-        if let Some(reply) = state.live.get_mut(&request).and_then(|l| l.reply.take()) {
-            let _ = reply.send(answer);
+        if let Some(live) = state.live.get_mut(&request) {
+            let answer = live.fallback.take().unwrap_or(answer);
+            if let Some(reply) = live.reply.take() {
+                let _ = reply.send(answer);
+            }
         }
         self.forget(state, request);
     }
--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -14,4 +14,4 @@
 pub use clock::Clock;
 pub use engine::{Carrier, Engine, ListCall, Running, Ticket};
 pub use log::log;
-pub use message::{Answer, AttemptId, Broken, Message};
+pub use message::{Answer, AttemptId, Broken, ClientBody, Message, Payload, Piece, Progress, Upload};
--- a/crates/engine/src/message.rs
+++ b/crates/engine/src/message.rs
@@ -3,7 +3,10 @@
 use crate::body::Pieces;
 use bytes::Bytes;
 use corkhollow_balance::interface::{Nanos, RequestId};
-use http::{HeaderMap, Method, Uri};
+use http::{HeaderMap, Method, StatusCode, Uri};
+use http_body::{Body, Frame};
+use std::cell::{Cell, RefCell};
+use std::pin::Pin;
 use std::rc::Rc;
 use tokio::sync::mpsc;
 
@@ -16,17 +19,88 @@
     pub uri: Uri,
     /// Headers of the message, none of the connection.
     pub headers: HeaderMap,
-    /// The whole body.
-    pub body: Rc<Pieces>,
+    /// The body.
+    pub payload: Payload,
     /// When the client abandons it.
     pub give_up_at: Nanos,
 }
 
+/// The body of a request.
+#[derive(Debug)]
+pub enum Payload {
+    /// All of it is here: it can be sent more than once.
+    Whole(Rc<Pieces>),
+    /// It is still coming, and can be sent once.
+    Stream(Rc<Upload>),
+}
+
+impl Message {
+    /// The body has gone, in whole or in part, and is not there for another attempt.
+    pub fn spent(&self) -> bool {
+        matches!(&self.payload, Payload::Stream(upload) if upload.body.borrow().is_none())
+    }
+
+    /// The body as it comes, where it is still coming.
+    pub fn upload(&self) -> Option<&Rc<Upload>> {
+        match &self.payload {
+            Payload::Whole(_) => None,
+            Payload::Stream(upload) => Some(upload),
+        }
+    }
+}
+
+/// A body as it comes from a client.
+pub type ClientBody = Pin<Box<dyn Body<Data = Bytes, Error = Broken>>>;
+
+/// The body of a request that is passed on while it comes.
+pub struct Upload {
+    body: RefCell<Option<ClientBody>>,
+    /// How far it is.
+    pub progress: Rc<Progress>,
+}
+
+/// How far a body has come.
+#[derive(Debug, Default)]
+pub struct Progress {
+    /// When its last byte came, or it broke off.
+    pub ended_at: Cell<Option<Nanos>>,
+    /// The client's side has failed: what follows from that says nothing of the server.
+    pub failed: Cell<bool>,
+}
+
+impl Upload {
+    /// The body of one request; whoever reads it from the client notes its progress.
+    pub fn new(body: ClientBody, progress: Rc<Progress>) -> Rc<Self> {
+        Rc::new(Upload { body: RefCell::new(Some(body)), progress })
+    }
+
+    /// The body, for an attempt; none where another has it.
+    pub fn take(&self) -> Option<ClientBody> {
+        self.body.borrow_mut().take()
+    }
+
+    /// Gives back a body of which nothing has been read.
+    pub fn put_back(&self, body: ClientBody) {
+        *self.body.borrow_mut() = Some(body);
+    }
+}
+
+impl std::fmt::Debug for Upload {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        write!(f, "Upload({:?})", self.progress)
+    }
+}
+
+/// A piece of an answer's body, or word that the rest will not come.
+pub type Piece = Result<Frame<Bytes>, Broken>;
+
 /// The one final answer to a request.
 #[derive(Debug)]
 pub enum Answer {
     /// A server's answer, read to its end.
     Whole {
+        /// Its status.
+        status: StatusCode,
         /// Its headers, none of the connection.
         headers: HeaderMap,
         /// Its body.
@@ -34,12 +108,14 @@
     },
     /// A server's answer of which the rest is still to come.
     Stream {
+        /// Its status.
+        status: StatusCode,
         /// Its headers, none of the connection.
         headers: HeaderMap,
         /// The length of its body, where told.
         length: Option<u64>,
         /// Its body, piece by piece.
-        pieces: mpsc::Receiver<Result<Bytes, Broken>>,
+        pieces: mpsc::Receiver<Piece>,
     },
     /// Turned away; a repeat is harmless.
     Refused {
@@ -53,13 +129,13 @@
     },
 }
 
-/// The server's side of a long answer has broken: the client has to see that it is cut.
-#[derive(Debug)]
+/// The rest of a body will not come: whoever reads it has to see that it is cut.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Broken;
 
 impl std::fmt::Display for Broken {
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        f.write_str("the answer broke off")
+        f.write_str("the body broke off")
     }
 }
 
--- a/crates/plan/src/file/compile.rs
+++ b/crates/plan/src/file/compile.rs
@@ -2,13 +2,15 @@
 
 use super::model::{self, File};
 use super::reader::{Reader, Severity};
-use crate::plan::{Check, Limits, Listener, Plan, Pool, RequestClass, Server, Source, Tenants};
+use crate::plan::{
+    Check, Dialect, Discovery, Limits, Listener, Plan, Pool, RequestClass, Server, Source, Tenants,
+};
 use crate::routes::rewrite::PathRewrite;
 use crate::routes::{
     FieldMatch, FieldTest, HeaderEdits, HostPattern, Outcome, PathPattern, PathRules, Redirect, Rewrite,
     Route, RouteTable,
 };
-use corkhollow_balance::interface::{Class, Effect, Group};
+use corkhollow_balance::interface::{Class, Effect, Group, Settings};
 use http::header::{HeaderName, HeaderValue};
 use http::Method;
 use std::collections::{BTreeMap, BTreeSet};
@@ -17,16 +19,17 @@
 /// Builds the plan; none where something in it could not be resolved. Faults go to the reader.
 pub(super) fn compile(file: &File, folder: &Path, reader: &mut Reader<'_>) -> Option<Plan> {
     let zones = zones(file);
-    if zones.len() > 255 {
-        reader.error("pool", "more than 255 zones");
+    if zones.len() > 127 {
+        reader.error("pool", "more than 126 zones");
     }
     let zone = zones.iter().position(|z| Some(z) == file.node.zone.as_ref()).unwrap_or(0) as u8;
     let listeners = listeners(file, reader);
     let classes = classes(file, reader);
     let tenants = tenants(file, reader)?;
     let limits = limits(file, reader);
+    let told = |p: &model::Pool| settings(p, &classes, &tenants, zone, zones.len());
     let pools: Vec<_> =
-        file.pool.iter().enumerate().map(|(k, p)| pool(p, k, zone, &zones, folder, reader)).collect();
+        file.pool.iter().enumerate().map(|(k, p)| pool(p, k, told(p), &zones, folder, reader)).collect();
     unique(file.pool.iter().map(|p| &p.name), "pool", reader);
     let routes = routes(file, &listeners, reader);
     let drain_timeout = file.node.drain_timeout.0;
@@ -36,7 +39,41 @@
     warn_of_unused(file, reader);
     let routes = RouteTable::new(routes.into_iter().flatten().collect(), listeners.len());
     warn_of_covered(&routes, reader);
-    Some(Plan { zone, zones, drain_timeout, limits, listeners, classes, tenants, pools, routes })
+    Some(Plan { zone, zones, drain_timeout, limits, listeners, classes, tenants, pools, routes, seed: None })
+}
+
+/// More than this multiple of its present capacity, for so long, pushes a cold server over.
+const TIP: (f64, u64) = (3.0, 2_000_000_000);
+/// The ramp also sets how fast the module forgets; so where servers are warm from the start.
+const MEMORY: u64 = 10_000_000_000;
+/// The longest advice on when to come back.
+const LONGEST_ADVICE: u64 = 30_000_000_000;
+
+/// What a pool's decision module is told.
+fn settings(
+    pool: &model::Pool,
+    classes: &[RequestClass],
+    tenants: &Tenants,
+    zone: u8,
+    zones: usize,
+) -> Settings {
+    let longest = classes.iter().map(|c| c.class.give_up).max().unwrap_or(1);
+    Settings {
+        classes: classes.iter().map(|c| c.class.clone()).collect(),
+        tenant_quota: tenants.shares.iter().map(|(_, rate)| *rate).collect(),
+        over_share_worth: tenants.over_share_worth,
+        zone,
+        max_attempts: pool.max_attempts,
+        second_copies: pool.second_copies,
+        max_retry_after: longest.min(LONGEST_ADVICE),
+        cold_from: pool.cold_from,
+        ramp: pool.cold_ramp.map_or(MEMORY, |r| r.0),
+        tip_multiple: TIP.0,
+        fall: TIP.1,
+        // Behind all zones comes one of their backups each.
+        backup_zone: if pool.discovery.is_some() { u8::MAX } else { zones.min(127) as u8 },
+        ..Settings::single_class(1, longest)
+    }
 }
 
 /// All zones that are named; the first is the program's own.
@@ -77,6 +114,7 @@
     let build = |l: &model::Listener| Listener {
         name: l.name.clone(),
         address: l.address,
+        dialect: Dialect::Http,
         via: l.via.clone(),
         x_forwarded: matches!(l.forwarded, model::Forwarded::XForwarded | model::Forwarded::Both),
         forwarded: matches!(l.forwarded, model::Forwarded::Forwarded | model::Forwarded::Both),
@@ -196,7 +234,7 @@
 fn pool(
     pool: &model::Pool,
     k: usize,
-    zone: u8,
+    settings: Settings,
     zones: &[String],
     folder: &Path,
     reader: &mut Reader<'_>,
@@ -209,27 +247,31 @@
     }
     let source = match (&pool.servers, &pool.watch, pool.discovery) {
         (_, Some(path), _) => Source::Watch(folder.join(path)),
-        (_, _, Some(address)) => Source::Discovery(address),
+        (_, _, Some(address)) => Source::Discovery(Box::new(Discovery {
+            address,
+            zones: zones.to_vec(),
+            kinds: Vec::new(),
+            known: None,
+        })),
         (list, ..) => {
             let list = list.as_deref().unwrap_or_default();
             if pool.servers.is_some() && list.is_empty() {
                 let what = "the pool has no servers: all its requests are refused".to_owned();
                 reader.note(Severity::Warning, &at("servers"), what, String::new());
             }
-            Source::Static(servers(list, &at("servers"), zone, zones, reader))
+            Source::Static(servers(list, &at("servers"), settings.zone, zones, reader))
         }
     };
     Pool {
         name: pool.name.clone(),
         source,
-        max_attempts: pool.max_attempts,
-        second_copies: pool.second_copies,
+        dialect: Dialect::Http,
+        settings,
         connect_timeout: pool.connect_timeout.0,
         idle_timeout: pool.idle_timeout.0,
         max_connections: pool.max_connections,
         max_waiting: pool.max_waiting,
-        cold_from: pool.cold_from,
-        cold_ramp: pool.cold_ramp.0,
+        cold: pool.cold_ramp.is_some(),
         check: pool.check.as_ref().map(|c| Check {
             path: c.path.clone(),
             every: c.every.0,
--- a/crates/plan/src/file/model.rs
+++ b/crates/plan/src/file/model.rs
@@ -215,8 +215,8 @@
     pub max_waiting: usize,
     #[serde(default = "cold_from")]
     pub cold_from: f64,
-    #[serde(default = "window")]
-    pub cold_ramp: Duration,
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub cold_ramp: Option<Duration>,
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub check: Option<Check>,
 }
--- a/crates/plan/src/file/schema.rs
+++ b/crates/plan/src/file/schema.rs
@@ -210,8 +210,11 @@
         "Most connections to its servers in all.";
     max_waiting: Whole(0, 1_000_000), Value("256"),
         "Most requests that wait for a connection; more are refused at once.";
-    cold_from: Number(0.001, 1.0), Value("0.3"), "The share of its capacity that a server has when it starts.";
-    cold_ramp: Text(&DURATION), Value("\"10s\""), "A started server is warm after this.";
+    cold_from: Number(0.001, 1.0), Value("0.3"),
+        "With `cold_ramp`: the share of its capacity that a server has when it starts.";
+    cold_ramp: Text(&DURATION), Means("servers are warm from the start"),
+        "A server that comes into the list, or back from failed checks, is warm after this. Until then it gets its \
+         share of what a like warm one gets, and the rest is refused where no other server can take it.";
     check: Kind::Table(&CHECK), Means("no checks"), "Active checks of its servers.";
 }
 
--- a/crates/plan/src/lib.rs
+++ b/crates/plan/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod limits;
 pub mod plan;
 pub mod platform;
+pub mod pools;
 pub mod routes;
 
 /// A stable hash: FNV-1a with its bits mixed, so that its low ones are as good as its high ones.
--- a/crates/plan/src/limits.rs
+++ b/crates/plan/src/limits.rs
@@ -29,14 +29,14 @@
 
 impl Budget {
     /// What these limits leave for clients, servers and bodies.
-    pub fn new(sockets: usize, memory_mb: u64) -> Rc<Self> {
+    pub fn new(sockets: usize, memory: u64) -> Rc<Self> {
         let rest = sockets.saturating_sub(OWN_SOCKETS).max(8);
         // One in eight of the clients' is kept for those that are only told to come back.
         let clients = (rest as f64 * CLIENT_PART) as usize;
         Rc::new(Budget {
             most_clients: (clients - clients / 8).max(1),
             most_servers: rest - clients,
-            most_bytes: (memory_mb as f64 * BODY_PART) as usize * 1024 * 1024,
+            most_bytes: (memory as f64 * BODY_PART) as usize,
             clients: Cell::new(0),
             servers: Cell::new(0),
             bytes: Cell::new(0),
--- a/crates/plan/src/plan.rs
+++ b/crates/plan/src/plan.rs
@@ -1,7 +1,8 @@
 //! The plan: a configuration that has been checked, with every name resolved to an index.
 
+use crate::hosts::HostList;
 use crate::routes::{PathRules, RouteTable, Target};
-use corkhollow_balance::interface::{Class, Nanos};
+use corkhollow_balance::interface::{Class, Nanos, Settings};
 use http::header::{HeaderName, HeaderValue};
 use http::Method;
 use std::net::SocketAddr;
@@ -28,6 +29,18 @@
     pub pools: Vec<Pool>,
     /// Which request goes where.
     pub routes: RouteTable,
+    /// Settles random draws; none takes one of the moment.
+    pub seed: Option<u64>,
+}
+
+/// How a listener or a pool reads and words HTTP.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Dialect {
+    /// As any site does.
+    #[default]
+    Http,
+    /// By the platform's protocol: its headers, and 200 as the only good answer.
+    Platform,
 }
 
 /// What the program may hold, and for how long.
@@ -56,6 +69,8 @@
     pub name: String,
     /// Its address.
     pub address: SocketAddr,
+    /// How its clients speak.
+    pub dialect: Dialect,
     /// What it calls itself in `Via`.
     pub via: Option<String>,
     /// Tells servers of the client by `X-Forwarded-For`, `-Host`, `-Proto`.
@@ -99,10 +114,10 @@
     pub name: String,
     /// Who its servers are.
     pub source: Source,
-    /// Most attempts for one request.
-    pub max_attempts: u32,
-    /// A slow safe request may go to a second server.
-    pub second_copies: bool,
+    /// How its servers speak.
+    pub dialect: Dialect,
+    /// What its decision module is told.
+    pub settings: Settings,
     /// A connection that is not up after this has failed.
     pub connect_timeout: Nanos,
     /// Servers may close connections that have stood idle for this long.
@@ -111,10 +126,8 @@
     pub max_connections: Option<usize>,
     /// Most requests that wait for a connection.
     pub max_waiting: usize,
-    /// The share of its capacity that a server has when it starts.
-    pub cold_from: f64,
-    /// A started server is warm after this.
-    pub cold_ramp: Nanos,
+    /// Servers that come into the list are cold.
+    pub cold: bool,
     /// Active checks.
     pub check: Option<Check>,
 }
@@ -127,7 +140,20 @@
     /// Those that a file names, now and whenever it changes.
     Watch(PathBuf),
     /// Those that the platform's discovery names.
-    Discovery(SocketAddr),
+    Discovery(Box<Discovery>),
+}
+
+/// The platform's discovery, and in whose words it speaks.
+#[derive(Clone, Debug)]
+pub struct Discovery {
+    /// Where it answers.
+    pub address: SocketAddr,
+    /// Zones by their index.
+    pub zones: Vec<String>,
+    /// Kinds of machines by their index.
+    pub kinds: Vec<String>,
+    /// The list as an earlier life of this node had it.
+    pub known: Option<HostList>,
 }
 
 /// One server.
@@ -162,6 +188,19 @@
     pub status: Vec<u16>,
 }
 
+impl Pool {
+    /// Whether two are the same but for who their servers are.
+    pub fn same_but_source(&self, other: &Pool) -> bool {
+        self.name == other.name
+            && self.dialect == other.dialect
+            && self.settings == other.settings
+            && (self.connect_timeout, self.idle_timeout) == (other.connect_timeout, other.idle_timeout)
+            && (self.max_connections, self.max_waiting) == (other.max_connections, other.max_waiting)
+            && self.cold == other.cold
+            && self.check == other.check
+    }
+}
+
 impl Plan {
     /// The class of a request: that of its route, or the one for its method. The last class stands for all methods
     /// that no class names.
@@ -226,11 +265,11 @@
                 let servers = match &pool.source {
                     Source::Static(servers) => format!("{} servers", servers.len()),
                     Source::Watch(path) => format!("servers by {}", path.display()),
-                    Source::Discovery(address) => format!("servers by discovery at {address}"),
+                    Source::Discovery(from) => format!("servers by discovery at {}", from.address),
                 };
                 lines.push(format!(
                     "pool      {}: {servers}, at most {} attempts",
-                    pool.name, pool.max_attempts
+                    pool.name, pool.settings.max_attempts
                 ));
                 lines.push(match rewrite.target(target.path, target.query) {
                     Ok(sent) => format!("sent as   {} {sent}", target.method),
--- a/crates/plan/src/platform.rs
+++ b/crates/plan/src/platform.rs
@@ -1,13 +1,30 @@
 //! The platform's configuration, the file that `GW_CONFIG` names: read once, refused with one line when it cannot be acted on.
 
 use crate::hosts::HostList;
+use crate::limits::MOST_BODY;
+use crate::plan::{
+    Dialect, Discovery, Limits as Holding, Listener, Plan, Pool, RequestClass, Source, Tenants,
+};
+use crate::routes::{Outcome, PathPattern, PathRules, Route, RouteTable};
 use corkhollow_balance::interface::{Nanos, Settings};
 use corkhollow_balance::settings::{self, Pairs};
+use http::header::HeaderName;
 use serde::Deserialize;
 use serde_json::Value;
 use std::net::SocketAddr;
 use std::path::Path;
 
+/// Read buffer of a client's connection and the longest head; it bounds what 1,000 connections hold.
+const HEAD: usize = 16 * 1024;
+/// A client may take 2 s to write a head; the rest is for what was late on the way.
+const HEAD_WITHIN: Nanos = 2_200_000_000;
+/// A connection without a request is closed after this.
+const IDLE: Nanos = 90_000_000_000;
+/// A connection that stands still in the middle of an answer is cut after this: a slow client still moves.
+const STILL: Nanos = 20_000_000_000;
+/// SIGKILL follows SIGTERM after the longest deadline and a little more.
+const DRAIN: Nanos = 3_600_000_000;
+
 /// Why the node cannot start.
 #[derive(Debug, thiserror::Error)]
 #[allow(missing_docs)] // The messages say it all.
@@ -143,6 +160,82 @@
     }
 }
 
+/// The header that a request of the platform is known by; its front reads the others by itself.
+const ID: HeaderName = HeaderName::from_static("x-request-id");
+const TENANT: HeaderName = HeaderName::from_static("x-tenant-id");
+
+impl Config {
+    /// The plan that this configuration stands for: one listener, one pool, and a route for each class, whose name
+    /// is the first part of the path. All speak the platform's dialect.
+    pub fn plan(&self) -> Plan {
+        let settings = &self.settings;
+        let as_they_come = PathRules { merge_slashes: false, keep_escaped_slashes: true };
+        let class = |(k, name): (usize, &String)| RequestClass {
+            name: name.clone(),
+            class: settings.classes[k].clone(),
+            methods: Vec::new(),
+        };
+        let route = |(k, name): (usize, &String)| Route {
+            name: name.clone(),
+            listeners: Vec::new(),
+            hosts: Vec::new(),
+            path: Some(PathPattern::Prefix(format!("/{name}"))),
+            methods: Vec::new(),
+            headers: Vec::new(),
+            query: Vec::new(),
+            class: Some(k),
+            outcome: Outcome::Forward { pool: 0, rewrite: Box::default() },
+        };
+        let shares = self.tenants.iter().cloned().zip(settings.tenant_quota.iter().copied()).collect();
+        Plan {
+            zone: settings.zone,
+            zones: self.zones.clone(),
+            drain_timeout: DRAIN,
+            limits: Holding {
+                descriptors: self.limits.sockets,
+                memory: self.limits.memory_mb << 20,
+                replay_buffer: MOST_BODY,
+                header_bytes: HEAD,
+                header_timeout: HEAD_WITHIN,
+                idle_timeout: IDLE,
+                stall_timeout: STILL,
+            },
+            listeners: vec![Listener {
+                name: "platform".to_owned(),
+                address: self.listen,
+                dialect: Dialect::Platform,
+                via: None,
+                x_forwarded: false,
+                forwarded: false,
+                trust_forwarded: false,
+                request_id: ID,
+                paths: as_they_come,
+            }],
+            classes: self.classes.iter().enumerate().map(class).collect(),
+            tenants: Tenants { header: TENANT, shares, over_share_worth: settings.over_share_worth },
+            pools: vec![Pool {
+                name: "platform".to_owned(),
+                source: Source::Discovery(Box::new(Discovery {
+                    address: self.discovery,
+                    zones: self.zones.clone(),
+                    kinds: self.kinds.clone(),
+                    known: self.known.clone(),
+                })),
+                dialect: Dialect::Platform,
+                settings: settings.clone(),
+                connect_timeout: self.connect_timeout,
+                idle_timeout: self.conn_idle,
+                max_connections: None,
+                max_waiting: 0,
+                cold: true,
+                check: None,
+            }],
+            routes: RouteTable::new(self.classes.iter().enumerate().map(route).collect(), 1),
+            seed: Some(self.seed),
+        }
+    }
+}
+
 #[cfg(test)]
 mod tests {
     use super::*;
--- /dev/null
+++ b/crates/plan/src/pools.rs
@@ -0,0 +1,147 @@
+//! The servers of one pool as the decision module is to see them: what a list names, less what checks have found.
+
+use crate::plan::{Check, Server};
+use corkhollow_balance::interface::{Nanos, Phase};
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+/// A server as it is told to the decision module.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Listed {
+    /// Its identity.
+    pub name: String,
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// Its zone; backups stand in zones of their own behind all others.
+    pub zone: u8,
+    /// Its size beside the others'.
+    pub weight: f64,
+    /// Ready, draining while checks fail, or gone.
+    pub phase: Phase,
+    /// When it came or came back; 0 for long ago.
+    pub started_at: Nanos,
+}
+
+struct Member {
+    listed: Listed,
+    /// Checks in a row that speak against its present phase.
+    against: u32,
+}
+
+/// Who is in a pool.
+pub struct Roster {
+    members: BTreeMap<String, Member>,
+    backup_zone: u8,
+    check: Option<Check>,
+    /// Whoever comes is cold.
+    cold: bool,
+    /// The first list is the fleet as it was found; whoever comes later has just been started.
+    met: bool,
+}
+
+impl Roster {
+    /// Nobody yet. Backups get zones from `backup_zone` on; with `cold`, whoever comes later is cold.
+    pub fn new(backup_zone: u8, check: Option<Check>, cold: bool) -> Self {
+        Roster { members: BTreeMap::new(), backup_zone, check, cold, met: false }
+    }
+
+    /// Takes over a list: everybody who is to be told of, those who have left among them.
+    pub fn replace(&mut self, now: Nanos, servers: &[Server]) -> Vec<Listed> {
+        let mut before = std::mem::take(&mut self.members);
+        let mut told = Vec::with_capacity(servers.len());
+        for server in servers {
+            let old = before.remove(&server.name).filter(|m| m.listed.address == server.address);
+            let zone = if server.backup { self.backup_zone.saturating_add(server.zone) } else { server.zone };
+            let listed = Listed {
+                name: server.name.clone(),
+                address: server.address,
+                zone,
+                weight: server.weight,
+                phase: old.as_ref().map_or(Phase::Ready, |m| m.listed.phase),
+                started_at: old
+                    .as_ref()
+                    .map_or(if self.met && self.cold { now } else { 0 }, |m| m.listed.started_at),
+            };
+            told.push(listed.clone());
+            let against = old.map_or(0, |m| m.against);
+            self.members.insert(server.name.clone(), Member { listed, against });
+        }
+        self.met = true;
+        told
+    }
+
+    /// Who is to be checked, and where.
+    pub fn to_check(&self) -> Vec<(String, SocketAddr)> {
+        self.members.iter().map(|(name, m)| (name.clone(), m.listed.address)).collect()
+    }
+
+    /// Takes a check's result into account; what is to be told where it changes something.
+    pub fn checked(&mut self, now: Nanos, name: &str, passed: bool) -> Option<Listed> {
+        let check = self.check.as_ref()?;
+        let member = self.members.get_mut(name)?;
+        let ready = member.listed.phase == Phase::Ready;
+        if passed == ready {
+            member.against = 0;
+            return None;
+        }
+        member.against += 1;
+        if member.against < if ready { check.fall } else { check.rise } {
+            return None;
+        }
+        member.against = 0;
+        member.listed.phase = if ready { Phase::Draining } else { Phase::Ready };
+        if !ready {
+            // Whatever took it down, it may have started anew: it gets no more than a cold server's share.
+            member.listed.started_at = if self.cold { now } else { 0 };
+        }
+        Some(member.listed.clone())
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn server(name: &str, port: u16, backup: bool) -> Server {
+        let address = SocketAddr::from(([127, 0, 0, 1], port));
+        Server { name: name.into(), address, weight: 1.0, zone: 1, backup }
+    }
+
+    fn check(rise: u32, fall: u32) -> Option<Check> {
+        Some(Check { path: "/".into(), every: 1, timeout: 1, rise, fall, status: vec![200] })
+    }
+
+    #[test]
+    fn who_comes_later_is_cold_and_backups_stand_apart() {
+        let mut roster = Roster::new(4, None, true);
+        let first = roster.replace(10, &[server("a", 1, false), server("b", 2, true)]);
+        assert_eq!(first.iter().map(|l| (l.zone, l.started_at)).collect::<Vec<_>>(), [(1, 0), (5, 0)]);
+        let next = roster.replace(20, &[server("a", 1, false), server("b", 3, true), server("c", 4, false)]);
+        let started: Vec<_> = next.iter().map(|l| l.started_at).collect();
+        assert_eq!(started, [0, 20, 20], "one at a new address is another machine");
+    }
+
+    #[test]
+    fn checks_take_out_and_bring_back() {
+        let mut roster = Roster::new(1, check(2, 3), true);
+        roster.replace(0, &[server("a", 1, false)]);
+        let told: Vec<_> = [false, false, true, false, false, false, true, false, true, true]
+            .into_iter()
+            .enumerate()
+            .map(|(k, passed)| roster.checked(100 + k as u64, "a", passed).map(|l| (l.phase, l.started_at)))
+            .collect();
+        let mut expected = vec![None; 10];
+        expected[5] = Some((Phase::Draining, 0));
+        expected[9] = Some((Phase::Ready, 109));
+        assert_eq!(told, expected);
+        assert!(roster.checked(0, "nobody", false).is_none());
+    }
+
+    #[test]
+    fn a_list_does_not_undo_what_checks_found() {
+        let mut roster = Roster::new(1, check(1, 1), true);
+        roster.replace(0, &[server("a", 1, false)]);
+        assert!(roster.checked(5, "a", false).is_some());
+        assert_eq!(roster.replace(9, &[server("a", 1, false)])[0].phase, Phase::Draining);
+    }
+}
--- a/crates/proxy/src/body.rs
+++ b/crates/proxy/src/body.rs
@@ -1,12 +1,12 @@
 //! Bodies as hyper takes them.
 
 use bytes::Bytes;
-use corkhollow_engine::{Broken, Pieces};
+use corkhollow_engine::{Broken, ClientBody, Piece, Pieces};
 use hyper::body::{Body, Frame, SizeHint};
-use std::convert::Infallible;
+use std::future::Future;
 use std::pin::Pin;
 use std::rc::Rc;
-use std::task::{Context, Poll};
+use std::task::{ready, Context, Poll};
 use tokio::sync::mpsc;
 
 /// Pieces on their way out.
@@ -20,30 +20,56 @@
     pub fn new(pieces: Rc<Pieces>) -> Self {
         PieceBody { left: pieces.len(), pieces, at: 0 }
     }
+
+    fn next(&mut self) -> Option<Frame<Bytes>> {
+        let piece = self.pieces.piece(self.at).cloned()?;
+        self.at += 1;
+        self.left -= piece.len() as u64;
+        Some(Frame::data(piece))
+    }
+}
+
+/// The body of a request on its way to a server.
+pub enum RequestBody {
+    /// All of it is here.
+    Whole(PieceBody),
+    /// As it comes from the client.
+    Stream {
+        body: ClientBody,
+        /// The server has not asked for it yet (`Expect: 100-continue`).
+        wait: Option<Pin<Box<dyn Future<Output = ()>>>>,
+    },
 }
 
-impl Body for PieceBody {
+impl Body for RequestBody {
     type Data = Bytes;
-    type Error = Infallible;
+    type Error = Broken;
 
-    fn poll_frame(
-        mut self: Pin<&mut Self>,
-        _: &mut Context<'_>,
-    ) -> Poll<Option<Result<Frame<Bytes>, Infallible>>> {
-        let piece = self.pieces.piece(self.at).cloned();
-        if let Some(piece) = &piece {
-            self.at += 1;
-            self.left -= piece.len() as u64;
+    fn poll_frame(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<Option<Piece>> {
+        match self.get_mut() {
+            RequestBody::Whole(body) => Poll::Ready(body.next().map(Ok)),
+            RequestBody::Stream { body, wait } => {
+                if let Some(waiting) = wait {
+                    ready!(waiting.as_mut().poll(cx));
+                    *wait = None;
+                }
+                body.as_mut().poll_frame(cx)
+            }
         }
-        Poll::Ready(piece.map(|p| Ok(Frame::data(p))))
     }
 
     fn is_end_stream(&self) -> bool {
-        self.left == 0
+        match self {
+            RequestBody::Whole(body) => body.left == 0,
+            RequestBody::Stream { body, .. } => body.is_end_stream(),
+        }
     }
 
     fn size_hint(&self) -> SizeHint {
-        SizeHint::with_exact(self.left)
+        match self {
+            RequestBody::Whole(body) => SizeHint::with_exact(body.left),
+            RequestBody::Stream { body, .. } => body.size_hint(),
+        }
     }
 }
 
@@ -53,7 +79,7 @@
     Whole(PieceBody),
     /// A long answer as it comes.
     Stream {
-        pieces: mpsc::Receiver<Result<Bytes, Broken>>,
+        pieces: mpsc::Receiver<Piece>,
         length: Option<u64>,
     },
 }
@@ -62,20 +88,18 @@
     type Data = Bytes;
     type Error = Broken;
 
-    fn poll_frame(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<Option<Result<Frame<Bytes>, Broken>>> {
+    fn poll_frame(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<Option<Piece>> {
         match self.get_mut() {
             AnswerBody::Text(text) => Poll::Ready(text.take().map(|t| Ok(Frame::data(t)))),
-            AnswerBody::Whole(body) => {
-                Pin::new(body).poll_frame(cx).map(|f| f.map(|f| f.map_err(|never| match never {})))
-            }
-            AnswerBody::Stream { pieces, .. } => pieces.poll_recv(cx).map(|p| p.map(|p| p.map(Frame::data))),
+            AnswerBody::Whole(body) => Poll::Ready(body.next().map(Ok)),
+            AnswerBody::Stream { pieces, .. } => pieces.poll_recv(cx),
         }
     }
 
     fn is_end_stream(&self) -> bool {
         match self {
             AnswerBody::Text(text) => text.is_none(),
-            AnswerBody::Whole(body) => body.is_end_stream(),
+            AnswerBody::Whole(body) => body.left == 0,
             AnswerBody::Stream { .. } => false,
         }
     }
@@ -83,7 +107,7 @@
     fn size_hint(&self) -> SizeHint {
         match self {
             AnswerBody::Text(text) => SizeHint::with_exact(text.as_ref().map_or(0, |t| t.len() as u64)),
-            AnswerBody::Whole(body) => body.size_hint(),
+            AnswerBody::Whole(body) => SizeHint::with_exact(body.left),
             AnswerBody::Stream { length, .. } => length.map_or_else(SizeHint::default, SizeHint::with_exact),
         }
     }
--- a/crates/proxy/src/http1/clients.rs
+++ b/crates/proxy/src/http1/clients.rs
@@ -1,24 +1,25 @@
-//! Towards the clients: the listener, requests coming in, final answers going out.
+//! Clients' connections: taken, watched, closed. What is asked on them is answered by the dialect of their listener.
 
-use crate::body::{AnswerBody, PieceBody};
-use crate::headers::{strip, ID, TIMEOUT};
+use super::{general, platform};
+use crate::body::AnswerBody;
+use crate::site::Current;
 use crate::socket::{exhausted, Socket, SocketIo};
 use bytes::Bytes;
-use corkhollow_balance::interface::{self, Nanos};
-use corkhollow_engine::{log, Answer, Broken, Clock, Engine, Message, Pieces};
-use corkhollow_plan::limits::{Budget, Slot, MOST_BODY};
-use corkhollow_plan::platform::Config;
-use http_body_util::BodyExt;
+use corkhollow_balance::interface::Nanos;
+use corkhollow_engine::{log, Broken, Clock};
+use corkhollow_plan::limits::{Budget, Slot};
+use corkhollow_plan::plan::Dialect;
 use hyper::body::{Body, Frame, Incoming, SizeHint};
-use hyper::header::{self, HeaderMap, HeaderName, HeaderValue};
+use hyper::header::{self, HeaderValue};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
-use hyper::{Method, Request, Response, StatusCode, Uri};
+use hyper::{Request, Response};
 use hyper_util::rt::TokioIo;
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::convert::Infallible;
 use std::io;
+use std::net::SocketAddr;
 use std::pin::{pin, Pin};
 use std::rc::Rc;
 use std::task::{Context, Poll};
@@ -26,23 +27,11 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Notify;
 
-/// Read buffer of a client's connection and the longest head; it bounds what 1,000 connections hold.
-const BUFFER: usize = 16 * 1024;
-/// A connection without a request is closed after this many seconds, one that stands still in the middle of a
-/// request or of an answer after fewer: a slow client still moves.
-const IDLE_S: u32 = 90;
-const STUCK_S: u32 = 20;
-/// A client may take 2 s to write a head; the rest is for what was late on the way. One that has just connected
-/// has as long to bring its first.
-const LONGEST_HEAD: Duration = Duration::from_millis(2200);
-/// A body may stand still for this long, and take this long in all.
-const STILL_BODY: Duration = Duration::from_millis(2200);
-const LONGEST_BODY: Duration = Duration::from_secs(STUCK_S as u64);
 /// The log tells of full tables this often at most.
 const REPORT_EVERY: Nanos = 5_000_000_000;
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Stage {
+pub(super) enum Stage {
     /// Between requests, or in a head.
     Idle,
     /// In a body.
@@ -53,15 +42,20 @@
     Writing,
 }
 
-struct Client {
-    socket: Rc<Socket>,
-    stage: Cell<Stage>,
+/// One connection.
+pub(super) struct Client {
+    pub(super) socket: Rc<Socket>,
+    /// The other end.
+    pub(super) peer: SocketAddr,
+    /// The name of the listener that it came to.
+    pub(super) listener: Rc<str>,
+    pub(super) stage: Cell<Stage>,
     idle_since: Cell<Nanos>,
     /// When it connected, until its first request is there.
     fresh_since: Cell<Option<Instant>>,
-    still_s: Cell<u32>,
+    still_since: Cell<Nanos>,
     /// It came when there was no place left: it is only told to come back.
-    surplus: bool,
+    pub(super) surplus: bool,
     cut: Cell<bool>,
     closing: Cell<bool>,
     close: Notify,
@@ -78,11 +72,11 @@
         self.stage.get() == Stage::Idle && self.socket.heard.get().is_none()
     }
 
-    fn dawdles(&self) -> bool {
+    fn dawdles(&self, longest: Duration) -> bool {
         let silent = || self.fresh_since.get().filter(|_| self.socket.quiet());
         let begun = self.socket.heard.get().or_else(silent);
         let begun = begun.filter(|_| self.stage.get() == Stage::Idle);
-        begun.is_some_and(|at| at.elapsed() > LONGEST_HEAD) && !self.closing.get()
+        begun.is_some_and(|at| at.elapsed() > longest) && !self.closing.get()
     }
 
     /// Ends the connection: at once, or when no request is open. The task that serves it sleeps and has to be
@@ -96,18 +90,24 @@
 
 /// What all clients' connections work with.
 pub struct Service {
-    /// What the node has been told.
-    pub config: Config,
-    /// Its requests under way.
-    pub engine: Rc<Engine>,
-    /// Its clock.
+    /// What is in force.
+    pub site: Rc<Current>,
+    /// The program's clock.
     pub clock: Clock,
     /// What it may hold.
     pub budget: Rc<Budget>,
     /// SIGTERM has come: no more requests on kept connections.
     pub leaving: Cell<bool>,
-    /// Discovery has told the list, so that new clients may come.
-    pub ready: Rc<Cell<bool>>,
+    /// Numbers requests that bring no id.
+    pub ids: Cell<u64>,
+}
+
+impl Service {
+    /// A number that no other request has, spread over all bits.
+    pub(super) fn next_id(&self) -> u64 {
+        self.ids.set(self.ids.get() + 1);
+        corkhollow_plan::mix(&self.ids.get().to_le_bytes())
+    }
 }
 
 /// All clients' connections; bounded by the budget.
@@ -132,7 +132,7 @@
     }
 
     /// Accepts until told to stop, and then what the kernel has accepted for us by then.
-    pub async fn accept(self: Rc<Self>, listener: TcpListener, stop: Rc<Notify>) {
+    pub async fn accept(self: Rc<Self>, name: Rc<str>, listener: TcpListener, stop: Rc<Notify>) {
         let mut stop = pin!(stop.notified());
         loop {
             while self.service.budget.clients_exhausted() {
@@ -143,15 +143,15 @@
             }
             tokio::select! {
                 biased;
-                accepted = listener.accept() => self.accepted(accepted.map(|(stream, _)| stream)).await,
+                accepted = listener.accept() => self.accepted(&name, accepted).await,
                 _ = &mut stop => return,
             }
         }
     }
 
-    async fn accepted(self: &Rc<Self>, accepted: io::Result<TcpStream>) {
+    async fn accepted(self: &Rc<Self>, name: &Rc<str>, accepted: io::Result<(TcpStream, SocketAddr)>) {
         match accepted {
-            Ok(stream) => self.open(stream),
+            Ok((stream, peer)) => self.open(name, stream, peer),
             Err(e) if exhausted(&e) => {
                 self.make_room();
                 tokio::time::sleep(Duration::from_millis(10)).await;
@@ -161,15 +161,17 @@
         }
     }
 
-    fn open(self: &Rc<Self>, stream: TcpStream) {
+    fn open(self: &Rc<Self>, name: &Rc<str>, stream: TcpStream, peer: SocketAddr) {
         let budget = &self.service.budget;
         let surplus = budget.clients() >= budget.most_clients && !self.make_room();
         let client = Rc::new(Client {
             socket: Socket::new(stream),
+            peer,
+            listener: name.clone(),
             stage: Cell::new(Stage::Idle),
             idle_since: Cell::new(self.service.clock.now()),
             fresh_since: Cell::new(Some(Instant::now())),
-            still_s: Cell::new(0),
+            still_since: Cell::new(self.service.clock.now()),
             surplus,
             cut: Cell::new(false),
             closing: Cell::new(false),
@@ -216,24 +218,33 @@
 
     /// Cuts off those that have been at their head for too long, or have never begun one.
     pub fn cut_heads(&self) {
-        self.open.borrow().values().filter(|c| c.dawdles()).for_each(|c| c.stop(true));
+        let longest = Duration::from_nanos(self.service.site.get().plan.limits.header_timeout);
+        self.open.borrow().values().filter(|c| c.dawdles(longest)).for_each(|c| c.stop(true));
     }
 
     /// Once a second: closes what stands still. No client may hold a descriptor for good.
     pub fn sweep(&self) {
+        let limits = self.service.site.get().plan.limits;
+        let now = self.service.clock.now();
         for client in self.open.borrow().values() {
-            let still = if client.socket.moved.replace(false) { 0 } else { client.still_s.get() + 1 };
-            client.still_s.set(still);
+            if client.socket.moved.replace(false) || client.stage.get() == Stage::Waiting {
+                client.still_since.set(now);
+            }
+            let still = now.saturating_sub(client.still_since.get());
             let resting = client.resting();
-            match client.stage.get() {
-                Stage::Waiting => client.still_s.set(0),
-                _ if resting && still >= IDLE_S && client.socket.quiet() => client.stop(false),
-                _ if !resting && still >= STUCK_S => client.stop(true),
-                _ => {}
+            if resting && still >= limits.idle_timeout && client.socket.quiet() {
+                client.stop(false);
+            } else if !resting && still >= limits.stall_timeout {
+                client.stop(true);
             }
         }
     }
 
+    /// Closes connections that came to a listener that is no more, each when it is between requests.
+    pub fn leave(&self, name: &str) {
+        self.open.borrow().values().filter(|c| &*c.listener == name).for_each(|c| c.stop(false));
+    }
+
     /// Closes all connections that are between requests; the number of those that are left.
     pub fn close_idle(&self) -> usize {
         let open = self.open.borrow();
@@ -244,10 +255,13 @@
 
 async fn serve(service: &Rc<Service>, client: Rc<Client>) {
     let mut builder = http1::Builder::new();
-    builder.max_buf_size(BUFFER).timer(hyper_util::rt::TokioTimer::new()).header_read_timeout(None);
-    let service = service_fn(|request| respond(service, &client, request));
+    builder
+        .max_buf_size(service.site.get().plan.limits.header_bytes)
+        .timer(hyper_util::rt::TokioTimer::new())
+        .header_read_timeout(None);
+    let answering = service_fn(|request| respond(service, &client, request));
     let io = TokioIo::new(SocketIo(client.socket.clone()));
-    let mut connection = pin!(builder.serve_connection(io, service));
+    let mut connection = pin!(builder.serve_connection(io, answering));
     loop {
         tokio::select! {
             biased;
@@ -264,7 +278,7 @@
 }
 
 /// An answer that keeps its connection from counting as idle until hyper has taken all of it.
-struct Outgoing {
+pub(super) struct Outgoing {
     body: AnswerBody,
     service: Rc<Service>,
     client: Rc<Client>,
@@ -295,8 +309,9 @@
     }
 }
 
-/// Answers a request, and ends the connection with it where the node leaves or the client has no place. So it does
-/// behind a chunked body: a length beside it may hide another request in what follows (RFC 9112, 6.1).
+/// Answers a request in the dialect of its listener, and ends the connection with it where the program leaves, the
+/// client has no place or the listener is no more. So it does behind a chunked body: a length beside it may hide
+/// another request in what follows (RFC 9112, 6.1).
 async fn respond(
     service: &Rc<Service>,
     client: &Rc<Client>,
@@ -305,157 +320,23 @@
     client.stage.set(Stage::Reading);
     client.fresh_since.set(None);
     let chunked = request.headers().contains_key(header::TRANSFER_ENCODING);
-    let mut response = answer(service, client, request).await;
+    // Taken once: a new site takes over between two requests.
+    let site = service.site.get();
+    let listener = site.plan.listeners.iter().position(|l| *l.name == *client.listener);
+    let dialect = listener.map_or(Dialect::Http, |l| site.plan.listeners[l].dialect);
+    let mut response = match dialect {
+        Dialect::Platform => platform::answer(service, &site, client, request).await,
+        Dialect::Http => general::answer(service, &site, client, listener, request).await,
+    };
     client.stage.set(Stage::Writing);
-    if service.leaving.get() || client.surplus || chunked {
+    if service.leaving.get() || client.surplus || chunked || listener.is_none() {
         response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
     }
     Ok(response.map(|body| Outgoing { body, service: service.clone(), client: client.clone() }))
 }
 
-async fn answer(service: &Rc<Service>, client: &Client, request: Request<Incoming>) -> Response<AnswerBody> {
-    let (head, body) = request.into_parts();
-    if head.uri.path() == "/up" && head.method == Method::GET {
-        let up = service.ready.get() && !service.leaving.get();
-        return text(if up { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE }, "");
-    }
-    if head.headers.contains_key(header::TRANSFER_ENCODING) && client.socket.said("\ncontent-length:") {
-        return closing(text(StatusCode::BAD_REQUEST, "two lengths\n"));
-    }
-    let name = head.uri.path().split('/').nth(1).unwrap_or_default();
-    let Some(class) = service.config.classes.iter().position(|c| c == name) else {
-        return closing(text(StatusCode::NOT_FOUND, "no such class of requests\n"));
-    };
-    let body = match take(service, client.surplus, body).await {
-        Ok(body) => Rc::new(body),
-        Err(BodyError::TooLarge) => return closing(text(StatusCode::PAYLOAD_TOO_LARGE, "over 32 MB\n")),
-        Err(BodyError::NoRoom) => return closing(refused(interface::Nanos::MAX, service)),
-        Err(BodyError::Late) => {
-            return closing(text(StatusCode::REQUEST_TIMEOUT, "the body took too long\n"))
-        }
-        Err(BodyError::Broken) => return closing(text(StatusCode::BAD_REQUEST, "the body broke off\n")),
-    };
-    let mut headers = head.headers;
-    strip(&mut headers);
-    headers.remove(header::EXPECT);
-    // Servers know a request by its id, and take one that they have for a second copy.
-    let Some(id) = only(&headers, ID).filter(|id| !id.is_empty()).cloned() else {
-        return closing(text(StatusCode::BAD_REQUEST, "one X-Request-ID is needed\n"));
-    };
-    let longest = service.config.settings.classes[class].give_up;
-    // No client waits longer than its class: a longer figure would only hold memory.
-    let wait = match only(&headers, TIMEOUT).map(|v| v.to_str().ok()?.trim().parse::<u64>().ok()) {
-        Some(Some(ms)) => ms.saturating_mul(1_000_000).min(longest),
-        None if !headers.contains_key(TIMEOUT) => longest,
-        _ => return closing(text(StatusCode::BAD_REQUEST, "X-Timeout-Ms is no whole number\n")),
-    };
-    client.stage.set(Stage::Waiting);
-    let now = service.clock.now();
-    let give_up_at = now + wait;
-    let number = |name: &str| headers.get(name).and_then(|v| v.to_str().ok()?.trim().parse::<f64>().ok());
-    let tenant = headers.get("x-tenant-id").map(HeaderValue::as_bytes);
-    let tenant = service.config.tenants.iter().position(|t| Some(t.as_bytes()) == tenant);
-    let request = interface::Request {
-        class: class as u8,
-        tenant: tenant.map_or(u32::MAX, |t| t as u32),
-        key: headers.get("x-route-key").map_or(0, |k| route_key(k.as_bytes())),
-        work_hint: number("x-cost").filter(|us| *us > 0.0).map(|us| (us * 1000.0) as Nanos),
-        is_retry: headers.get("x-retried").is_some_and(|v| v == "1"),
-        is_write: headers
-            .get("x-attrs")
-            .is_some_and(|v| v.to_str().unwrap_or_default().split(',').any(|a| a.trim() == "write=1")),
-        ..interface::Request::new(0, give_up_at)
-    };
-    if !headers.contains_key(header::CONTENT_LENGTH) && !body.is_empty() {
-        headers.insert(header::CONTENT_LENGTH, HeaderValue::from(body.len()));
-    }
-    let uri = match head.uri.path_and_query() {
-        Some(path) if head.uri.scheme().is_some() => Uri::from(path.clone()),
-        _ => head.uri,
-    };
-    let message = Message { method: head.method, uri, headers, body, give_up_at };
-    let Some(mut ticket) = service.engine.submit(id, request, message) else {
-        return closing(text(StatusCode::CONFLICT, "a request with this X-Request-ID is open\n"));
-    };
-    match ticket.answer().await {
-        Answer::Whole { headers, body } => served(headers, AnswerBody::Whole(PieceBody::new(Rc::new(body)))),
-        Answer::Stream { headers, length, pieces } => served(headers, AnswerBody::Stream { pieces, length }),
-        Answer::Refused { retry_after } => refused(retry_after, service),
-        Answer::Failed { late: true } => text(StatusCode::GATEWAY_TIMEOUT, "no answer in time\n"),
-        Answer::Failed { late: false } => text(StatusCode::BAD_GATEWAY, "failed\n"),
-    }
-}
-
-/// The value of a header that stands there just once: of two, the servers might go by the other one.
-fn only(headers: &HeaderMap, name: HeaderName) -> Option<&HeaderValue> {
-    let mut values = headers.get_all(name).iter();
-    values.next().filter(|_| values.next().is_none())
-}
-
-fn route_key(text: &[u8]) -> u64 {
-    let hex = std::str::from_utf8(text).ok().and_then(|t| u64::from_str_radix(t, 16).ok());
-    hex.unwrap_or_else(|| corkhollow_plan::mix(text))
-}
-
-fn served(headers: HeaderMap, body: AnswerBody) -> Response<AnswerBody> {
-    let mut response = Response::new(body);
-    *response.headers_mut() = headers;
-    response
-}
-
-fn refused(retry_after: Nanos, service: &Service) -> Response<AnswerBody> {
-    let mut response = text(StatusCode::SERVICE_UNAVAILABLE, "busy\n");
-    let seconds = retry_after.min(service.config.settings.max_retry_after) as f64 / 1e9;
-    if let Ok(value) = HeaderValue::try_from(format!("{seconds:.3}")) {
-        if retry_after > 0 && service.config.settings.retry_after {
-            response.headers_mut().insert(header::RETRY_AFTER, value);
-        }
-    }
-    response
-}
-
-fn text(status: StatusCode, text: &'static str) -> Response<AnswerBody> {
-    let text = (!text.is_empty()).then(|| Bytes::from_static(text.as_bytes()));
-    let mut response = Response::new(AnswerBody::Text(text));
-    *response.status_mut() = status;
-    response
-}
-
-fn closing(mut response: Response<AnswerBody>) -> Response<AnswerBody> {
+/// Ends the connection behind an answer.
+pub(super) fn closing(mut response: Response<AnswerBody>) -> Response<AnswerBody> {
     response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
     response
 }
-
-enum BodyError {
-    TooLarge,
-    NoRoom,
-    Late,
-    Broken,
-}
-
-/// Reads a body whole. Without room for it the rest is read and thrown away: the client gets its refusal when
-/// it listens, and not a reset in the middle of its sending.
-async fn take(service: &Service, throw_away: bool, mut body: Incoming) -> Result<Pieces, BodyError> {
-    if body.size_hint().lower() > MOST_BODY {
-        return Err(BodyError::TooLarge);
-    }
-    let mut pieces = Some(Pieces::new(service.budget.lease())).filter(|_| !throw_away);
-    let mut len = 0;
-    let end = Instant::now() + LONGEST_BODY;
-    loop {
-        // A length that is never filled must not hold its client and its bytes.
-        let patience = STILL_BODY.min(end.saturating_duration_since(Instant::now()));
-        let frame = tokio::time::timeout(patience, body.frame()).await.map_err(|_| BodyError::Late)?;
-        let Some(frame) = frame else { break };
-        let frame = frame.map_err(|_| BodyError::Broken)?;
-        let Ok(data) = frame.into_data() else { continue };
-        len += data.len() as u64;
-        if len > MOST_BODY {
-            return Err(BodyError::TooLarge);
-        }
-        if pieces.as_mut().is_some_and(|p| !p.push(data)) {
-            pieces = None;
-        }
-    }
-    pieces.ok_or(BodyError::NoRoom)
-}
--- /dev/null
+++ b/crates/proxy/src/http1/general.rs
@@ -0,0 +1,324 @@
+//! Requests of any HTTP/1.1 client (RFC 9110, RFC 9112): routed, passed on, answered.
+
+use super::clients::{closing, Client, Service, Stage};
+use super::upload::{self, UploadError};
+use crate::body::{AnswerBody, PieceBody};
+use crate::headers::strip;
+use crate::site::Site;
+use bytes::Bytes;
+use corkhollow_balance::interface::{self, Nanos};
+use corkhollow_engine::{Answer, Message, Payload};
+use corkhollow_plan::plan::Listener;
+use corkhollow_plan::routes::path::normalise;
+use corkhollow_plan::routes::{Host, Outcome, Rewrite, Target};
+use hyper::body::Incoming;
+use hyper::header::{self, HeaderMap, HeaderName, HeaderValue};
+use hyper::http::request::Parts;
+use hyper::{Method, Request, Response, StatusCode, Uri, Version};
+use std::borrow::Cow;
+use std::net::IpAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+const X_FORWARDED_FOR: HeaderName = HeaderName::from_static("x-forwarded-for");
+const X_FORWARDED_HOST: HeaderName = HeaderName::from_static("x-forwarded-host");
+const X_FORWARDED_PROTO: HeaderName = HeaderName::from_static("x-forwarded-proto");
+
+/// Why a request is answered by the program itself, in the words that the client gets.
+struct Problem {
+    status: StatusCode,
+    /// A word for machines.
+    reason: &'static str,
+    /// A sentence for people.
+    detail: Cow<'static, str>,
+    retry_after: Option<Nanos>,
+    allow: Option<HeaderValue>,
+    /// Nothing more is read on the connection.
+    close: bool,
+}
+
+impl Problem {
+    fn new(status: StatusCode, reason: &'static str, detail: impl Into<Cow<'static, str>>) -> Self {
+        Problem { status, reason, detail: detail.into(), retry_after: None, allow: None, close: false }
+    }
+
+    /// What cannot be read without doubt: nothing behind it can be, either.
+    fn unreadable(detail: impl Into<Cow<'static, str>>) -> Self {
+        Problem { close: true, ..Problem::new(StatusCode::BAD_REQUEST, "unreadable", detail) }
+    }
+
+    /// The answer, with a body as RFC 9457 has it.
+    fn response(self) -> Response<AnswerBody> {
+        let body = serde_json::json!({
+            "type": "about:blank",
+            "status": self.status.as_u16(),
+            "title": self.status.canonical_reason().unwrap_or_default(),
+            "reason": self.reason,
+            "detail": self.detail,
+        });
+        let mut response = Response::new(AnswerBody::Text(Some(Bytes::from(format!("{body}\n")))));
+        *response.status_mut() = self.status;
+        let headers = response.headers_mut();
+        headers.insert(header::CONTENT_TYPE, HeaderValue::from_static("application/problem+json"));
+        if let Some(wait) = self.retry_after.filter(|w| *w > 0) {
+            // Whole seconds only (RFC 9110, 10.2.3).
+            headers.insert(header::RETRY_AFTER, HeaderValue::from(wait.div_ceil(1_000_000_000)));
+        }
+        if let Some(allow) = self.allow {
+            headers.insert(header::ALLOW, allow);
+        }
+        if self.close {
+            return closing(response);
+        }
+        response
+    }
+}
+
+/// Answers one request.
+pub(super) async fn answer(
+    service: &Rc<Service>,
+    site: &Site,
+    client: &Client,
+    listener: Option<usize>,
+    request: Request<Incoming>,
+) -> Response<AnswerBody> {
+    let head_only = request.method() == Method::HEAD;
+    let mut response = match handle(service, site, client, listener, request).await {
+        Ok(response) => response,
+        Err(problem) => problem.response(),
+    };
+    if head_only {
+        if let AnswerBody::Text(text) = response.body_mut() {
+            let length = text.take().map_or(0, |t| t.len());
+            response.headers_mut().insert(header::CONTENT_LENGTH, HeaderValue::from(length));
+        }
+    }
+    response
+}
+
+async fn handle(
+    service: &Rc<Service>,
+    site: &Site,
+    client: &Client,
+    listener: Option<usize>,
+    request: Request<Incoming>,
+) -> Result<Response<AnswerBody>, Problem> {
+    let (head, body) = request.into_parts();
+    let Some(at) = listener else {
+        let detail = "the listener has been taken away";
+        return Err(Problem::new(StatusCode::SERVICE_UNAVAILABLE, "listener-gone", detail));
+    };
+    let listener = &site.plan.listeners[at];
+    sound(&head, client)?;
+    let authority = authority(&head)?;
+    let host = Host::parse(&authority).map_err(|e| Problem::unreadable(e.to_string()))?;
+    let path = match head.uri.path() {
+        "*" if head.method == Method::OPTIONS => Cow::Borrowed("*"),
+        raw => normalise(raw, listener.paths).map_err(|e| Problem::unreadable(e.to_string()))?,
+    };
+    let target = Target {
+        listener: at,
+        host: host.as_str(),
+        path: &path,
+        query: head.uri.query(),
+        method: &head.method,
+        headers: &head.headers,
+    };
+    let Some((_, route)) = site.plan.routes.find(&target) else { return Err(no_route(site, &target)) };
+    match &route.outcome {
+        Outcome::Answer { status, content_type, body } => {
+            let mut response = Response::new(AnswerBody::Text((!body.is_empty()).then(|| body.clone())));
+            *response.status_mut() = StatusCode::from_u16(*status).unwrap_or(StatusCode::OK);
+            response.headers_mut().insert(header::CONTENT_TYPE, content_type.clone());
+            Ok(response)
+        }
+        Outcome::Redirect(redirect) => {
+            let location = redirect.location("http", host.as_str(), &path, head.uri.query());
+            let location =
+                location.ok_or_else(|| Problem::unreadable("no location can be made of this target"))?;
+            let mut response = Response::new(AnswerBody::Text(None));
+            *response.status_mut() = StatusCode::from_u16(redirect.status).unwrap_or(StatusCode::FOUND);
+            response.headers_mut().insert(header::LOCATION, location);
+            Ok(response)
+        }
+        Outcome::Forward { pool, rewrite } => {
+            let class = site.plan.class_of(route.class, &head.method);
+            let sent = rewrite
+                .target(&path, head.uri.query())
+                .map_err(|e| Problem::new(StatusCode::INTERNAL_SERVER_ERROR, "rewrite", e.to_string()))?;
+            let tenant = site.plan.tenant(head.headers.get(&site.plan.tenants.header));
+            let mut headers = head.headers;
+            let expects = expects(&headers)?;
+            told(&mut headers, listener, client, &authority, service);
+            let host = rewrite.host.clone().or_else(|| HeaderValue::try_from(&*authority).ok());
+            headers.extend(host.map(|host| (header::HOST, host)));
+            rewrite.request.apply(&mut headers);
+            let limits = &site.plan.limits;
+            let rules = upload::Rules {
+                most_kept: limits.replay_buffer,
+                stall: Duration::from_nanos(limits.stall_timeout),
+                wait: expects,
+            };
+            let payload =
+                upload::take(body, &rules, &service.budget, service.clock).await.map_err(|e| match e {
+                    UploadError::Late => {
+                        let detail = "the body stood still for too long";
+                        Problem {
+                            close: true,
+                            ..Problem::new(StatusCode::REQUEST_TIMEOUT, "body-late", detail)
+                        }
+                    }
+                    UploadError::Broken => Problem::unreadable("the body broke off or cannot be read"),
+                })?;
+            if let Payload::Whole(pieces) = &payload {
+                if !headers.contains_key(header::CONTENT_LENGTH) && !pieces.is_empty() {
+                    headers.insert(header::CONTENT_LENGTH, HeaderValue::from(pieces.len()));
+                }
+                headers.remove(header::EXPECT);
+            }
+            let pool = &site.pools[*pool];
+            let give_up_at = service.clock.now() + site.plan.classes[class].class.give_up;
+            let request = interface::Request {
+                class: class as u8,
+                tenant: tenant.map_or(u32::MAX, |t| t as u32),
+                is_write: !head.method.is_safe(),
+                ..interface::Request::new(0, give_up_at)
+            };
+            let message = Message { method: head.method, uri: Uri::from(sent), headers, payload, give_up_at };
+            client.stage.set(Stage::Waiting);
+            let Some(mut ticket) = pool.engine.submit(None, request, message) else {
+                return Err(Problem::new(StatusCode::INTERNAL_SERVER_ERROR, "engine", "not taken"));
+            };
+            answered(ticket.answer().await, rewrite, listener)
+        }
+    }
+}
+
+/// Turns away what two readers could read in two ways, and what is not passed on at all.
+fn sound(head: &Parts, client: &Client) -> Result<(), Problem> {
+    if head.headers.contains_key(header::TRANSFER_ENCODING) && client.socket.said("\ncontent-length:") {
+        return Err(Problem::unreadable("a length beside a transfer coding"));
+    }
+    if client.socket.bare_line_feed() {
+        return Err(Problem::unreadable("a line that ends with a bare line feed"));
+    }
+    if head.method == Method::CONNECT {
+        let detail = "this is no proxy for tunnels";
+        return Err(Problem { close: true, ..Problem::new(StatusCode::NOT_IMPLEMENTED, "connect", detail) });
+    }
+    Ok(())
+}
+
+/// The host and port that the request names: those of an absolute target, else those of `Host` (RFC 9112, 3.2).
+fn authority(head: &Parts) -> Result<String, Problem> {
+    let mut hosts = head.headers.get_all(header::HOST).into_iter();
+    let (host, second) = (hosts.next(), hosts.next());
+    if second.is_some() || (host.is_none() && head.version >= Version::HTTP_11) {
+        return Err(Problem::unreadable("one Host is needed"));
+    }
+    if let Some(authority) = head.uri.authority() {
+        return Ok(authority.as_str().to_owned());
+    }
+    let host = host.map(|h| h.to_str().map(str::to_owned)).transpose();
+    host.map(Option::unwrap_or_default).map_err(|_| Problem::unreadable("Host is no text"))
+}
+
+fn expects(headers: &HeaderMap) -> Result<bool, Problem> {
+    match headers.get(header::EXPECT) {
+        None => Ok(false),
+        Some(value) if value.as_bytes().eq_ignore_ascii_case(b"100-continue") => Ok(true),
+        Some(_) => {
+            let detail = "only 100-continue can be expected";
+            Err(Problem {
+                close: true,
+                ..Problem::new(StatusCode::EXPECTATION_FAILED, "expectation", detail)
+            })
+        }
+    }
+}
+
+fn no_route(site: &Site, target: &Target<'_>) -> Problem {
+    let allowed = site.plan.routes.other_methods(target);
+    if allowed.is_empty() {
+        return Problem::new(StatusCode::NOT_FOUND, "no-route", "no route takes this request");
+    }
+    let names: Vec<_> = allowed.iter().map(Method::as_str).collect();
+    let allow = HeaderValue::try_from(names.join(", ")).ok();
+    Problem { allow, ..Problem::new(StatusCode::METHOD_NOT_ALLOWED, "method", "not with this method") }
+}
+
+/// Puts the headers into the form in which a server gets them: none of the connection, and those that tell of it.
+fn told(headers: &mut HeaderMap, listener: &Listener, client: &Client, authority: &str, service: &Service) {
+    strip(headers);
+    headers.remove(header::HOST);
+    let address = client.peer.ip();
+    let mut put = |name: HeaderName, value: String, list: bool| {
+        let before = headers.get_all(&name).into_iter().filter_map(|v| v.to_str().ok());
+        let before = before.collect::<Vec<_>>().join(", ");
+        let value = match (listener.trust_forwarded && !before.is_empty(), list) {
+            (true, true) => format!("{before}, {value}"),
+            (true, false) => before,
+            (false, _) => value,
+        };
+        if let Ok(value) = HeaderValue::try_from(value) {
+            headers.insert(name, value);
+        }
+    };
+    if listener.x_forwarded {
+        put(X_FORWARDED_FOR, address.to_string(), true);
+        put(X_FORWARDED_HOST, authority.to_owned(), false);
+        put(X_FORWARDED_PROTO, "http".to_owned(), false);
+    }
+    if listener.forwarded {
+        let node = match address {
+            IpAddr::V4(v4) => v4.to_string(),
+            IpAddr::V6(v6) => format!("\"[{v6}]\""),
+        };
+        let host = if authority.is_empty() { String::new() } else { format!(";host=\"{authority}\"") };
+        put(header::FORWARDED, format!("for={node}{host};proto=http"), true);
+    }
+    if let Some(via) = via(listener) {
+        headers.append(header::VIA, via);
+    }
+    if !headers.contains_key(&listener.request_id) {
+        let id = corkhollow_plan::mix(&service.clock.now().to_le_bytes()) ^ service.next_id();
+        if let Ok(id) = HeaderValue::try_from(format!("{id:016x}")) {
+            headers.insert(&listener.request_id, id);
+        }
+    }
+}
+
+fn via(listener: &Listener) -> Option<HeaderValue> {
+    HeaderValue::try_from(format!("1.1 {}", listener.via.as_ref()?)).ok()
+}
+
+/// What the client gets for what became of its request.
+fn answered(answer: Answer, rewrite: &Rewrite, listener: &Listener) -> Result<Response<AnswerBody>, Problem> {
+    let (status, mut headers, body) = match answer {
+        Answer::Whole { status, headers, body } => {
+            (status, headers, AnswerBody::Whole(PieceBody::new(Rc::new(body))))
+        }
+        Answer::Stream { status, headers, length, pieces } => {
+            (status, headers, AnswerBody::Stream { pieces, length })
+        }
+        Answer::Refused { retry_after } => {
+            let detail = "no server can take it now; it has not run";
+            let problem = Problem::new(StatusCode::SERVICE_UNAVAILABLE, "refused", detail);
+            return Err(Problem { retry_after: Some(retry_after), ..problem });
+        }
+        Answer::Failed { late: true } => {
+            let detail = "no answer in time; it may have run";
+            return Err(Problem::new(StatusCode::GATEWAY_TIMEOUT, "late", detail));
+        }
+        Answer::Failed { late: false } => {
+            let detail = "no server answered; it may have run";
+            return Err(Problem::new(StatusCode::BAD_GATEWAY, "failed", detail));
+        }
+    };
+    rewrite.response.apply(&mut headers);
+    headers.extend(via(listener).map(|via| (header::VIA, via)));
+    let mut response = Response::new(body);
+    *response.status_mut() = status;
+    *response.headers_mut() = headers;
+    Ok(response)
+}
--- a/crates/proxy/src/http1/mod.rs
+++ b/crates/proxy/src/http1/mod.rs
@@ -1,5 +1,8 @@
 //! HTTP/1.1 towards the clients.
 
 mod clients;
+mod general;
+mod platform;
+mod upload;
 
 pub use clients::{Clients, Service};
--- /dev/null
+++ b/crates/proxy/src/http1/platform.rs
@@ -0,0 +1,184 @@
+//! Requests in the platform's dialect: its headers, whole bodies, and nothing served that a server could not use.
+
+use super::clients::{closing, Client, Service, Stage};
+use crate::body::{AnswerBody, PieceBody};
+use crate::headers::{strip, ID, TIMEOUT};
+use crate::site::Site;
+use bytes::Bytes;
+use corkhollow_balance::interface::{self, Nanos, Settings};
+use corkhollow_engine::{Answer, Message, Payload, Pieces};
+use corkhollow_plan::limits::MOST_BODY;
+use corkhollow_plan::routes::{Outcome, Target};
+use http_body_util::BodyExt;
+use hyper::body::{Body, Incoming};
+use hyper::header::{self, HeaderMap, HeaderName, HeaderValue};
+use hyper::{Method, Request, Response, StatusCode, Uri};
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+/// A body may stand still for this long, and take this long in all.
+const STILL_BODY: Duration = Duration::from_millis(2200);
+const LONGEST_BODY: Duration = Duration::from_secs(20);
+
+pub(super) async fn answer(
+    service: &Rc<Service>,
+    site: &Site,
+    client: &Client,
+    request: Request<Incoming>,
+) -> Response<AnswerBody> {
+    let (head, body) = request.into_parts();
+    if head.uri.path() == "/up" && head.method == Method::GET {
+        let up = site.ready() && !service.leaving.get();
+        return text(if up { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE }, "");
+    }
+    if head.headers.contains_key(header::TRANSFER_ENCODING) && client.socket.said("\ncontent-length:") {
+        return closing(text(StatusCode::BAD_REQUEST, "two lengths\n"));
+    }
+    // The path goes on as it came, and is matched so.
+    let target = Target {
+        listener: 0,
+        host: "",
+        path: head.uri.path(),
+        query: None,
+        method: &head.method,
+        headers: &head.headers,
+    };
+    let Some((class, pool)) = site.plan.routes.find(&target).and_then(|(_, route)| match route.outcome {
+        Outcome::Forward { pool, .. } => Some((route.class?, &site.pools[pool])),
+        _ => None,
+    }) else {
+        return closing(text(StatusCode::NOT_FOUND, "no such class of requests\n"));
+    };
+    let settings = pool.settings();
+    let body = match take(service, client.surplus, body).await {
+        Ok(body) => Rc::new(body),
+        Err(BodyError::TooLarge) => return closing(text(StatusCode::PAYLOAD_TOO_LARGE, "over 32 MB\n")),
+        Err(BodyError::NoRoom) => return closing(refused(interface::Nanos::MAX, settings)),
+        Err(BodyError::Late) => {
+            return closing(text(StatusCode::REQUEST_TIMEOUT, "the body took too long\n"))
+        }
+        Err(BodyError::Broken) => return closing(text(StatusCode::BAD_REQUEST, "the body broke off\n")),
+    };
+    let mut headers = head.headers;
+    strip(&mut headers);
+    headers.remove(header::EXPECT);
+    headers.remove(header::TRAILER);
+    // Servers know a request by its id, and take one that they have for a second copy.
+    let Some(id) = only(&headers, ID).filter(|id| !id.is_empty()).cloned() else {
+        return closing(text(StatusCode::BAD_REQUEST, "one X-Request-ID is needed\n"));
+    };
+    let longest = settings.classes[class].give_up;
+    // No client waits longer than its class: a longer figure would only hold memory.
+    let wait = match only(&headers, TIMEOUT).map(|v| v.to_str().ok()?.trim().parse::<u64>().ok()) {
+        Some(Some(ms)) => ms.saturating_mul(1_000_000).min(longest),
+        None if !headers.contains_key(TIMEOUT) => longest,
+        _ => return closing(text(StatusCode::BAD_REQUEST, "X-Timeout-Ms is no whole number\n")),
+    };
+    client.stage.set(Stage::Waiting);
+    let now = service.clock.now();
+    let give_up_at = now + wait;
+    let number = |name: &str| headers.get(name).and_then(|v| v.to_str().ok()?.trim().parse::<f64>().ok());
+    let tenant = site.plan.tenant(headers.get(&site.plan.tenants.header));
+    let request = interface::Request {
+        class: class as u8,
+        tenant: tenant.map_or(u32::MAX, |t| t as u32),
+        key: headers.get("x-route-key").map_or(0, |k| route_key(k.as_bytes())),
+        work_hint: number("x-cost").filter(|us| *us > 0.0).map(|us| (us * 1000.0) as Nanos),
+        is_retry: headers.get("x-retried").is_some_and(|v| v == "1"),
+        is_write: headers
+            .get("x-attrs")
+            .is_some_and(|v| v.to_str().unwrap_or_default().split(',').any(|a| a.trim() == "write=1")),
+        ..interface::Request::new(0, give_up_at)
+    };
+    if !headers.contains_key(header::CONTENT_LENGTH) && !body.is_empty() {
+        headers.insert(header::CONTENT_LENGTH, HeaderValue::from(body.len()));
+    }
+    let uri = match head.uri.path_and_query() {
+        Some(path) if head.uri.scheme().is_some() => Uri::from(path.clone()),
+        _ => head.uri,
+    };
+    let message = Message { method: head.method, uri, headers, payload: Payload::Whole(body), give_up_at };
+    let Some(mut ticket) = pool.engine.submit(Some(id), request, message) else {
+        return closing(text(StatusCode::CONFLICT, "a request with this X-Request-ID is open\n"));
+    };
+    match ticket.answer().await {
+        Answer::Whole { headers, body, .. } => {
+            served(headers, AnswerBody::Whole(PieceBody::new(Rc::new(body))))
+        }
+        Answer::Stream { headers, length, pieces, .. } => {
+            served(headers, AnswerBody::Stream { pieces, length })
+        }
+        Answer::Refused { retry_after } => refused(retry_after, settings),
+        Answer::Failed { late: true } => text(StatusCode::GATEWAY_TIMEOUT, "no answer in time\n"),
+        Answer::Failed { late: false } => text(StatusCode::BAD_GATEWAY, "failed\n"),
+    }
+}
+
+/// The value of a header that stands there just once: of two, the servers might go by the other one.
+fn only(headers: &HeaderMap, name: HeaderName) -> Option<&HeaderValue> {
+    let mut values = headers.get_all(name).iter();
+    values.next().filter(|_| values.next().is_none())
+}
+
+fn route_key(text: &[u8]) -> u64 {
+    let hex = std::str::from_utf8(text).ok().and_then(|t| u64::from_str_radix(t, 16).ok());
+    hex.unwrap_or_else(|| corkhollow_plan::mix(text))
+}
+
+fn served(headers: HeaderMap, body: AnswerBody) -> Response<AnswerBody> {
+    let mut response = Response::new(body);
+    *response.headers_mut() = headers;
+    response
+}
+
+fn refused(retry_after: Nanos, settings: &Settings) -> Response<AnswerBody> {
+    let mut response = text(StatusCode::SERVICE_UNAVAILABLE, "busy\n");
+    let seconds = retry_after.min(settings.max_retry_after) as f64 / 1e9;
+    if let Ok(value) = HeaderValue::try_from(format!("{seconds:.3}")) {
+        if retry_after > 0 && settings.retry_after {
+            response.headers_mut().insert(header::RETRY_AFTER, value);
+        }
+    }
+    response
+}
+
+fn text(status: StatusCode, text: &'static str) -> Response<AnswerBody> {
+    let text = (!text.is_empty()).then(|| Bytes::from_static(text.as_bytes()));
+    let mut response = Response::new(AnswerBody::Text(text));
+    *response.status_mut() = status;
+    response
+}
+
+enum BodyError {
+    TooLarge,
+    NoRoom,
+    Late,
+    Broken,
+}
+
+/// Reads a body whole. Without room for it the rest is read and thrown away: the client gets its refusal when
+/// it listens, and not a reset in the middle of its sending.
+async fn take(service: &Service, throw_away: bool, mut body: Incoming) -> Result<Pieces, BodyError> {
+    if body.size_hint().lower() > MOST_BODY {
+        return Err(BodyError::TooLarge);
+    }
+    let mut pieces = Some(Pieces::new(service.budget.lease())).filter(|_| !throw_away);
+    let mut len = 0;
+    let end = Instant::now() + LONGEST_BODY;
+    loop {
+        // A length that is never filled must not hold its client and its bytes.
+        let patience = STILL_BODY.min(end.saturating_duration_since(Instant::now()));
+        let frame = tokio::time::timeout(patience, body.frame()).await.map_err(|_| BodyError::Late)?;
+        let Some(frame) = frame else { break };
+        let frame = frame.map_err(|_| BodyError::Broken)?;
+        let Ok(data) = frame.into_data() else { continue };
+        len += data.len() as u64;
+        if len > MOST_BODY {
+            return Err(BodyError::TooLarge);
+        }
+        if pieces.as_mut().is_some_and(|p| !p.push(data)) {
+            pieces = None;
+        }
+    }
+    pieces.ok_or(BodyError::NoRoom)
+}
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -4,5 +4,6 @@
 mod body;
 mod headers;
 pub mod http1;
+pub mod site;
 mod socket;
 pub mod upstream;
--- /dev/null
+++ b/crates/proxy/src/site.rs
@@ -0,0 +1,80 @@
+//! What a plan becomes at work, and how one plan takes over from another.
+
+use crate::upstream::{Pool, Shared};
+use corkhollow_balance::interface::SettingsError;
+use corkhollow_plan::plan::Plan;
+use std::cell::RefCell;
+use std::rc::Rc;
+
+/// A plan with its pools. A request goes by the site that was in force when its head came, to its end.
+pub struct Site {
+    /// What is to be done.
+    pub plan: Plan,
+    /// The plan's pools, by their index there.
+    pub pools: Vec<Rc<Pool>>,
+}
+
+/// A pool that a plan names cannot be started.
+#[derive(Debug, thiserror::Error)]
+#[error("pool {pool}: {error}")]
+pub struct PoolError {
+    /// Its name.
+    pub pool: String,
+    /// Why.
+    pub error: SettingsError,
+}
+
+impl Site {
+    /// Starts a plan's pools. Those of the old site that fit go on, with what they have learnt and what is under way.
+    ///
+    /// # Errors
+    /// Where a pool cannot be started; the old site is as it was.
+    pub fn start(plan: Plan, old: Option<&Site>, shared: &Shared, seed: u64) -> Result<Rc<Self>, PoolError> {
+        let mut pools = Vec::with_capacity(plan.pools.len());
+        let mut kept = Vec::new();
+        for (at, told) in plan.pools.iter().enumerate() {
+            let former = old.and_then(|site| {
+                let place = site.plan.pools.iter().position(|p| p.name == told.name)?;
+                Some(&site.pools[place]).filter(|pool| pool.fits(&plan, at))
+            });
+            if let Some(pool) = former {
+                kept.push((at, pool.clone()));
+                pools.push(pool.clone());
+            } else {
+                let own = seed ^ corkhollow_plan::mix(told.name.as_bytes());
+                let started = Pool::start(&plan, at, shared, if plan.seed.is_some() { seed } else { own });
+                pools.push(started.map_err(|error| PoolError { pool: told.name.clone(), error })?);
+            }
+        }
+        // Nothing can fail from here on.
+        for (at, pool) in kept {
+            pool.go_on(&plan, at);
+        }
+        Ok(Rc::new(Site { plan, pools }))
+    }
+
+    /// Whether all pools have been told who their servers are.
+    pub fn ready(&self) -> bool {
+        self.pools.iter().all(|p| p.ready.get())
+    }
+}
+
+/// The site in force.
+pub struct Current(RefCell<Rc<Site>>);
+
+impl Current {
+    /// Begins with a site.
+    pub fn new(site: Rc<Site>) -> Rc<Self> {
+        Rc::new(Current(RefCell::new(site)))
+    }
+
+    /// The site in force now.
+    pub fn get(&self) -> Rc<Site> {
+        self.0.borrow().clone()
+    }
+
+    /// Puts another site in force.
+    pub fn put(&self, site: Rc<Site>) {
+        self.0.replace(site);
+    }
+}
--- a/crates/proxy/src/socket.rs
+++ b/crates/proxy/src/socket.rs
@@ -99,9 +99,17 @@
         first.windows(text.len()).any(|w| w == text.as_bytes())
     }
 
+    /// Whether a line of the head that came first ends with a bare line feed, which not all take for an end.
+    pub fn bare_line_feed(&self) -> bool {
+        let first = self.first.borrow();
+        first.iter().enumerate().any(|(k, b)| *b == b'\n' && (k == 0 || first[k - 1] != b'\r'))
+    }
+
     /// A request with a body of this length is about to be written.
     pub fn expect_request(&self, body: u64) {
         self.outgoing.set(Outgoing { body_left: body, ..Outgoing::default() });
+        // What comes from here on is the answer.
+        self.heard.set(None);
     }
 
     /// The kernel has the last byte of the request: from here on it may have run.
--- /dev/null
+++ b/crates/proxy/src/upstream/attempt.rs
@@ -0,0 +1,161 @@
+//! One attempt: a connection, the request on it, and what becomes of that.
+
+use super::link::{connect, Idle, Link, NoLink};
+use super::upstreams::Upstreams;
+use super::{general, platform};
+use crate::body::{PieceBody, RequestBody};
+use crate::headers::TIMEOUT;
+use crate::socket::Socket;
+use corkhollow_balance::interface::{Ending, Nanos, ServerId};
+use corkhollow_engine::{AttemptId, ClientBody, Engine, Message, Payload};
+use corkhollow_plan::plan::Dialect;
+use hyper::body::Incoming;
+use hyper::header::{self, HeaderValue};
+use hyper::{Method, Request, Response};
+use std::cell::RefCell;
+use std::pin::Pin;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::sync::Notify;
+
+/// A reset that comes later than this is the end of a process that had the request.
+const AT_ONCE: Nanos = 20_000_000;
+/// A server that does not say `100 Continue` within this gets the body all the same (RFC 9110, 10.1.1).
+const CONTINUE: Duration = Duration::from_secs(1);
+
+/// Plays one attempt to its end and tells the engine how it went. Where the engine has stopped waiting, the
+/// attempt may go on for a while, so that its connection can be kept.
+pub(super) async fn attempt(
+    upstreams: Rc<Upstreams>,
+    engine: Rc<Engine>,
+    id: AttemptId,
+    server: ServerId,
+    message: Rc<Message>,
+    seen: Rc<RefCell<Option<Rc<Socket>>>>,
+) {
+    if let Err(ending) = exchange(&upstreams, &engine, id, server, &message, &seen).await {
+        // What a client spoils says nothing of the server.
+        let spoilt = message.upload().is_some_and(|upload| upload.progress.failed.get());
+        engine.ended(id, if spoilt { Ending::Cancelled } else { ending });
+    }
+}
+
+async fn exchange(
+    upstreams: &Rc<Upstreams>,
+    engine: &Rc<Engine>,
+    id: AttemptId,
+    server: ServerId,
+    message: &Rc<Message>,
+    seen: &RefCell<Option<Rc<Socket>>>,
+) -> Result<(), Ending> {
+    let Some(dial) = upstreams.fleet(|f| f.dial(server)) else { return Err(Ending::NotSent) };
+    let mut kept = upstreams.fleet(|f| f.checkout(server, upstreams.clock.now()));
+    loop {
+        let rested = kept.as_ref().map(|idle| upstreams.clock.now().saturating_sub(idle.since));
+        let (mut link, opened) = match kept.take() {
+            Some(idle) => (idle.link, idle.opened),
+            None => match connect(upstreams, dial).await {
+                Ok(link) => (link, upstreams.clock.now()),
+                Err(NoLink::Failed) => return Err(Ending::ConnectFailed),
+                Err(NoLink::Exhausted) => return Err(Ending::NotSent),
+            },
+        };
+        // Connecting takes time, and discovery may have spoken: nothing new to a server that drains.
+        if upstreams.fleet(|f| f.dial(server)) != Some(dial) {
+            return Err(Ending::ConnectFailed);
+        }
+        let begun = upstreams.clock.now();
+        let Some(request) = request(upstreams, message, begun) else { return Err(Ending::NotSent) };
+        *seen.borrow_mut() = Some(link.socket.clone());
+        // A server of the platform begins a request with its last byte; any other may do so with its head.
+        link.socket.expect_request(match (&message.payload, upstreams.dialect) {
+            (Payload::Whole(body), Dialect::Platform) => body.len(),
+            _ => 0,
+        });
+        let response = link.sender.try_send_request(request);
+        let socket = link.socket.clone();
+        return match link.drive(response).await {
+            Ok(response) => {
+                upstreams.fleet(|f| f.lives.note(upstreams.clock.now(), rested, false));
+                let keep = answer(upstreams, engine, id, message, &mut link, response).await;
+                if keep && link.reusable().await && !upstreams.crowded() {
+                    let idle = Idle { link, opened, since: upstreams.clock.now() };
+                    upstreams.fleet(|f| f.checkin(server, dial, idle));
+                }
+                Ok(())
+            }
+            Err(_) if socket.written() => {
+                let now = upstreams.clock.now();
+                let lost = now.saturating_sub(begun) < AT_ONCE;
+                upstreams.fleet(|f| f.lives.note(now, rested, lost));
+                Err(Ending::Reset)
+            }
+            Err(mut error) => {
+                let unread = error.take_message().map(Request::into_body);
+                if let (Some(RequestBody::Stream { body, .. }), Some(upload)) = (unread, message.upload()) {
+                    upload.put_back(body);
+                }
+                // A kept connection that the server was just closing: it does not have the request, whose
+                // attempt has not begun. A new connection tells whether the server is there.
+                if rested.is_some() && !message.spent() {
+                    continue;
+                }
+                Err(Ending::ConnectFailed)
+            }
+        };
+    }
+}
+
+async fn answer(
+    upstreams: &Upstreams,
+    engine: &Rc<Engine>,
+    id: AttemptId,
+    message: &Message,
+    link: &mut Link,
+    response: Response<Incoming>,
+) -> bool {
+    match upstreams.dialect {
+        Dialect::Platform => platform::answer(upstreams, engine, id, link, response).await,
+        Dialect::Http => {
+            let bodiless = message.method == Method::HEAD;
+            general::answer(upstreams, engine, id, link, response, bodiless).await
+        }
+    }
+}
+
+/// The client's request as it goes to a server; none where its body has gone elsewhere.
+fn request(upstreams: &Upstreams, message: &Message, now: Nanos) -> Option<Request<RequestBody>> {
+    let asked = Arc::new(Notify::new());
+    let expects = message.headers.contains_key(header::EXPECT);
+    let body = match &message.payload {
+        Payload::Whole(pieces) => RequestBody::Whole(PieceBody::new(pieces.clone())),
+        Payload::Stream(upload) => {
+            let body: ClientBody = upload.take()?;
+            RequestBody::Stream { body, wait: expects.then(|| until_asked(asked.clone())) }
+        }
+    };
+    let mut request = Request::new(body);
+    *request.method_mut() = message.method.clone();
+    *request.uri_mut() = message.uri.clone();
+    *request.headers_mut() = message.headers.clone();
+    if upstreams.dialect == Dialect::Platform {
+        let left = message.give_up_at.saturating_sub(now).div_ceil(1_000_000).max(1);
+        request.headers_mut().insert(TIMEOUT, HeaderValue::from(left));
+    }
+    if expects {
+        hyper::ext::on_informational(&mut request, move |interim| {
+            if interim.status() == hyper::StatusCode::CONTINUE {
+                asked.notify_one();
+            }
+        });
+    }
+    Some(request)
+}
+
+/// Ends when the server has asked for the body, or has said nothing for long enough.
+fn until_asked(asked: Arc<Notify>) -> Pin<Box<dyn std::future::Future<Output = ()>>> {
+    Box::pin(async move {
+        let _ = tokio::time::timeout(CONTINUE, asked.notified()).await;
+    })
+}
--- a/crates/proxy/src/upstream/discovery.rs
+++ b/crates/proxy/src/upstream/discovery.rs
@@ -1,7 +1,8 @@
 //! The list of servers: read once, then watched. Nonsense leaves the old list in place and the watch is opened
 //! anew.
 
-use super::servers::{Entry, Upstreams};
+use super::fleet::Entry;
+use super::upstreams::Upstreams;
 use crate::socket::{Socket, SocketIo};
 use corkhollow_balance::interface::{ListKind, Phase, Server, ServerId};
 use corkhollow_engine::{log, Engine, ListCall};
--- /dev/null
+++ b/crates/proxy/src/upstream/fleet.rs
@@ -0,0 +1,203 @@
+//! The servers that a list has named, and the connections to them that are kept.
+
+use super::link::Idle;
+use super::lives::Lives;
+use corkhollow_balance::interface::{ListKind, Nanos, Phase, Server, ServerId};
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+
+/// Servers that left are remembered for this long, for what is still under way to them.
+const MEMORY: Nanos = 60_000_000_000;
+
+/// One entry of discovery's list.
+#[derive(Clone, Debug)]
+pub struct Entry {
+    /// Its name, the same at every node.
+    pub host: String,
+    /// Where it listens for this node.
+    pub dial: SocketAddr,
+    /// All that the module is told; its id is filled in by the fleet.
+    pub server: Server,
+}
+
+struct Upstream {
+    host: String,
+    dial: SocketAddr,
+    started_at: Nanos,
+    /// Since when it takes nothing new.
+    closed_at: Option<Nanos>,
+    /// Oldest first: the newest is used first, so that the others can age and close.
+    idle: Vec<Idle>,
+}
+
+/// The servers that the list has named, by the identity under which the module knows them.
+pub struct Fleet {
+    upstreams: BTreeMap<ServerId, Upstream>,
+    pub(super) lives: Lives,
+}
+
+/// Part of the idle time after which a server may close that its connections are kept.
+const IDLE_PART: f64 = 0.6;
+
+fn identity(host: &str, round: u8) -> ServerId {
+    let mut name = host.as_bytes().to_vec();
+    name.extend((round > 0).then_some(round));
+    ServerId(corkhollow_plan::mix(&name))
+}
+
+impl Fleet {
+    pub fn new(conn_idle: Nanos) -> Self {
+        let most = (conn_idle as f64 * IDLE_PART) as Nanos;
+        Fleet { upstreams: BTreeMap::new(), lives: Lives::new(most) }
+    }
+
+    fn id(&self, host: &str) -> ServerId {
+        let free = |id: &ServerId| self.upstreams.get(id).is_none_or(|u| u.host == host);
+        (0..=u8::MAX).map(|round| identity(host, round)).find(free).unwrap_or(identity(host, 0))
+    }
+
+    /// Takes over a list or changes to it, and puts it into the module's words.
+    pub fn follow(&mut self, now: Nanos, kind: ListKind, entries: Vec<Entry>) -> Vec<Server> {
+        let mut servers = Vec::with_capacity(entries.len());
+        for entry in entries {
+            let id = self.id(&entry.host);
+            let (dial, started_at) = (entry.dial, entry.server.started_at);
+            let upstream = self.upstreams.entry(id).or_insert_with(|| Upstream {
+                host: entry.host,
+                dial,
+                started_at,
+                closed_at: None,
+                idle: Vec::new(),
+            });
+            if upstream.dial != dial || upstream.started_at != started_at {
+                (upstream.dial, upstream.started_at) = (dial, started_at);
+                upstream.idle.clear();
+            }
+            if entry.server.phase == Phase::Ready {
+                upstream.closed_at = None;
+            } else {
+                upstream.close(now);
+            }
+            servers.push(Server { id, ..entry.server });
+        }
+        if matches!(kind, ListKind::Full | ListKind::Cached) {
+            let listed: BTreeSet<_> = servers.iter().map(|s| s.id).collect();
+            self.upstreams.iter_mut().filter(|(id, _)| !listed.contains(id)).for_each(|(_, u)| u.close(now));
+        }
+        self.upstreams.retain(|_, u| u.closed_at.is_none_or(|at| now.saturating_sub(at) < MEMORY));
+        servers
+    }
+
+    pub(super) fn dial(&self, server: ServerId) -> Option<SocketAddr> {
+        self.upstreams.get(&server).filter(|u| u.closed_at.is_none()).map(|u| u.dial)
+    }
+
+    pub(super) fn checkout(&mut self, server: ServerId, now: Nanos) -> Option<Idle> {
+        let oldest = now.saturating_sub(self.lives.keep);
+        let upstream = self.upstreams.get_mut(&server)?;
+        while let Some(idle) = upstream.idle.pop() {
+            // What has come since it was kept (a close, a second copy of the last answer, noise) would be taken
+            // for the next request's end or answer. The kernel knows; the runtime may not yet.
+            if idle.since >= oldest && idle.link.socket.quiet() {
+                return Some(idle);
+            }
+        }
+        None
+    }
+
+    pub(super) fn checkin(&mut self, server: ServerId, dial: SocketAddr, idle: Idle) {
+        if let Some(u) = self.upstreams.get_mut(&server) {
+            if u.closed_at.is_none() && u.dial == dial && u.started_at <= idle.opened {
+                u.idle.push(idle);
+            }
+        }
+    }
+
+    /// Closes what has stood idle for too long or was closed by its server.
+    pub fn sweep(&mut self, now: Nanos) {
+        let oldest = now.saturating_sub(self.lives.keep);
+        for upstream in self.upstreams.values_mut() {
+            upstream.idle.retain(|i| i.since >= oldest && i.link.socket.quiet());
+        }
+    }
+
+    pub(super) fn evict(&mut self) -> bool {
+        let since = |u: &Upstream| u.idle.first().map(|i| i.since);
+        let upstreams = self.upstreams.values_mut().filter(|u| !u.idle.is_empty());
+        upstreams.min_by_key(|u| since(u)).map(|u| u.idle.remove(0)).is_some()
+    }
+}
+
+impl Upstream {
+    fn close(&mut self, now: Nanos) {
+        self.closed_at.get_or_insert(now);
+        self.idle.clear();
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::super::link::Link;
+    use super::*;
+    use crate::socket::{Socket, SocketIo};
+    use corkhollow_plan::limits::Budget;
+    use hyper::client::conn::http1;
+    use hyper_util::rt::TokioIo;
+    use std::io::Write;
+    use tokio::net::TcpStream;
+
+    const MS: Nanos = 1_000_000;
+
+    /// What has come on a connection while it was kept is not the answer to the next request, and a close there
+    /// would lose it. The runtime may not have been told of either yet.
+    #[tokio::test]
+    async fn a_kept_connection_that_has_spoken_is_not_used() {
+        for word in [&b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"[..], b""] {
+            let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+            let dial = listener.local_addr().unwrap();
+            let socket = Socket::new(TcpStream::connect(dial).await.unwrap());
+            let mut peer = listener.accept().unwrap().0;
+            let io = TokioIo::new(SocketIo(socket.clone()));
+            let (sender, connection) = http1::handshake::<_, crate::body::RequestBody>(io).await.unwrap();
+            let slot = Budget::new(100, 100).server().unwrap();
+            let place = super::super::upstreams::Place::free();
+            let link = Link {
+                socket: socket.clone(),
+                sender,
+                connection: Some(connection),
+                _slot: slot,
+                _place: place,
+            };
+            let mut fleet = Fleet::new(10_000 * MS);
+            let entry = Entry { host: "s-0".into(), dial, server: Server::warm(ServerId(0)) };
+            let server = fleet.follow(0, ListKind::Full, vec![entry])[0].id;
+            fleet.checkin(server, dial, Idle { link, opened: 0, since: 0 });
+            let idle = fleet.checkout(server, 0).expect("a quiet one is used");
+            fleet.checkin(server, dial, idle);
+            peer.write_all(word).unwrap();
+            drop(peer);
+            let start = std::time::Instant::now();
+            while socket.quiet() {
+                assert!(start.elapsed().as_secs() < 20, "nothing came");
+            }
+            assert!(fleet.checkout(server, 0).is_none(), "{} bytes and a close", word.len());
+        }
+    }
+
+    /// All nodes must agree on the order of servers: the address under which one is reached has no say.
+    #[test]
+    fn identity_comes_from_the_name() {
+        let list = |dials: [&str; 2]| {
+            let entry = |(k, dial): (usize, &&str)| Entry {
+                host: format!("s-{k}"),
+                dial: dial.parse().unwrap(),
+                server: Server::warm(ServerId(0)),
+            };
+            let entries = dials.iter().enumerate().map(entry).collect();
+            Fleet::new(1).follow(0, ListKind::Full, entries)
+        };
+        let (a, b) = (list(["127.0.0.1:1", "127.0.0.1:2"]), list(["127.0.0.2:9", "127.0.0.1:1"]));
+        assert_eq!(a, b);
+        assert_ne!(a[0].id, a[1].id);
+    }
+}
--- /dev/null
+++ b/crates/proxy/src/upstream/link.rs
@@ -0,0 +1,100 @@
+//! One connection to a server.
+
+use super::upstreams::{Place, Upstreams};
+use crate::body::RequestBody;
+use crate::socket::{exhausted, Socket, SocketIo};
+use corkhollow_balance::interface::Nanos;
+use corkhollow_plan::limits::Slot;
+use hyper::client::conn::http1::{self, Connection, SendRequest};
+use hyper_util::rt::TokioIo;
+use std::future::{poll_fn, Future};
+use std::net::SocketAddr;
+use std::pin::{pin, Pin};
+use std::rc::Rc;
+use std::task::{Context, Poll};
+use tokio::net::TcpStream;
+
+/// A connection with hyper's two halves. There is no task behind it: whoever uses it drives it.
+pub(super) struct Link {
+    pub(super) socket: Rc<Socket>,
+    pub(super) sender: SendRequest<RequestBody>,
+    pub(super) connection: Option<Connection<TokioIo<SocketIo>, RequestBody>>,
+    pub(super) _slot: Slot,
+    pub(super) _place: Place,
+}
+
+/// A connection that waits for its next request.
+pub(super) struct Idle {
+    pub(super) link: Link,
+    /// When it came up.
+    pub(super) opened: Nanos,
+    /// Since when it waits.
+    pub(super) since: Nanos,
+}
+
+impl Link {
+    pub(super) fn turn(&mut self, cx: &mut Context<'_>) {
+        if let Some(connection) = &mut self.connection {
+            if Pin::new(connection).poll(cx).is_ready() {
+                self.connection = None;
+            }
+        }
+    }
+
+    /// Waits for something on the connection while that goes on.
+    pub(super) async fn drive<F: Future>(&mut self, future: F) -> F::Output {
+        let mut future = pin!(future);
+        poll_fn(|cx| {
+            self.turn(cx);
+            future.as_mut().poll(cx)
+        })
+        .await
+    }
+
+    /// Whether the connection can carry another request, now that an answer is read to its end.
+    pub(super) async fn reusable(&mut self) -> bool {
+        poll_fn(|cx| {
+            self.turn(cx);
+            Poll::Ready(())
+        })
+        .await;
+        self.connection.is_some() && self.sender.is_ready()
+    }
+}
+
+/// Why no connection was to be had.
+pub(super) enum NoLink {
+    /// The server's side: it counts against the server.
+    Failed,
+    /// The node itself has no descriptor left.
+    Exhausted,
+}
+
+/// Opens a connection, as soon as the pool and the program have a place for one.
+pub(super) async fn connect(upstreams: &Rc<Upstreams>, dial: SocketAddr) -> Result<Link, NoLink> {
+    let place = upstreams.place().await.ok_or(NoLink::Exhausted)?;
+    let slot = loop {
+        if let Some(slot) = upstreams.budget.server() {
+            break slot;
+        }
+        if upstreams.evict() {
+            continue;
+        }
+        if !upstreams.stop_lingering() {
+            return Err(NoLink::Exhausted);
+        }
+        // What was told to stop gives its descriptor back when the runtime gets to it.
+        tokio::task::yield_now().await;
+    };
+    let stream = match tokio::time::timeout(upstreams.connect_timeout, TcpStream::connect(dial)).await {
+        Ok(Ok(stream)) => stream,
+        Ok(Err(e)) if exhausted(&e) => return Err(NoLink::Exhausted),
+        Ok(Err(_)) | Err(_) => return Err(NoLink::Failed),
+    };
+    let socket = Socket::new(stream);
+    let mut builder = http1::Builder::new();
+    builder.max_buf_size(upstreams.buffer);
+    let handshake = builder.handshake(TokioIo::new(SocketIo(socket.clone()))).await;
+    let (sender, connection) = handshake.map_err(|_| NoLink::Failed)?;
+    Ok(Link { socket, sender, connection: Some(connection), _slot: slot, _place: place })
+}
--- a/crates/proxy/src/upstream/mod.rs
+++ b/crates/proxy/src/upstream/mod.rs
@@ -1,7 +1,14 @@
 //! Towards the servers: where they are, connections to them, attempts.
 
+mod attempt;
+mod check;
 mod discovery;
-mod servers;
+mod fleet;
+mod general;
+mod link;
+mod lives;
+mod platform;
+mod pool;
+mod upstreams;
 
-pub use discovery::{Following, Watcher};
-pub use servers::{Entry, Sender, Upstreams};
+pub use pool::{Pool, Shared};
--- /dev/null
+++ b/crates/proxy/src/upstream/pool.rs
@@ -0,0 +1,274 @@
+//! One pool at work: its engine, its connections, and whoever tells its servers.
+
+use super::check;
+use super::discovery::{Following, Watcher};
+use super::fleet::Entry;
+use super::upstreams::{Sender, Upstreams};
+use corkhollow_balance::interface::{ListKind, Phase, Server as Told, ServerId, SettingsError};
+use corkhollow_engine::{log, Clock, Engine};
+use corkhollow_plan::file::read_servers;
+use corkhollow_plan::limits::Budget;
+use corkhollow_plan::plan::{self, Limits, Plan, Source};
+use corkhollow_plan::pools::{Listed, Roster};
+use std::cell::{Cell, RefCell};
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::rc::Rc;
+use std::time::{Duration, SystemTime};
+use tokio::sync::{mpsc, watch};
+use tokio::task::{spawn_local, AbortHandle};
+
+/// A watched file is looked at this often.
+const LOOK: Duration = Duration::from_millis(250);
+
+/// Without a word from discovery a pool serves by the list of its earlier life after this.
+const READY_KNOWN: Duration = Duration::from_millis(700);
+
+/// What all pools share.
+#[derive(Clone)]
+pub struct Shared {
+    /// The program's clock.
+    pub clock: Clock,
+    /// What it may hold.
+    pub budget: Rc<Budget>,
+}
+
+/// See the module's documentation.
+pub struct Pool {
+    /// Its requests under way.
+    pub engine: Rc<Engine>,
+    /// Its connections.
+    pub upstreams: Rc<Upstreams>,
+    /// It has been told who its servers are.
+    pub ready: Rc<Cell<bool>>,
+    told: plan::Pool,
+    limits: Limits,
+    roster: Rc<RefCell<Roster>>,
+    discovery: Option<watch::Sender<SocketAddr>>,
+    /// No new plan has it: its timers end with its last request.
+    retired: Rc<Cell<bool>>,
+    /// Whoever tells its servers.
+    source: RefCell<Option<AbortHandle>>,
+    checks: RefCell<Option<AbortHandle>>,
+}
+
+impl Drop for Pool {
+    fn drop(&mut self) {
+        self.retired.set(true);
+        for task in [self.source.take(), self.checks.take()].into_iter().flatten() {
+            task.abort();
+        }
+    }
+}
+
+impl Pool {
+    /// Starts a pool of a plan. The seed settles its random draws.
+    ///
+    /// # Errors
+    /// Where the decision module cannot act on its settings.
+    pub fn start(plan: &Plan, at: usize, shared: &Shared, seed: u64) -> Result<Rc<Self>, SettingsError> {
+        let told = plan.pools[at].clone();
+        let (list_calls, calls) = mpsc::unbounded_channel();
+        let upstreams = Upstreams::new(&told, &plan.limits, shared.budget.clone(), shared.clock, list_calls);
+        let engine =
+            Engine::new(told.settings.clone(), seed, shared.clock, Rc::new(Sender(upstreams.clone())))?;
+        let retired = Rc::new(Cell::new(false));
+        spawn_local(engine.clone().run_timers(retired.clone()));
+        let ready = Rc::new(Cell::new(false));
+        let mut discovery = None;
+        let mut source = None;
+        if let Source::Discovery(from) = &told.source {
+            let (address, seen) = watch::channel(from.address);
+            discovery = Some(address);
+            if from.known.as_ref().is_some_and(|known| !known.hosts.is_empty()) {
+                let ready = ready.clone();
+                spawn_local(async move {
+                    tokio::time::sleep(READY_KNOWN).await;
+                    ready.set(true);
+                });
+            }
+            let must_subscribe = told.settings.must_subscribe;
+            let following = Following {
+                zones: from.zones.clone(),
+                kinds: from.kinds.clone(),
+                must_subscribe,
+                known: from.known.clone(),
+                seed,
+            };
+            let watcher = Watcher::new(engine.clone(), upstreams.clone(), following, seen, ready.clone());
+            source = Some(if must_subscribe {
+                spawn_local(watcher.obey(calls)).abort_handle()
+            } else {
+                spawn_local(watcher.follow()).abort_handle()
+            });
+        }
+        let roster =
+            Rc::new(RefCell::new(Roster::new(told.settings.backup_zone, told.check.clone(), told.cold)));
+        let pool = Rc::new(Pool {
+            engine,
+            upstreams,
+            ready,
+            limits: plan.limits,
+            roster,
+            discovery,
+            retired,
+            source: RefCell::new(source),
+            checks: RefCell::default(),
+            told,
+        });
+        pool.follow(plan, &pool.told.source);
+        if let Some(settings) = &pool.told.check {
+            let task = check::run(Rc::downgrade(&pool), settings.clone(), seed);
+            pool.checks.replace(Some(spawn_local(task).abort_handle()));
+        }
+        Ok(pool)
+    }
+
+    /// What its decision module is told.
+    pub fn settings(&self) -> &corkhollow_balance::interface::Settings {
+        &self.told.settings
+    }
+
+    /// Whether the pool can go on under a new plan, with another list of servers at most.
+    pub fn fits(&self, plan: &Plan, at: usize) -> bool {
+        let new = &plan.pools[at];
+        let kind = |s: &Source| std::mem::discriminant(s);
+        let own = plan::Pool { source: new.source.clone(), ..self.told.clone() };
+        self.limits == plan.limits && kind(&self.told.source) == kind(&new.source) && own.same_but_source(new)
+    }
+
+    /// Goes on under a new plan.
+    pub fn go_on(&self, plan: &Plan, at: usize) {
+        let source = &plan.pools[at].source;
+        if let (Some(discovery), Source::Discovery(from)) = (&self.discovery, source) {
+            self.move_discovery(discovery, from.address);
+        } else {
+            self.follow(plan, source);
+        }
+    }
+
+    /// Discovery has moved.
+    pub fn move_to(&self, address: SocketAddr) {
+        if let Some(discovery) = &self.discovery {
+            self.move_discovery(discovery, address);
+        }
+    }
+
+    fn move_discovery(&self, discovery: &watch::Sender<SocketAddr>, address: SocketAddr) {
+        discovery.send_if_modified(|old| std::mem::replace(old, address) != address);
+    }
+
+    fn follow(&self, plan: &Plan, source: &Source) {
+        match source {
+            Source::Static(servers) => self.replace(servers),
+            Source::Watch(path) => {
+                let look = Look { path: path.clone(), seen: None };
+                let task = spawn_local(watch_file(self.replacer(), look, plan.clone())).abort_handle();
+                // The old list stands until the new one is read.
+                if let Some(old) = self.source.replace(Some(task)) {
+                    old.abort();
+                }
+            }
+            Source::Discovery(_) => {}
+        }
+    }
+
+    fn replacer(&self) -> Replacer {
+        Replacer {
+            engine: self.engine.clone(),
+            upstreams: self.upstreams.clone(),
+            roster: self.roster.clone(),
+            ready: self.ready.clone(),
+        }
+    }
+
+    fn replace(&self, servers: &[plan::Server]) {
+        self.replacer().replace(servers);
+    }
+
+    /// Who is to be checked, and where.
+    pub fn to_check(&self) -> Vec<(String, SocketAddr)> {
+        self.roster.borrow().to_check()
+    }
+
+    /// Takes a check's result into account.
+    pub fn checked(&self, name: &str, passed: bool) {
+        let now = self.engine.clock().now();
+        let changed = self.roster.borrow_mut().checked(now, name, passed);
+        if let Some(listed) = changed {
+            let word = if listed.phase == Phase::Ready { "back" } else { "out" };
+            log(format_args!("pool {}: checks take server {name} {word}", self.told.name));
+            self.replacer().tell(ListKind::Changes, vec![listed]);
+        }
+    }
+}
+
+/// What a list of servers is handed to.
+struct Replacer {
+    engine: Rc<Engine>,
+    upstreams: Rc<Upstreams>,
+    roster: Rc<RefCell<Roster>>,
+    ready: Rc<Cell<bool>>,
+}
+
+impl Replacer {
+    fn replace(&self, servers: &[plan::Server]) {
+        let listed = self.roster.borrow_mut().replace(self.engine.clock().now(), servers);
+        self.tell(ListKind::Full, listed);
+        self.ready.set(true);
+    }
+
+    fn tell(&self, kind: ListKind, listed: Vec<Listed>) {
+        let entries = listed.into_iter().map(entry).collect();
+        let servers = self.upstreams.follow(kind, entries);
+        self.engine.list(kind, servers);
+    }
+}
+
+fn entry(listed: Listed) -> Entry {
+    Entry {
+        host: listed.name,
+        dial: listed.address,
+        server: Told {
+            zone: listed.zone,
+            phase: listed.phase,
+            size: listed.weight as f32,
+            started_at: listed.started_at,
+            ..Told::warm(ServerId(0))
+        },
+    }
+}
+
+/// A file and how it was when it was last read.
+struct Look {
+    path: PathBuf,
+    seen: Option<(SystemTime, u64)>,
+}
+
+impl Look {
+    fn changed(&mut self) -> bool {
+        let meta = std::fs::metadata(&self.path).ok();
+        let now = meta.and_then(|m| Some((m.modified().ok()?, m.len())));
+        let changed = now.is_some() && now != self.seen;
+        self.seen = now.or(self.seen);
+        changed
+    }
+}
+
+/// Reads the file whenever it changes, for good. One that cannot be used leaves the old list in force.
+async fn watch_file(replacer: Replacer, mut look: Look, plan: Plan) {
+    loop {
+        if look.changed() {
+            match read_list(&look.path, &plan) {
+                Ok(servers) => replacer.replace(&servers),
+                Err(why) => log(format_args!("{}: not taken over: {why}", look.path.display())),
+            }
+        }
+        tokio::time::sleep(LOOK).await;
+    }
+}
+
+fn read_list(path: &Path, plan: &Plan) -> Result<Vec<plan::Server>, String> {
+    let text = std::fs::read_to_string(path).map_err(|e| e.to_string())?;
+    read_servers(&text, plan).map_err(|faults| faults.first().map(ToString::to_string).unwrap_or_default())
+}
--- /dev/null
+++ b/crates/standin/src/message.rs
@@ -0,0 +1,77 @@
+//! HTTP/1.1 messages, read and written by hand.
+
+use std::io::{BufRead, BufReader, Read};
+use std::net::TcpStream;
+use std::time::Duration;
+
+/// A message as it came: its head and its body.
+#[derive(Clone, Debug)]
+pub struct Message {
+    /// Its head, with the blank line.
+    pub head: String,
+    /// Its body as it came.
+    pub body: Vec<u8>,
+    /// The body came to its end.
+    pub whole: bool,
+    /// How long its connection had stood idle, as a server sees it; nothing for the first.
+    pub rested: Duration,
+}
+
+impl Message {
+    /// The status of an answer; 0 where there is none.
+    pub fn status(&self) -> u16 {
+        self.head.split(' ').nth(1).and_then(|s| s.parse().ok()).unwrap_or(0)
+    }
+
+    /// The first header of this name.
+    pub fn header(&self, name: &str) -> Option<&str> {
+        let lines = self.head.lines().skip(1).filter_map(|l| l.split_once(':'));
+        lines.clone().find(|(n, _)| n.eq_ignore_ascii_case(name)).map(|(_, v)| v.trim())
+    }
+}
+
+/// Reads one message; none where the connection ends before its head does.
+pub fn read(stream: &mut TcpStream) -> Option<Message> {
+    let mut head = Vec::new();
+    let mut byte = [0];
+    while !head.ends_with(b"\r\n\r\n") {
+        match stream.read(&mut byte) {
+            Ok(1) => head.push(byte[0]),
+            _ => return None,
+        }
+    }
+    let mut message = Message {
+        head: String::from_utf8(head).ok()?,
+        body: Vec::new(),
+        whole: true,
+        rested: Duration::ZERO,
+    };
+    if message.header("transfer-encoding").is_some() {
+        let mut lines = BufReader::new(stream);
+        loop {
+            let mut line = String::new();
+            let _ = lines.read_line(&mut line);
+            let Ok(size) = usize::from_str_radix(line.trim(), 16) else { break message.whole = false };
+            let mut chunk = vec![0; size + 2];
+            if lines.read_exact(&mut chunk).is_err() {
+                break message.whole = false;
+            }
+            message.body.extend(&chunk[..size]);
+            if size == 0 {
+                break;
+            }
+        }
+    } else if let Some(length) = message.header("content-length").and_then(|l| l.parse::<u64>().ok()) {
+        let _ = stream.take(length).read_to_end(&mut message.body);
+        message.whole = message.body.len() as u64 == length;
+    }
+    Some(message)
+}
+
+/// The bytes of an answer with a length.
+pub fn response(status: &str, headers: &str, body: &[u8]) -> Vec<u8> {
+    let mut out =
+        format!("HTTP/1.1 {status}\r\n{headers}Content-Length: {}\r\n\r\n", body.len()).into_bytes();
+    out.extend(body);
+    out
+}
--- /dev/null
+++ b/crates/standin/src/program.rs
@@ -0,0 +1,212 @@
+//! The program itself, run between stand-ins.
+
+use crate::clients::{get, post};
+use crate::discovery::Discovery;
+use crate::message::{read, Message};
+use crate::servers::Servers;
+use crate::{until, PATIENCE};
+use std::collections::BTreeMap;
+use std::io::{BufRead, BufReader, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::path::PathBuf;
+use std::process::{Child, Command, ExitStatus, Stdio};
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex};
+use std::thread;
+
+/// What a platform configuration says.
+pub struct Options {
+    /// Its memory limit.
+    pub memory_mb: u64,
+    /// Its limit on descriptors.
+    pub sockets: u64,
+    /// The list of servers that it had, as JSON.
+    pub known: String,
+    /// How long a kept connection lives.
+    pub idle_ms: u64,
+}
+
+impl Default for Options {
+    fn default() -> Self {
+        Options { memory_mb: 192, sockets: 1024, known: String::from("null"), idle_ms: 10_000 }
+    }
+}
+
+/// A platform configuration with a class `safe` and a class `once`.
+pub fn config(discovery: SocketAddr, o: &Options) -> String {
+    let class = |name: &str, effect: &str| {
+        format!(
+            r#"{{"name":"{name}","aimNs":1000000000,"giveUpNs":3000000000,"worth":5.0,"effect":"{effect}","group":"all","windowNs":1000000000}}"#
+        )
+    };
+    format!(
+        r#"{{"name":"n0","listen":"127.0.0.1:0","discovery":"{discovery}","seed":"8c1f30d27a5be964",
+        "limits":{{"cores":1.0,"memory_mb":{},"sockets":{}}},"known":{},
+        "settings":{{"groupSize":1,"ordinal":0,"registryMode":"automatic","zone":0,"zones":["a"],"skus":["std"],
+        "classes":[{},{}],
+        "caps":{{"cancelling":true,"connIdleNs":{},"connectTimeoutNs":120000000,"maxAttempts":3,
+        "maxRetryAfterNs":2000000000,"mayProbe":false,"peers":false,"retryAfter":true,"secondCopies":false}},
+        "guarantees":{{"coldFrom":0.14,"fallNs":2000000000,"rampTimeNs":23000000000,"tipMultiple":3.0}}}}}}"#,
+        o.memory_mb,
+        o.sockets,
+        o.known,
+        class("safe", "pure"),
+        class("once", "side_effect"),
+        o.idle_ms * 1_000_000,
+    )
+}
+
+/// A file of its own for each program.
+fn path(kind: &str) -> PathBuf {
+    static NEXT: AtomicUsize = AtomicUsize::new(0);
+    let name = format!("corkhollow-{}-{}.{kind}", std::process::id(), NEXT.fetch_add(1, Ordering::SeqCst));
+    std::env::temp_dir().join(name)
+}
+
+/// The program under test: beside the test that runs, in the folder that cargo builds into.
+fn program() -> PathBuf {
+    let mut path = std::env::current_exe().expect("the test knows where it is");
+    path.pop();
+    if path.ends_with("deps") {
+        path.pop();
+    }
+    path.join("corkhollow")
+}
+
+/// A node of its own, from the built program.
+pub struct Node {
+    child: Child,
+    config: PathBuf,
+    /// Where each listener of an operator's file listens, by its name.
+    pub listeners: BTreeMap<String, SocketAddr>,
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// What it has logged.
+    pub log: Arc<Mutex<Vec<String>>>,
+}
+
+impl Node {
+    /// Runs the program on this platform configuration; where its file is.
+    pub fn spawn(config: &str) -> (Child, PathBuf) {
+        let path = path("json");
+        std::fs::write(&path, config).unwrap();
+        let mut command = Command::new(program());
+        command.arg("run");
+        (command.env("GW_CONFIG", &path).stderr(Stdio::piped()).spawn().expect("the node starts"), path)
+    }
+
+    /// Starts it and waits until it listens.
+    pub fn start(discovery: SocketAddr, options: &Options) -> Self {
+        let (mut child, config) = Self::spawn(&config(discovery, options));
+        let mut lines = BufReader::new(child.stderr.take().unwrap()).lines();
+        let address = loop {
+            let line = lines.next().expect("the node says where it listens").unwrap();
+            if let Some((_, address)) = line.split_once("listening on ") {
+                break address.parse().unwrap();
+            }
+        };
+        let log = Arc::new(Mutex::new(Vec::new()));
+        let lines_of = log.clone();
+        thread::spawn(move || lines.map_while(Result::ok).for_each(|l| lines_of.lock().unwrap().push(l)));
+        Node { child, config, listeners: BTreeMap::new(), address, log }
+    }
+
+    /// The program on an operator's file, listening on as many listeners as the file has.
+    pub fn site(text: &str) -> Self {
+        let config = path("toml");
+        std::fs::write(&config, text).unwrap();
+        let mut command = Command::new(program());
+        command.arg("run").arg("--config").arg(&config).stderr(Stdio::piped());
+        let mut child = command.spawn().expect("the program starts");
+        let mut lines = BufReader::new(child.stderr.take().unwrap()).lines();
+        let mut listeners = BTreeMap::new();
+        let mut said = Vec::new();
+        while listeners.len() < text.matches("[[listener]]").count() {
+            let Some(Ok(line)) = lines.next() else { panic!("it does not listen: {said:?}") };
+            if let Some((name, address)) = line.split_once(" listening on ") {
+                let name = name.rsplit(' ').next().unwrap_or_default().to_owned();
+                listeners.insert(name, address.parse().unwrap());
+            }
+            said.push(line);
+        }
+        let log = Arc::new(Mutex::new(said));
+        let lines_of = log.clone();
+        thread::spawn(move || lines.map_while(Result::ok).for_each(|l| lines_of.lock().unwrap().push(l)));
+        let address = *listeners.values().next().unwrap();
+        Node { child, config, listeners, address, log }
+    }
+
+    /// Resident memory, in bytes.
+    pub fn memory(&self) -> u64 {
+        let status = std::fs::read_to_string(format!("/proc/{}/status", self.child.id())).unwrap();
+        let line = status.lines().find_map(|l| l.strip_prefix("VmRSS:")).unwrap();
+        line.trim().trim_end_matches(" kB").parse::<u64>().unwrap() * 1024
+    }
+
+    /// A node that has taken in these servers.
+    pub fn with(servers: &Servers) -> (Self, Discovery) {
+        let discovery = Discovery::new(vec![servers.list(1)], true);
+        let node = Self::start(discovery.address, &Options::default());
+        node.ready();
+        (node, discovery)
+    }
+
+    /// Waits until it takes clients.
+    pub fn ready(&self) {
+        until("the node is ready", || self.get("/up", "").is_some_and(|m| m.status() == 200));
+    }
+
+    /// A new connection to it.
+    pub fn connect(&self) -> TcpStream {
+        let stream = TcpStream::connect(self.address).unwrap();
+        stream.set_read_timeout(Some(PATIENCE)).unwrap();
+        stream
+    }
+
+    /// Sends raw bytes on a new connection and reads the answer.
+    pub fn raw(&self, bytes: &[u8]) -> Option<Message> {
+        let mut stream = self.connect();
+        let _ = stream.write_all(bytes);
+        read(&mut stream)
+    }
+
+    /// A request without a body, on a new connection.
+    pub fn get(&self, path: &str, headers: &str) -> Option<Message> {
+        self.raw(&get(path, headers))
+    }
+
+    /// A request with a body, on a new connection.
+    pub fn post(&self, path: &str, body: &[u8]) -> Option<Message> {
+        self.raw(&post(path, body))
+    }
+
+    /// Replaces the file of its configuration and tells it so.
+    pub fn reload(&self, config: &str) {
+        std::fs::write(&self.config, config).unwrap();
+        self.signal("-HUP");
+    }
+
+    /// Waits until its log has this many lines that hold these words.
+    pub fn says(&self, words: &str, count: usize) {
+        until(words, || self.log.lock().unwrap().iter().filter(|l| l.contains(words)).count() >= count);
+    }
+
+    /// Sends it a signal.
+    pub fn signal(&self, name: &str) {
+        let pid = self.child.id().to_string();
+        assert!(Command::new("kill").args([name, &pid]).status().unwrap().success());
+    }
+
+    /// Waits for its end.
+    pub fn exit(&mut self) -> ExitStatus {
+        self.child.wait().unwrap()
+    }
+}
+
+impl Drop for Node {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+        let _ = std::fs::remove_file(&self.config);
+    }
+}
--- /dev/null
+++ b/crates/standin/src/servers.rs
@@ -0,0 +1,136 @@
+//! Servers that follow a script.
+
+use crate::discovery::{host, list};
+use crate::message::{read, response, Message};
+use std::io::{Read, Write};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex};
+use std::thread;
+use std::time::{Duration, Instant};
+
+/// What a server does with the request that it has just read.
+pub enum Reply {
+    /// Writes this and goes on.
+    Say(Vec<u8>),
+    /// Writes this and ends its side.
+    Last(Vec<u8>),
+    /// Resets the connection.
+    Reset,
+    /// Says nothing and keeps the connection.
+    Silence,
+    /// Does as it likes with the connection, and ends it.
+    Do(Box<dyn FnOnce(&mut TcpStream) + Send>),
+}
+
+/// A good answer.
+pub fn ok(body: &str) -> Reply {
+    Reply::Say(response("200 OK", "", body.as_bytes()))
+}
+
+/// Some servers that share one script: it gets the number of the request, counted over all of them, and the
+/// request. Requests that never come whole do not count.
+pub struct Servers {
+    /// Where they listen.
+    pub dials: Vec<SocketAddr>,
+    /// All whole requests, in the order in which they came.
+    pub requests: Arc<Mutex<Vec<Message>>>,
+    /// Connections accepted.
+    pub connections: Arc<AtomicUsize>,
+    /// Connections ended by `Reply::Last` that the node has closed too.
+    pub closed: Arc<AtomicUsize>,
+}
+
+impl Servers {
+    /// As many servers, all with this script.
+    pub fn new(count: usize, script: impl Fn(usize, &Message) -> Reply + Send + Sync + 'static) -> Self {
+        let script = Arc::new(script);
+        let mut servers = Servers {
+            dials: Vec::new(),
+            requests: Arc::default(),
+            connections: Arc::default(),
+            closed: Arc::default(),
+        };
+        for _ in 0..count {
+            let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+            servers.dials.push(listener.local_addr().unwrap());
+            let (script, requests) = (script.clone(), servers.requests.clone());
+            let (connections, closed) = (servers.connections.clone(), servers.closed.clone());
+            thread::spawn(move || {
+                for mut stream in listener.incoming().flatten() {
+                    connections.fetch_add(1, Ordering::SeqCst);
+                    let (script, requests, closed) = (script.clone(), requests.clone(), closed.clone());
+                    thread::spawn(move || {
+                        let mut said: Option<Instant> = None;
+                        while let Some(mut message) = read(&mut stream).filter(|m| m.whole) {
+                            message.rested = said.map_or(Duration::ZERO, |at| at.elapsed());
+                            let number = {
+                                let mut all = requests.lock().unwrap();
+                                all.push(message.clone());
+                                all.len() - 1
+                            };
+                            match script(number, &message) {
+                                Reply::Say(bytes) => {
+                                    let _ = stream.write_all(&bytes);
+                                    said = Some(Instant::now());
+                                }
+                                Reply::Last(bytes) => {
+                                    let _ = stream.write_all(&bytes);
+                                    let _ = stream.shutdown(Shutdown::Write);
+                                    let _ = stream.read(&mut [0]);
+                                    closed.fetch_add(1, Ordering::SeqCst);
+                                    return;
+                                }
+                                Reply::Reset => return reset(stream),
+                                Reply::Silence => {}
+                                Reply::Do(script) => return script(&mut stream),
+                            }
+                        }
+                    });
+                }
+            });
+        }
+        servers
+    }
+
+    /// Whole requests so far.
+    pub fn seen(&self) -> usize {
+        self.requests.lock().unwrap().len()
+    }
+
+    /// Connections so far.
+    pub fn connected(&self) -> usize {
+        self.connections.load(Ordering::SeqCst)
+    }
+
+    /// All of them as a whole list.
+    pub fn list(&self, seq: u64) -> String {
+        let all: Vec<_> =
+            self.dials.iter().enumerate().map(|(k, d)| host(&format!("s-{k}"), *d, "active")).collect();
+        list(seq, true, &all)
+    }
+}
+
+/// Closes a connection so that the other side sees a reset.
+pub fn reset(stream: TcpStream) {
+    let _ = socket2::SockRef::from(&stream).set_linger(Some(Duration::ZERO));
+}
+
+/// The address of a server that refuses connections.
+pub fn nobody() -> SocketAddr {
+    TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap()
+}
+
+/// A server that runs a script on each connection, from its first byte on.
+pub fn raw(script: impl Fn(TcpStream) + Send + Sync + 'static) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    let script = Arc::new(script);
+    thread::spawn(move || {
+        for stream in listener.incoming().flatten() {
+            let script = script.clone();
+            thread::spawn(move || script(stream));
+        }
+    });
+    address
+}
