Add the demo: a stand-in fleet, the program before it, a mild load, a live table

Need: a newcomer's first minute wants neither a file nor servers of his own.

`drain = true` in a pool's list has a server finish what it has.

--- a/crates/corkhollow/src/cli.rs
+++ b/crates/corkhollow/src/cli.rs
@@ -32,6 +32,8 @@
     Check(CheckArgs),
     /// Tells where a request would go, and why
     Explain(ExplainArgs),
+    /// Runs a small stand-in fleet with the program before it, and shows what happens; needs no file and no network
+    Demo(DemoArgs),
     /// Prints all keys of the operator's file, as Markdown
     Reference,
 }
@@ -65,3 +67,16 @@
     #[arg(long, value_name = "NAME")]
     pub listener: Option<String>,
 }
+
+#[derive(Debug, Args)]
+pub struct DemoArgs {
+    /// The port on 127.0.0.1; 0 takes a free one
+    #[arg(long, default_value_t = 0)]
+    pub port: u16,
+    /// Ends after so many seconds; without it, with Ctrl-C
+    #[arg(long)]
+    pub seconds: Option<u64>,
+    /// Settles what the clients ask, and when
+    #[arg(long, default_value_t = 1)]
+    pub seed: u64,
+}
--- a/crates/corkhollow/src/commands/mod.rs
+++ b/crates/corkhollow/src/commands/mod.rs
@@ -1,6 +1,7 @@
 //! One file per command.
 
 pub mod check;
+pub mod demo;
 pub mod explain;
 pub mod run;
 
--- a/crates/corkhollow/src/main.rs
+++ b/crates/corkhollow/src/main.rs
@@ -12,6 +12,7 @@
         cli::Command::Run(args) => commands::run::run(args),
         cli::Command::Check(args) => commands::check::check(&args),
         cli::Command::Explain(args) => commands::explain::explain(&args),
+        cli::Command::Demo(args) => commands::demo::demo(&args),
         cli::Command::Reference => commands::reference(),
     };
     match done {
--- a/crates/plan/src/file/compile.rs
+++ b/crates/plan/src/file/compile.rs
@@ -316,6 +316,7 @@
             address: server.address,
             weight: server.weight,
             zone: own.unwrap_or(zone),
+            drain: server.drain,
             backup: server.backup,
         });
     }
--- a/crates/plan/src/file/model.rs
+++ b/crates/plan/src/file/model.rs
@@ -250,6 +250,8 @@
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub kind: Option<String>,
     #[serde(default)]
+    pub drain: bool,
+    #[serde(default)]
     pub backup: bool,
 }
 
--- a/crates/plan/src/file/schema.rs
+++ b/crates/plan/src/file/schema.rs
@@ -224,6 +224,7 @@
     weight: Number(0.001, 1e6), Value("1.0"), "Its size beside the others'.";
     zone: Text(&NAME), Means("the program's own"), "The zone it stands in.";
     kind: Text(&NAME), Means("none"), "Its kind of machine.";
+    drain: Flag, Value("false"), "Finishes what it has and takes nothing new.";
     backup: Flag, Value("false"), "Takes requests only while no other server of the pool can.";
 }
 
--- a/crates/plan/src/pools.rs
+++ b/crates/plan/src/pools.rs
@@ -24,6 +24,10 @@
 
 struct Member {
     listed: Listed,
+    /// Checks have taken it out.
+    out: bool,
+    /// The list has it drain.
+    drains: bool,
     /// Checks in a row that speak against its present phase.
     against: u32,
 }
@@ -52,19 +56,20 @@
         for server in servers {
             let old = before.remove(&server.name).filter(|m| m.listed.address == server.address);
             let zone = if server.backup { self.backup_zone.saturating_add(server.zone) } else { server.zone };
+            let out = old.as_ref().is_some_and(|m| m.out);
             let listed = Listed {
                 name: server.name.clone(),
                 address: server.address,
                 zone,
                 weight: server.weight,
-                phase: old.as_ref().map_or(Phase::Ready, |m| m.listed.phase),
+                phase: if out || server.drain { Phase::Draining } else { Phase::Ready },
                 started_at: old
                     .as_ref()
                     .map_or(if self.met && self.cold { now } else { 0 }, |m| m.listed.started_at),
             };
             told.push(listed.clone());
             let against = old.map_or(0, |m| m.against);
-            self.members.insert(server.name.clone(), Member { listed, against });
+            self.members.insert(server.name.clone(), Member { listed, out, drains: server.drain, against });
         }
         self.met = true;
         told
@@ -79,18 +84,18 @@
     pub fn checked(&mut self, now: Nanos, name: &str, passed: bool) -> Option<Listed> {
         let check = self.check.as_ref()?;
         let member = self.members.get_mut(name)?;
-        let ready = member.listed.phase == Phase::Ready;
-        if passed == ready {
+        if passed != member.out {
             member.against = 0;
             return None;
         }
         member.against += 1;
-        if member.against < if ready { check.fall } else { check.rise } {
+        if member.against < if member.out { check.rise } else { check.fall } {
             return None;
         }
         member.against = 0;
-        member.listed.phase = if ready { Phase::Draining } else { Phase::Ready };
-        if !ready {
+        member.out = !member.out;
+        member.listed.phase = if member.out || member.drains { Phase::Draining } else { Phase::Ready };
+        if !member.out {
             // Whatever took it down, it may have started anew: it gets no more than a cold server's share.
             member.listed.started_at = if self.cold { now } else { 0 };
         }
@@ -104,7 +109,7 @@
 
     fn server(name: &str, port: u16, backup: bool) -> Server {
         let address = SocketAddr::from(([127, 0, 0, 1], port));
-        Server { name: name.into(), address, weight: 1.0, zone: 1, backup }
+        Server { name: name.into(), address, weight: 1.0, zone: 1, drain: false, backup }
     }
 
     fn check(rise: u32, fall: u32) -> Option<Check> {
@@ -143,5 +148,13 @@
         roster.replace(0, &[server("a", 1, false)]);
         assert!(roster.checked(5, "a", false).is_some());
         assert_eq!(roster.replace(9, &[server("a", 1, false)])[0].phase, Phase::Draining);
+        let drains = Server { drain: true, ..server("a", 1, false) };
+        assert_eq!(roster.replace(10, &[drains])[0].phase, Phase::Draining);
+        assert_eq!(
+            roster.checked(11, "a", true).map(|l| l.phase),
+            Some(Phase::Draining),
+            "its list has it drain"
+        );
+        assert_eq!(roster.replace(12, &[server("a", 1, false)])[0].phase, Phase::Ready);
     }
 }
--- a/crates/plan/tests/file.rs
+++ b/crates/plan/tests/file.rs
@@ -349,7 +349,7 @@
     ) -> model::Server {
         let ip = if v6 { "[::1]" } else { "127.0.0.1" };
         let address = format!("{ip}:{port}").parse().unwrap();
-        model::Server { address, name, weight, zone, kind: None, backup }
+        model::Server { address, name, weight, zone, kind: None, drain: false, backup }
     }
 }
 
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -2,12 +2,14 @@
 
 mod clients;
 mod discovery;
+mod fleet;
 mod message;
 mod program;
 mod servers;
 
 pub use clients::{get, half_close, post};
 pub use discovery::{host, list, Discovery};
+pub use fleet::{Draw, Load, Machine, Tally};
 pub use message::{read, response, Message};
 pub use program::{config, Node, Options};
 pub use servers::{nobody, ok, raw, reset, Reply, Servers};
