Count the requests that a server works on at once, and measure the program beside a bare relay

Change: Settings::slots, the requests that a server of size 1 works on at once, divides the expected answer time in admission, in the look at other zones and in second copies; JSQ goes by what is in hand as before.

--- a/crates/balance/src/balancer/admission.rs
+++ b/crates/balance/src/balancer/admission.rs
@@ -36,7 +36,7 @@
         let class = usize::from(request.class);
         if class < self.settings.classes.len() {
             if let Some((i, queue)) = self.choose(now, &pending) {
-                let wait = queue * self.typical[class] - self.limit(now, &request);
+                let wait = self.expected(class, queue) - self.limit(now, &request);
                 if wait <= 0.0 {
                     if let Some(rate) = self.tenants.get_mut(request.tenant as usize) {
                         rate.count(now, self.memory);
--- a/crates/balance/src/balancer/attempts.rs
+++ b/crates/balance/src/balancer/attempts.rs
@@ -110,11 +110,10 @@
     pub(super) fn hedge(&mut self, now: Nanos, id: RequestId, sink: &mut Vec<Action>) {
         let Some(p) = self.pending.remove(&id) else { return };
         let fits = !p.answered && p.open() == 1 && p.attempts.len() < self.settings.max_attempts as usize;
-        let class = &self.settings.classes[usize::from(p.request.class)];
-        let left = (p.arrived + class.aim).saturating_sub(now) as f64;
-        let mean = self.typical[usize::from(p.request.class)];
+        let class = usize::from(p.request.class);
+        let left = (p.arrived + self.settings.classes[class].aim).saturating_sub(now) as f64;
         let next = if fits && self.budget >= 1.0 && now < p.request.give_up_at {
-            self.choose(now, &p).filter(|&(_, q)| q * mean < left)
+            self.choose(now, &p).filter(|&(_, q)| self.expected(class, q) < left)
         } else {
             None
         };
--- a/crates/balance/src/balancer/choice.rs
+++ b/crates/balance/src/balancer/choice.rs
@@ -102,10 +102,10 @@
 
     pub(super) fn choose(&mut self, now: Nanos, pending: &Pending) -> Option<(usize, f64)> {
         let class = usize::from(pending.request.class);
-        let (mean, aim) = (self.typical[class], self.settings.classes[class].aim as f64);
+        let aim = self.settings.classes[class].aim as f64;
         let home = usize::from(self.settings.zone);
         let local = self.choose_in(now, home, pending);
-        if local.is_some_and(|(_, q)| q * mean < WIDEN_AT * aim) || self.ranks.len() < 2 {
+        if local.is_some_and(|(_, q)| self.expected(class, q) < WIDEN_AT * aim) || self.ranks.len() < 2 {
             return local;
         }
         let skip = self.draw(self.ranks.len());
--- a/crates/balance/src/balancer/queue.rs
+++ b/crates/balance/src/balancer/queue.rs
@@ -51,6 +51,11 @@
         (lag + waiting - self.usual_queue).max(own)
     }
 
+    /// When an answer is expected that has such a queue before it.
+    pub(super) fn expected(&self, class: usize, queue: f64) -> f64 {
+        queue * self.typical[class] / self.settings.slots
+    }
+
     pub(super) fn pressure_now(&self, now: Nanos) -> f64 {
         let faded = (-(now.saturating_sub(self.pressure_at) as f64) / self.relief).exp();
         1.0 + (self.pressure - 1.0) * faded
--- a/crates/balance/src/interface.rs
+++ b/crates/balance/src/interface.rs
@@ -163,6 +163,8 @@
     pub warm_keys: bool,
     /// Points lost for each request that crosses zones, as a share of 1.
     pub cross_price: f64,
+    /// Requests that a server of size 1 works on at once; what it has beyond them waits there. At least 1.
+    pub slots: f64,
     /// Servers of zones from this one on are backups: they are chosen only while no other can be.
     pub backup_zone: u8,
 }
@@ -203,6 +205,7 @@
             sizes_known: true,
             warm_keys: false,
             cross_price: 0.0,
+            slots: 1.0,
             backup_zone: u8::MAX,
         }
     }
@@ -242,6 +245,9 @@
         if !(self.tip_multiple.is_finite() && self.tip_multiple > 0.0) {
             return Err(SettingsError::OutOfRange("tip_multiple"));
         }
+        if !(self.slots.is_finite() && self.slots >= 1.0) {
+            return Err(SettingsError::OutOfRange("slots"));
+        }
         if self.tenant_quota.iter().any(|q| !(q.is_finite() && *q >= 0.0)) {
             return Err(SettingsError::OutOfRange("tenant_quota"));
         }
--- a/crates/balance/src/settings.rs
+++ b/crates/balance/src/settings.rs
@@ -148,6 +148,7 @@
         sizes_known: pairs.or("weightSource", String::from("none"))? != "none",
         warm_keys: pairs.or("familyInfo.warmKeys", false)?,
         cross_price: pairs.or("prices.crossZone", 0.0)?,
+        slots: 1.0,
         backup_zone: u8::MAX,
     };
     settings.validate().map_err(|e| e.to_string())?;
--- /dev/null
+++ b/crates/bench/src/bin/bare-relay.rs
@@ -0,0 +1,74 @@
+//! The floor of any proxy on hyper: one thread, kept connections to one server, and nothing else. No routes, no
+//! choice, no deadlines, no attempts.
+
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+use hyper::client::conn::http1::SendRequest;
+use hyper::service::service_fn;
+use hyper::{Request, Response};
+use hyper_util::rt::TokioIo;
+use std::cell::RefCell;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use tokio::net::{TcpListener, TcpStream};
+
+type Kept = Rc<RefCell<Vec<SendRequest<Incoming>>>>;
+
+async fn relay(
+    to: SocketAddr,
+    kept: Kept,
+    request: Request<Incoming>,
+) -> Result<Response<http_body_util::combinators::BoxBody<bytes::Bytes, hyper::Error>>, hyper::Error> {
+    let mut sender = loop {
+        let Some(sender) = kept.borrow_mut().pop() else { break connect(to).await? };
+        if sender.is_ready() {
+            break sender;
+        }
+    };
+    let (mut head, body) = request.into_parts();
+    head.headers.remove(hyper::header::CONNECTION);
+    let answer = sender.send_request(Request::from_parts(head, body)).await?;
+    let (mut head, body) = answer.into_parts();
+    head.headers.remove(hyper::header::CONNECTION);
+    let whole = body.collect().await?;
+    // The connection is free again once the answer is read.
+    if sender.ready().await.is_ok() {
+        kept.borrow_mut().push(sender);
+    }
+    Ok(Response::from_parts(head, whole.map_err(|never| match never {}).boxed()))
+}
+
+async fn connect(to: SocketAddr) -> Result<SendRequest<Incoming>, hyper::Error> {
+    let stream = loop {
+        match TcpStream::connect(to).await {
+            Ok(stream) => break stream,
+            Err(_) => tokio::task::yield_now().await,
+        }
+    };
+    let _ = stream.set_nodelay(true);
+    let (sender, connection) = hyper::client::conn::http1::handshake(TokioIo::new(stream)).await?;
+    tokio::task::spawn_local(connection);
+    Ok(sender)
+}
+
+fn main() -> std::io::Result<()> {
+    let to: SocketAddr =
+        std::env::args().nth(1).and_then(|a| a.parse().ok()).expect("an address to relay to");
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+    tokio::task::LocalSet::new().block_on(&runtime, async move {
+        let listener = TcpListener::bind("127.0.0.1:0").await?;
+        eprintln!("bare-relay: listening on {}", listener.local_addr()?);
+        let kept = Kept::default();
+        loop {
+            let (stream, _) = listener.accept().await?;
+            let _ = stream.set_nodelay(true);
+            let kept = kept.clone();
+            tokio::task::spawn_local(async move {
+                let service = service_fn(|request| relay(to, kept.clone(), request));
+                let _ = hyper::server::conn::http1::Builder::new()
+                    .serve_connection(TokioIo::new(stream), service)
+                    .await;
+            });
+        }
+    })
+}
--- a/crates/corkhollow/tests/site.rs
+++ b/crates/corkhollow/tests/site.rs
@@ -874,3 +874,24 @@
     }
     assert_eq!(node.raw(&asked("GET /good HTTP/1.1")).unwrap().body, b"fine");
 }
+
+/// Before anything is learnt of how long answers take, a burst is no overload.
+#[test]
+fn a_first_burst_is_served() {
+    let servers = Servers::new(1, |_, _| {
+        std::thread::sleep(Duration::from_millis(20));
+        ok("fine")
+    });
+    let node = plain(&servers.dials);
+    let mut clients: Vec<_> = (0..48).map(|_| node.connect()).collect();
+    clients.iter_mut().for_each(|c| c.write_all(&asked("GET / HTTP/1.1")).unwrap());
+    let status = |c: &mut TcpStream| read(c).map_or(0, |m| m.status());
+    let served = clients.iter_mut().map(status).filter(|s| *s == 200).count();
+    assert_eq!(served, 48);
+    // A pool of machines that do one thing at a time says so, and then late answers are refused at once.
+    let node = Node::site(&site(&servers.dials, "", "concurrency = 1", ""));
+    let mut clients: Vec<_> = (0..48).map(|_| node.connect()).collect();
+    clients.iter_mut().for_each(|c| c.write_all(&asked("GET / HTTP/1.1")).unwrap());
+    let refused = clients.iter_mut().map(status).filter(|s| *s == 503).count();
+    assert!(refused > 0);
+}
--- a/crates/plan/src/file/compile.rs
+++ b/crates/plan/src/file/compile.rs
@@ -65,6 +65,7 @@
         zone,
         max_attempts: pool.max_attempts,
         second_copies: pool.second_copies,
+        slots: f64::from(pool.concurrency),
         max_retry_after: longest.min(LONGEST_ADVICE),
         cold_from: pool.cold_from,
         ramp: pool.cold_ramp.map_or(MEMORY, |r| r.0),
--- a/crates/plan/src/file/model.rs
+++ b/crates/plan/src/file/model.rs
@@ -205,6 +205,8 @@
     pub max_attempts: u32,
     #[serde(default)]
     pub second_copies: bool,
+    #[serde(default = "concurrency")]
+    pub concurrency: u32,
     #[serde(default = "connect_timeout")]
     pub connect_timeout: Duration,
     #[serde(default = "window")]
@@ -225,6 +227,10 @@
     3
 }
 
+fn concurrency() -> u32 {
+    64
+}
+
 fn connect_timeout() -> Duration {
     Duration::ms(500)
 }
--- a/crates/plan/src/file/schema.rs
+++ b/crates/plan/src/file/schema.rs
@@ -203,6 +203,9 @@
     discovery: Text(&ADDRESS), Means("see `servers` and `watch`"), "Where the platform's discovery answers.";
     max_attempts: Whole(1, 16), Value("3"), "Most attempts for one request.";
     second_copies: Flag, Value("false"), "Lets a safe request that is slow go to a second server too.";
+    concurrency: Whole(1, 100_000), Value("64"),
+        "Requests that a server of weight 1 works on at once. Beyond it they wait there, and a request whose turn \
+         would come too late for its aim is refused instead.";
     connect_timeout: Text(&DURATION), Value("\"500ms\""), "A connection that is not up after this has failed.";
     idle_timeout: Text(&DURATION), Value("\"10s\""),
         "Servers may close connections that have stood idle for this long; the program closes them before.";
