Read and write clients' and servers' sockets without wasted calls and copies

A profile and a count of system calls showed three failed reads a request: the sockets' own read did not tell the runtime that a short read had emptied the kernel's buffer. Two of the three are gone, the third is the look at a kept connection, which proves that nothing has come on it.

Beside it: the blank line that ends a head is searched once; a target and a Host that nothing changes are passed on as they are; Via and the client's address are made once; the engine's list of actions and a link's large half stay where they are.

--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -84,6 +84,8 @@
     /// Bounded by the rate of requests times the longest give-up time: an entry stays until it is due.
     timers: BinaryHeap<Reverse<(Nanos, Wake)>>,
     armed: Nanos,
+    /// Empty between events: its memory serves the next one.
+    actions: Vec<Action>,
     next_id: RequestId,
 }
 
@@ -111,6 +113,7 @@
             ids: HashSet::new(),
             timers: BinaryHeap::new(),
             armed: Nanos::MAX,
+            actions: Vec::new(),
             next_id: 0,
         };
         Ok(Rc::new(Engine {
@@ -310,11 +313,12 @@
     }
 
     fn handle(self: &Rc<Self>, state: &mut State, event: Event) {
-        let mut actions = Vec::new();
+        let mut actions = std::mem::take(&mut state.actions);
         state.balancer.handle(self.clock.now(), event, &mut actions);
-        for action in actions {
+        for action in actions.drain(..) {
             self.carry_out(state, action);
         }
+        state.actions = actions;
     }
 
     fn carry_out(self: &Rc<Self>, state: &mut State, action: Action) {
--- a/crates/plan/src/file/compile.rs
+++ b/crates/plan/src/file/compile.rs
@@ -116,7 +116,7 @@
         name: l.name.clone(),
         address: l.address,
         dialect: Dialect::Http,
-        via: l.via.clone(),
+        via: l.via.as_ref().and_then(|name| HeaderValue::try_from(format!("1.1 {name}")).ok()),
         x_forwarded: matches!(l.forwarded, model::Forwarded::XForwarded | model::Forwarded::Both),
         forwarded: matches!(l.forwarded, model::Forwarded::Forwarded | model::Forwarded::Both),
         trust_forwarded: l.trust_forwarded,
--- a/crates/plan/src/plan.rs
+++ b/crates/plan/src/plan.rs
@@ -71,8 +71,8 @@
     pub address: SocketAddr,
     /// How its clients speak.
     pub dialect: Dialect,
-    /// What it calls itself in `Via`.
-    pub via: Option<String>,
+    /// What it says of itself in `Via`.
+    pub via: Option<HeaderValue>,
     /// Tells servers of the client by `X-Forwarded-For`, `-Host`, `-Proto`.
     pub x_forwarded: bool,
     /// Tells servers of the client by `Forwarded`.
--- a/crates/proxy/src/headers.rs
+++ b/crates/proxy/src/headers.rs
@@ -10,7 +10,9 @@
 pub const NOT_PROCESSED: HeaderName = HeaderName::from_static("x-not-processed");
 
 /// Headers of the connection, whatever `Connection` names beside them.
-const HOP: [HeaderName; 5] = [
+const HOP: [HeaderName; 7] = [
+    HeaderName::from_static("keep-alive"),
+    HeaderName::from_static("proxy-connection"),
     header::PROXY_AUTHENTICATE,
     header::PROXY_AUTHORIZATION,
     header::TE,
@@ -22,19 +24,19 @@
 
 /// Takes out what belongs to one connection and not to the message (RFC 9110, 7.6.1), all but `Trailer`.
 pub fn strip(headers: &mut HeaderMap) {
-    let named: Vec<_> = headers.get_all(header::CONNECTION).into_iter().cloned().collect();
-    for value in &named {
-        for name in value.to_str().unwrap_or_default().split(',') {
-            let name = HeaderName::try_from(name.trim()).ok().filter(|n| !KEPT.contains(n));
-            name.map(|name| headers.remove(name));
+    if headers.contains_key(header::CONNECTION) {
+        let named: Vec<_> = headers.get_all(header::CONNECTION).into_iter().cloned().collect();
+        for value in &named {
+            for name in value.to_str().unwrap_or_default().split(',') {
+                let name = HeaderName::try_from(name.trim()).ok().filter(|n| !KEPT.contains(n));
+                name.map(|name| headers.remove(name));
+            }
         }
+        headers.remove(header::CONNECTION);
     }
-    headers.remove(header::CONNECTION);
-    for name in HOP {
+    for name in &HOP {
         headers.remove(name);
     }
-    headers.remove("keep-alive");
-    headers.remove("proxy-connection");
 }
 
 #[cfg(test)]
--- a/crates/proxy/src/http1/clients.rs
+++ b/crates/proxy/src/http1/clients.rs
@@ -47,6 +47,8 @@
     pub(super) socket: Rc<Socket>,
     /// The other end.
     pub(super) peer: SocketAddr,
+    /// Its address without the port, as a header says it.
+    pub(super) address: HeaderValue,
     /// The name of the listener that it came to.
     pub(super) listener: Rc<str>,
     pub(super) stage: Cell<Stage>,
@@ -167,6 +169,8 @@
         let client = Rc::new(Client {
             socket: Socket::new(stream),
             peer,
+            address: HeaderValue::try_from(peer.ip().to_string())
+                .unwrap_or(HeaderValue::from_static("unknown")),
             listener: name.clone(),
             stage: Cell::new(Stage::Idle),
             idle_since: Cell::new(self.service.clock.now()),
--- a/crates/proxy/src/http1/general.rs
+++ b/crates/proxy/src/http1/general.rs
@@ -14,6 +14,7 @@
 use hyper::body::Incoming;
 use hyper::header::{self, HeaderMap, HeaderName, HeaderValue};
 use hyper::http::request::Parts;
+use hyper::http::uri::PathAndQuery;
 use hyper::{Method, Request, Response, StatusCode, Uri, Version};
 use std::borrow::Cow;
 use std::net::IpAddr;
@@ -111,7 +112,8 @@
     let listener = &site.plan.listeners[at];
     sound(&head, client)?;
     let authority = authority(&head)?;
-    let host = Host::parse(&authority).map_err(|e| Problem::unreadable(e.to_string()))?;
+    let host = Host::parse(authority.to_str().unwrap_or_default())
+        .map_err(|e| Problem::unreadable(e.to_string()))?;
     let path = match head.uri.path() {
         "*" if head.method == Method::OPTIONS => Cow::Borrowed("*"),
         raw => normalise(raw, listener.paths).map_err(|e| Problem::unreadable(e.to_string()))?,
@@ -143,15 +145,12 @@
         }
         Outcome::Forward { pool, rewrite } => {
             let class = site.plan.class_of(route.class, &head.method);
-            let sent = rewrite
-                .target(&path, head.uri.query())
-                .map_err(|e| Problem::new(StatusCode::INTERNAL_SERVER_ERROR, "rewrite", e.to_string()))?;
+            let sent = sent(rewrite, &path, &head.uri)?;
             let tenant = site.plan.tenant(head.headers.get(&site.plan.tenants.header));
             let mut headers = head.headers;
             let expects = expects(&headers)?;
             told(&mut headers, listener, client, &authority, service);
-            let host = rewrite.host.clone().or_else(|| HeaderValue::try_from(&*authority).ok());
-            headers.extend(host.map(|host| (header::HOST, host)));
+            headers.insert(header::HOST, rewrite.host.clone().unwrap_or(authority));
             rewrite.request.apply(&mut headers);
             let limits = &site.plan.limits;
             let rules = upload::Rules {
@@ -209,18 +208,30 @@
     Ok(())
 }
 
+/// What a server is asked for: as it came where nothing changes it.
+fn sent(rewrite: &Rewrite, path: &str, uri: &Uri) -> Result<PathAndQuery, Problem> {
+    if let (None, Some(as_it_came)) = (&rewrite.path, uri.path_and_query()) {
+        // An absolute target may go without a path.
+        if as_it_came.path() == path && as_it_came.as_str().starts_with(['/', '*']) {
+            return Ok(as_it_came.clone());
+        }
+    }
+    let target = rewrite.target(path, uri.query());
+    target.map_err(|e| Problem::new(StatusCode::INTERNAL_SERVER_ERROR, "rewrite", e.to_string()))
+}
+
 /// The host and port that the request names: those of an absolute target, else those of `Host` (RFC 9112, 3.2).
-fn authority(head: &Parts) -> Result<String, Problem> {
+fn authority(head: &Parts) -> Result<HeaderValue, Problem> {
     let mut hosts = head.headers.get_all(header::HOST).into_iter();
     let (host, second) = (hosts.next(), hosts.next());
     if second.is_some() || (host.is_none() && head.version >= Version::HTTP_11) {
         return Err(Problem::unreadable("one Host is needed"));
     }
-    if let Some(authority) = head.uri.authority() {
-        return Ok(authority.as_str().to_owned());
-    }
-    let host = host.map(|h| h.to_str().map(str::to_owned)).transpose();
-    host.map(Option::unwrap_or_default).map_err(|_| Problem::unreadable("Host is no text"))
+    let named = match head.uri.authority() {
+        Some(authority) => HeaderValue::try_from(authority.as_str()).ok(),
+        None => Some(host.cloned().unwrap_or(HeaderValue::from_static(""))),
+    };
+    named.filter(|h| h.to_str().is_ok()).ok_or_else(|| Problem::unreadable("Host is no text"))
 }
 
 fn expects(headers: &HeaderMap) -> Result<bool, Problem> {
@@ -248,37 +259,35 @@
 }
 
 /// Puts the headers into the form in which a server gets them: none of the connection, and those that tell of it.
-fn told(headers: &mut HeaderMap, listener: &Listener, client: &Client, authority: &str, service: &Service) {
+fn told(
+    headers: &mut HeaderMap,
+    listener: &Listener,
+    client: &Client,
+    authority: &HeaderValue,
+    service: &Service,
+) {
     strip(headers);
-    headers.remove(header::HOST);
-    let address = client.peer.ip();
-    let mut put = |name: HeaderName, value: String, list: bool| {
-        let before = headers.get_all(&name).into_iter().filter_map(|v| v.to_str().ok());
-        let before = before.collect::<Vec<_>>().join(", ");
-        let value = match (listener.trust_forwarded && !before.is_empty(), list) {
-            (true, true) => format!("{before}, {value}"),
-            (true, false) => before,
-            (false, _) => value,
-        };
-        if let Ok(value) = HeaderValue::try_from(value) {
-            headers.insert(name, value);
-        }
-    };
+    let trust = listener.trust_forwarded;
     if listener.x_forwarded {
-        put(X_FORWARDED_FOR, address.to_string(), true);
-        put(X_FORWARDED_HOST, authority.to_owned(), false);
-        put(X_FORWARDED_PROTO, "http".to_owned(), false);
+        put(headers, X_FORWARDED_FOR, client.address.clone(), trust, true);
+        put(headers, X_FORWARDED_HOST, authority.clone(), trust, false);
+        put(headers, X_FORWARDED_PROTO, HeaderValue::from_static("http"), trust, false);
     }
     if listener.forwarded {
-        let node = match address {
+        let node = match client.peer.ip() {
             IpAddr::V4(v4) => v4.to_string(),
             IpAddr::V6(v6) => format!("\"[{v6}]\""),
         };
-        let host = if authority.is_empty() { String::new() } else { format!(";host=\"{authority}\"") };
-        put(header::FORWARDED, format!("for={node}{host};proto=http"), true);
+        let host = match authority.to_str() {
+            Ok(host) if !host.is_empty() => format!(";host=\"{host}\""),
+            _ => String::new(),
+        };
+        if let Ok(value) = HeaderValue::try_from(format!("for={node}{host};proto=http")) {
+            put(headers, header::FORWARDED, value, trust, true);
+        }
     }
-    if let Some(via) = via(listener) {
-        headers.append(header::VIA, via);
+    if let Some(via) = &listener.via {
+        headers.append(header::VIA, via.clone());
     }
     if !headers.contains_key(&listener.request_id) {
         let id = corkhollow_plan::mix(&service.clock.now().to_le_bytes()) ^ service.next_id();
@@ -288,8 +297,21 @@
     }
 }
 
-fn via(listener: &Listener) -> Option<HeaderValue> {
-    HeaderValue::try_from(format!("1.1 {}", listener.via.as_ref()?)).ok()
+/// Says something of the client. What was said before stands only where it is trusted: before this in a list, in its
+/// place otherwise.
+fn put(headers: &mut HeaderMap, name: HeaderName, value: HeaderValue, trust: bool, list: bool) {
+    if trust {
+        let before = headers.get_all(&name).into_iter().filter_map(|v| v.to_str().ok());
+        let before = before.collect::<Vec<_>>().join(", ");
+        if !before.is_empty() {
+            let all = if list { format!("{before}, {}", value.to_str().unwrap_or_default()) } else { before };
+            if let Ok(all) = HeaderValue::try_from(all) {
+                headers.insert(name, all);
+            }
+            return;
+        }
+    }
+    headers.insert(name, value);
 }
 
 /// What the client gets for what became of its request.
@@ -316,7 +338,9 @@
         }
     };
     rewrite.response.apply(&mut headers);
-    headers.extend(via(listener).map(|via| (header::VIA, via)));
+    if let Some(via) = &listener.via {
+        headers.append(header::VIA, via.clone());
+    }
     let mut response = Response::new(body);
     *response.status_mut() = status;
     *response.headers_mut() = headers;
--- a/crates/proxy/src/socket.rs
+++ b/crates/proxy/src/socket.rs
@@ -1,6 +1,7 @@
 //! One TCP connection, shared between hyper and the node: hyper reads and writes it, the node asks what has
 //! gone over it.
 
+use memchr::memmem;
 use std::cell::{Cell, RefCell};
 use std::io;
 use std::mem::MaybeUninit;
@@ -19,7 +20,8 @@
 /// A connection and what the node has to know of it.
 #[derive(Debug)]
 pub struct Socket {
-    stream: TcpStream,
+    /// Lent to hyper for the length of one call.
+    stream: RefCell<TcpStream>,
     /// When the first of what has come since the node last cleared this came.
     pub heard: Cell<Option<Instant>>,
     /// Something has gone either way since the node last cleared this.
@@ -68,7 +70,7 @@
     pub fn new(stream: TcpStream) -> Rc<Self> {
         let _ = stream.set_nodelay(true);
         Rc::new(Socket {
-            stream,
+            stream: RefCell::new(stream),
             heard: Cell::new(None),
             moved: Cell::new(true),
             outgoing: Cell::default(),
@@ -84,11 +86,11 @@
             first.clear();
         }
         if !first.ends_with(HEAD_END) {
-            let room = FIRST - first.len();
+            let (room, seen) = (FIRST - first.len(), first.len().saturating_sub(HEAD_END.len() - 1));
             first.extend_from_slice(&bytes[..bytes.len().min(room)]);
             // Only the head is kept: a body may say what it likes, and memory is short.
-            if let Some(end) = first.windows(HEAD_END.len()).position(|w| w == HEAD_END) {
-                first.truncate(end + HEAD_END.len());
+            if let Some(end) = memmem::find(&first[seen..], HEAD_END) {
+                first.truncate(seen + end + HEAD_END.len());
             }
         }
     }
@@ -102,7 +104,7 @@
     /// Whether a line of the head that came first ends with a bare line feed, which not all take for an end.
     pub fn bare_line_feed(&self) -> bool {
         let first = self.first.borrow();
-        first.iter().enumerate().any(|(k, b)| *b == b'\n' && (k == 0 || first[k - 1] != b'\r'))
+        memchr::memchr_iter(b'\n', &first).any(|k| k == 0 || first[k - 1] != b'\r')
     }
 
     /// A request with a body of this length is about to be written.
@@ -121,7 +123,7 @@
     /// be older than a close that would lose the next request.
     pub fn quiet(&self) -> bool {
         let mut byte = [MaybeUninit::uninit()];
-        let seen = socket2::SockRef::from(&self.stream).peek(&mut byte);
+        let seen = socket2::SockRef::from(&*self.stream.borrow()).peek(&mut byte);
         matches!(seen, Err(e) if e.kind() == io::ErrorKind::WouldBlock)
     }
 }
@@ -131,20 +133,14 @@
 
 impl AsyncRead for SocketIo {
     fn poll_read(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &mut ReadBuf<'_>) -> Poll<io::Result<()>> {
-        loop {
-            ready!(self.0.stream.poll_read_ready(cx))?;
-            let before = buf.filled().len();
-            match self.0.stream.try_read_buf(buf) {
-                Ok(n) => {
-                    if n > 0 {
-                        self.0.hear(&buf.filled()[before..]);
-                    }
-                    return Poll::Ready(Ok(()));
-                }
-                Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
-                Err(e) => return Poll::Ready(Err(e)),
-            }
+        // The stream's own read knows when a short one has emptied the kernel's buffer, and spares the next.
+        let before = buf.filled().len();
+        ready!(Pin::new(&mut *self.0.stream.borrow_mut()).poll_read(cx, buf))?;
+        let came = &buf.filled()[before..];
+        if !came.is_empty() {
+            self.0.hear(came);
         }
+        Poll::Ready(Ok(()))
     }
 }
 
@@ -158,24 +154,16 @@
         cx: &mut Context<'_>,
         slices: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        loop {
-            ready!(self.0.stream.poll_write_ready(cx))?;
-            match self.0.stream.try_write_vectored(slices) {
-                Ok(n) => {
-                    self.0.moved.set(true);
-                    let (mut outgoing, mut left) = (self.0.outgoing.get(), n);
-                    for slice in slices {
-                        let part = left.min(slice.len());
-                        outgoing.note(&slice[..part]);
-                        left -= part;
-                    }
-                    self.0.outgoing.set(outgoing);
-                    return Poll::Ready(Ok(n));
-                }
-                Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
-                Err(e) => return Poll::Ready(Err(e)),
-            }
+        let n = ready!(Pin::new(&mut *self.0.stream.borrow_mut()).poll_write_vectored(cx, slices))?;
+        self.0.moved.set(true);
+        let (mut outgoing, mut left) = (self.0.outgoing.get(), n);
+        for slice in slices {
+            let part = left.min(slice.len());
+            outgoing.note(&slice[..part]);
+            left -= part;
         }
+        self.0.outgoing.set(outgoing);
+        Poll::Ready(Ok(n))
     }
 
     fn is_write_vectored(&self) -> bool {
@@ -187,7 +175,7 @@
     }
 
     fn poll_shutdown(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Poll::Ready(socket2::SockRef::from(&self.0.stream).shutdown(std::net::Shutdown::Write))
+        Poll::Ready(socket2::SockRef::from(&*self.0.stream.borrow()).shutdown(std::net::Shutdown::Write))
     }
 }
 
--- a/crates/proxy/src/upstream/attempt.rs
+++ b/crates/proxy/src/upstream/attempt.rs
@@ -126,13 +126,12 @@
 
 /// The client's request as it goes to a server; none where its body has gone elsewhere.
 fn request(upstreams: &Upstreams, message: &Message, now: Nanos) -> Option<Request<RequestBody>> {
-    let asked = Arc::new(Notify::new());
-    let expects = message.headers.contains_key(header::EXPECT);
+    let asked = message.headers.contains_key(header::EXPECT).then(|| Arc::new(Notify::new()));
     let body = match &message.payload {
         Payload::Whole(pieces) => RequestBody::Whole(PieceBody::new(pieces.clone())),
         Payload::Stream(upload) => {
             let body: ClientBody = upload.take()?;
-            RequestBody::Stream { body, wait: expects.then(|| until_asked(asked.clone())) }
+            RequestBody::Stream { body, wait: asked.clone().map(until_asked) }
         }
     };
     let mut request = Request::new(body);
@@ -143,7 +142,7 @@
         let left = message.give_up_at.saturating_sub(now).div_ceil(1_000_000).max(1);
         request.headers_mut().insert(TIMEOUT, HeaderValue::from(left));
     }
-    if expects {
+    if let Some(asked) = asked {
         hyper::ext::on_informational(&mut request, move |interim| {
             if interim.status() == hyper::StatusCode::CONTINUE {
                 asked.notify_one();
--- a/crates/proxy/src/upstream/fleet.rs
+++ b/crates/proxy/src/upstream/fleet.rs
@@ -164,7 +164,7 @@
             let link = Link {
                 socket: socket.clone(),
                 sender,
-                connection: Some(connection),
+                connection: Some(Box::new(connection)),
                 _slot: slot,
                 _place: place,
             };
--- a/crates/proxy/src/upstream/link.rs
+++ b/crates/proxy/src/upstream/link.rs
@@ -18,7 +18,8 @@
 pub(super) struct Link {
     pub(super) socket: Rc<Socket>,
     pub(super) sender: SendRequest<RequestBody>,
-    pub(super) connection: Option<Connection<TokioIo<SocketIo>, RequestBody>>,
+    /// In a place of its own: it is large, and a link is handed on twice for each attempt.
+    pub(super) connection: Option<Box<Connection<TokioIo<SocketIo>, RequestBody>>>,
     pub(super) _slot: Slot,
     pub(super) _place: Place,
 }
@@ -35,7 +36,7 @@
 impl Link {
     pub(super) fn turn(&mut self, cx: &mut Context<'_>) {
         if let Some(connection) = &mut self.connection {
-            if Pin::new(connection).poll(cx).is_ready() {
+            if Pin::new(&mut **connection).poll(cx).is_ready() {
                 self.connection = None;
             }
         }
@@ -96,5 +97,5 @@
     builder.max_buf_size(upstreams.buffer);
     let handshake = builder.handshake(TokioIo::new(SocketIo(socket.clone()))).await;
     let (sender, connection) = handshake.map_err(|_| NoLink::Failed)?;
-    Ok(Link { socket, sender, connection: Some(connection), _slot: slot, _place: place })
+    Ok(Link { socket, sender, connection: Some(Box::new(connection)), _slot: slot, _place: place })
 }
