--- a/crates/balance/src/balancer/choice.rs
+++ b/crates/balance/src/balancer/choice.rs
@@ -1,5 +1,6 @@
 //! JSQ-DAS: some of the accomplished set and some of the rest are drawn, the shortest queue wins.
 
+use super::order::Order;
 use super::{Balancer, Pending};
 use crate::interface::{Effect, Group, Nanos};
 
@@ -23,7 +24,7 @@
         node.blocked_until <= now
             && (node.strikes == 0 || node.out == 0)
             && (node.cold_next <= now || self.cold_share(now, i) >= 1.0)
-            && (node.place.is_some() || self.cold_share(now, i) >= 1.0)
+            && (self.ranked(i) || self.cold_share(now, i) >= 1.0)
             && !pending.attempts.iter().any(|a| a.node == i)
             && self.inside(now, i, pending)
     }
@@ -43,48 +44,44 @@
     }
 
     pub(super) fn choose_in(&mut self, now: Nanos, zone: usize, pending: &Pending) -> Option<(usize, f64)> {
-        let count = self.ranks.get(zone).map_or(0, Vec::len);
+        let count = self.ranks.get(zone).map_or(0, Order::len);
         if count == 0 {
             return None;
         }
         let mean = self.typical[usize::from(pending.request.class)];
         let top = ((TOP_SHARE * count as f64).ceil() as usize).clamp(1, count.max(2) - 1).min(count);
         let weight = self.weight(&pending.request);
-        let mut drawn = [usize::MAX; DRAWN + 1];
+        let mut drawn = [(usize::MAX, usize::MAX); DRAWN + 1];
         let mut have = 0;
         for (from, to, want) in [(0, top, FROM_TOP), (top, count, DRAWN - FROM_TOP)] {
             let (mut tries, goal) = (0, have + want.min(to - from));
             while have < goal && tries < 4 * want {
                 let place = from + self.draw(to - from);
-                let i = self.ranks[zone][place];
+                let i = self.ranks[zone].get(place);
                 tries += 1;
-                if !drawn[..have].contains(&i) && self.usable(now, i, pending) {
-                    drawn[have] = i;
+                if !drawn[..have].contains(&(i, place)) && self.usable(now, i, pending) {
+                    drawn[have] = (i, place);
                     have += 1;
                 }
             }
         }
         let favourite = self.favourite(now, zone, pending);
-        if let Some(i) = favourite.filter(|i| !drawn[..have].contains(i)) {
-            drawn[have] = i;
+        let place = |i: usize| self.ranks[zone].place(i).unwrap_or(usize::MAX);
+        if let Some(i) = favourite.filter(|i| !drawn[..have].iter().any(|d| d.0 == *i)) {
+            drawn[have] = (i, place(i));
             have += 1;
         }
         if have == 0 {
-            drawn[0] = *self.ready[zone].iter().find(|&&i| self.usable(now, i, pending))?;
+            let i = *self.ready[zone].iter().find(|&&i| self.usable(now, i, pending))?;
+            drawn[0] = (i, place(i));
             have = 1;
         }
-        drawn[..have]
-            .iter()
-            .map(|&i| {
-                let queue =
-                    self.queue(now, i, mean, weight) * if favourite == Some(i) { KEY_BONUS } else { 1.0 };
-                (i, queue)
-            })
-            .min_by(|a, b| {
-                let (qa, qb) = ((a.1 / TIE_STEP).round(), (b.1 / TIE_STEP).round());
-                let place = |i: usize| self.nodes[i].place.unwrap_or(usize::MAX);
-                qa.total_cmp(&qb).then(place(a.0).cmp(&place(b.0)))
-            })
+        let queues = drawn[..have].iter().map(|&(i, place)| {
+            let queue = self.queue(now, i, mean, weight) * if favourite == Some(i) { KEY_BONUS } else { 1.0 };
+            (i, queue, (queue / TIE_STEP).round(), place)
+        });
+        let best = queues.min_by(|a, b| a.2.total_cmp(&b.2).then(a.3.cmp(&b.3)));
+        best.map(|(i, queue, ..)| (i, queue))
     }
 
     pub(super) fn favourite(&self, now: Nanos, zone: usize, pending: &Pending) -> Option<usize> {
@@ -96,7 +93,7 @@
             let mixed = (self.nodes[i].server.id.0 ^ key).wrapping_mul(0x9E37_79B9_7F4A_7C15);
             (mixed ^ (mixed >> 29)).wrapping_mul(0xBF58_476D_1CE4_E5B9) >> 11
         };
-        let best = *self.ranks[zone].iter().max_by_key(|&&i| (hash(i), i))?;
+        let best = self.ranks[zone].iter().max_by_key(|&i| (hash(i), i))?;
         Some(best).filter(|&i| self.usable(now, i, pending))
     }
 
--- a/crates/balance/src/balancer/cold.rs
+++ b/crates/balance/src/balancer/cold.rs
@@ -19,7 +19,7 @@
     /// Time between two sends to a cold server: its ramp share of what this node sends a like warm server.
     pub(super) fn cold_interval(&self, now: Nanos, i: usize) -> f64 {
         let zone = usize::from(self.settings.zone);
-        let size: f64 = self.ranks.get(zone).map_or(0.0, |r| r.iter().map(|&j| self.nodes[j].size).sum());
+        let size: f64 = self.ranks.get(zone).map_or(0.0, |r| r.iter().map(|j| self.nodes[j].size).sum());
         let rate = self.arrivals.read(now, self.settings.ramp as f64) / size.max(self.nodes[i].size);
         // Where little comes, one request in the time of a fall from each node pushes nobody over.
         let most = self.settings.fall as f64 * f64::from(self.settings.group_size);
--- a/crates/balance/src/balancer/health.rs
+++ b/crates/balance/src/balancer/health.rs
@@ -81,7 +81,7 @@
             return;
         }
         let hard = ending == Ending::ConnectFailed;
-        let out = self.ranks[zone].iter().filter(|&&j| self.nodes[j].blocked_until > now).count();
+        let out = self.ranks[zone].iter().filter(|&j| self.nodes[j].blocked_until > now).count();
         if !hard && out as f64 >= EJECT_CAP * self.ranks[zone].len() as f64 {
             return;
         }
--- a/crates/balance/src/balancer/list.rs
+++ b/crates/balance/src/balancer/list.rs
@@ -1,9 +1,11 @@
 //! The list of servers: who comes, changes and leaves, and which of them this node ranks.
 
 use super::choice::DRAWN;
+use super::order::Order;
 use super::{Balancer, Job, Node};
 use crate::interface::{Action, ListKind, Nanos, Phase, Server};
 use std::cmp::Reverse;
+use std::collections::{BTreeSet, VecDeque};
 
 /// About how many nodes each server is ranked by, and the least that a node ranks in a zone.
 const COVER: f64 = 3.0;
@@ -29,16 +31,20 @@
             ListKind::Full | ListKind::Changes => self.list_failures = 0,
         }
         if kind != ListKind::Changes {
+            let listed: BTreeSet<_> = servers.iter().map(|s| s.id).collect();
             for i in 0..self.nodes.len() {
-                if !servers.iter().any(|s| s.id == self.nodes[i].server.id) {
+                if !listed.contains(&self.nodes[i].server.id) {
                     self.leave(now, i, Phase::Gone);
                 }
             }
         }
+        // A fleet that is replaced over and over must not fill memory: a place goes to the next server
+        // once no request can speak of the one that left.
+        let mut free = (0..self.nodes.len()).filter(|&i| self.over(now, i)).collect::<VecDeque<_>>();
         for server in servers {
             match self.by_id.get(&server.id).copied() {
                 Some(i) => self.update(now, i, *server),
-                None if server.phase == Phase::Ready => self.add(now, *server),
+                None if server.phase == Phase::Ready => self.add(now, *server, &mut free),
                 None => {}
             }
         }
@@ -57,28 +63,20 @@
             let i = self.ready[zone][(start as usize + k) % count];
             let inside = filled < part;
             filled += self.cold_share(now, i);
-            match self.nodes[i].place {
-                None if inside => {
-                    self.nodes[i].place = Some(self.ranks[zone].len());
-                    self.ranks[zone].push(i);
-                    self.credit(i, 0.0);
-                }
-                Some(_) if !inside => self.unrank(i),
+            match (self.ranks[zone].holds(i), inside) {
+                (false, true) => self.ranks[zone].insert(i, self.nodes[i].score),
+                (true, false) => self.ranks[zone].remove(i),
                 _ => {}
             }
         }
     }
 
-    pub(super) fn unrank(&mut self, i: usize) {
-        let Some(place) = self.nodes[i].place.take() else { return };
-        let rank = &mut self.ranks[usize::from(self.nodes[i].server.zone)];
-        rank.remove(place);
-        for (k, &j) in rank.iter().enumerate().skip(place) {
-            self.nodes[j].place = Some(k);
-        }
+    fn over(&self, now: Nanos, i: usize) -> bool {
+        let node = &self.nodes[i];
+        node.server.phase == Phase::Gone && node.out == 0 && now >= node.left_at + self.longest
     }
 
-    pub(super) fn add(&mut self, now: Nanos, server: Server) {
+    fn add(&mut self, now: Nanos, server: Server, free: &mut VecDeque<usize>) {
         let size = if server.size > 0.0 && self.settings.sizes_known { f64::from(server.size) } else { 1.0 };
         let node = Node {
             server: Server { phase: Phase::Gone, ..server },
@@ -92,16 +90,14 @@
             report_at: 0,
             sent_since: 0.0,
             score: 0.0,
-            place: None,
             blocked_until: 0,
             strikes: 0,
             cold_next: 0,
             left_at: now,
         };
-        // A fleet that is replaced over and over must not fill memory: a place goes to the next server
-        // once no request can speak of the one that left.
-        let over = |n: &Node| n.server.phase == Phase::Gone && n.out == 0 && now >= n.left_at + self.longest;
-        let i = self.nodes.iter().position(over).unwrap_or(self.nodes.len());
+        // One that was free may be in use again by now.
+        let old = std::iter::from_fn(|| free.pop_front()).find(|&i| self.over(now, i));
+        let i = old.unwrap_or(self.nodes.len());
         if i < self.nodes.len() {
             self.by_id.remove(&self.nodes[i].server.id);
             self.nodes[i] = node;
@@ -124,7 +120,7 @@
             (node.lag, node.lag_at, node.strikes, node.blocked_until) = (1.0, now, 0, 0);
             let zone = usize::from(server.zone);
             if self.ranks.len() <= zone {
-                self.ranks.resize(zone + 1, Vec::new());
+                self.ranks.resize(zone + 1, Order::default());
                 self.ready.resize(zone + 1, Vec::new());
             }
             if fresh {
@@ -144,8 +140,10 @@
     pub(super) fn leave(&mut self, now: Nanos, i: usize, phase: Phase) {
         if self.nodes[i].server.phase == Phase::Ready {
             self.nodes[i].left_at = now;
-            self.unrank(i);
-            self.ready[usize::from(self.nodes[i].server.zone)].retain(|&j| j != i);
+            let (zone, id) = (usize::from(self.nodes[i].server.zone), self.nodes[i].server.id);
+            self.ranks[zone].remove(i);
+            let at = self.ready[zone].partition_point(|&j| self.nodes[j].server.id < id);
+            self.ready[zone].remove(at);
         }
         self.nodes[i].server.phase = if phase == Phase::Ready { Phase::Gone } else { phase };
     }
--- a/crates/balance/src/balancer/mod.rs
+++ b/crates/balance/src/balancer/mod.rs
@@ -1,8 +1,8 @@
 //! All decisions of one node for one pool. Types, events and actions: `src/interface.rs`.
 //!
-//! One file per concern: `list` (who there is), `ranking` (accomplishment), `queue` (how long an answer
-//! takes), `choice` (JSQ-DAS), `cold`, `health`, `admission`, `attempts`. Constants are ratios of settings or
-//! of observations.
+//! One file per concern: `list` (who there is), `ranking` and `order` (accomplishment), `queue` (how long an
+//! answer takes), `choice` (JSQ-DAS), `cold`, `health`, `admission`, `attempts`. Constants are ratios of
+//! settings or of observations.
 
 mod admission;
 mod attempts;
@@ -10,10 +10,12 @@
 mod cold;
 mod health;
 mod list;
+mod order;
 mod queue;
 mod ranking;
 
 use crate::interface::*;
+use order::Order;
 use rand_core::{RngCore, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 use std::cmp::Reverse;
@@ -36,7 +38,6 @@
     report_at: Nanos,
     sent_since: f64,
     score: f64,
-    place: Option<usize>,
     blocked_until: Nanos,
     strikes: u32,
     cold_next: Nanos,
@@ -78,7 +79,7 @@
     nodes: Vec<Node>,
     by_id: BTreeMap<ServerId, usize>,
     ready: Vec<Vec<usize>>,
-    ranks: Vec<Vec<usize>>,
+    ranks: Vec<Order>,
     epoch: Nanos,
     pending: BTreeMap<RequestId, Pending>,
     typical: Vec<f64>,
--- a/crates/balance/src/balancer/ranking.rs
+++ b/crates/balance/src/balancer/ranking.rs
@@ -12,6 +12,7 @@
         let mut grown = (now.saturating_sub(self.epoch) as f64 / fade).exp();
         if grown > 1e100 {
             self.nodes.iter_mut().for_each(|n| n.score /= grown);
+            self.ranks.iter_mut().for_each(|rank| rank.shrink(grown));
             self.pending.values_mut().flat_map(|p| &mut p.attempts).for_each(|a| a.credit /= grown);
             self.epoch = now;
             grown = 1.0;
@@ -20,21 +21,16 @@
     }
 
     pub(super) fn credit(&mut self, i: usize, by: f64) {
-        self.nodes[i].score += by;
-        let Some(mut at) = self.nodes[i].place else { return };
-        let rank = &mut self.ranks[usize::from(self.nodes[i].server.zone)];
-        let score = self.nodes[i].score;
-        while at > 0 && self.nodes[rank[at - 1]].score < score {
-            rank[at] = rank[at - 1];
-            self.nodes[rank[at]].place = Some(at);
-            at -= 1;
+        let node = &mut self.nodes[i];
+        let from = node.score;
+        node.score += by;
+        if let Some(rank) = self.ranks.get_mut(usize::from(node.server.zone)) {
+            rank.change(i, from, node.score);
         }
-        while at + 1 < rank.len() && self.nodes[rank[at + 1]].score > score {
-            rank[at] = rank[at + 1];
-            self.nodes[rank[at]].place = Some(at);
-            at += 1;
-        }
-        rank[at] = i;
-        self.nodes[i].place = Some(at);
+    }
+
+    /// Whether this node ranks the server.
+    pub(super) fn ranked(&self, i: usize) -> bool {
+        self.ranks.get(usize::from(self.nodes[i].server.zone)).is_some_and(|rank| rank.holds(i))
     }
 }
--- a/crates/bench/benches/decisions.rs
+++ b/crates/bench/benches/decisions.rs
@@ -129,13 +129,23 @@
     x.wrapping_mul(0xbf58_476d_1ce4_e5b9)
 }
 
-#[divan::bench(args = FLEETS)]
+#[divan::bench(args = FLEETS, sample_count = 50, sample_size = 5_000)]
 fn corkhollow(bencher: divan::Bencher<'_, '_>, servers: usize) {
     let mut node = Node::new(servers);
-    (0..servers * 4).for_each(|_| drop(node.decide()));
+    (0..servers * 4).for_each(|_| {
+        node.decide();
+    });
     bencher.bench_local(|| node.decide());
 }
 
+/// The whole list once more, with nothing new in it: a reload, or discovery that has come back.
+#[divan::bench(args = FLEETS, sample_count = 20)]
+fn corkhollow_whole_list(bencher: divan::Bencher<'_, '_>, servers: usize) {
+    let mut node = Node::new(servers);
+    let list: Vec<_> = (0..servers as u64).map(|k| Server::warm(ServerId(spread(k)))).collect();
+    bencher.bench_local(|| node.feed(Event::List { kind: ListKind::Full, servers: list.clone() }));
+}
+
 /// A service that is always ready and whose answers come when they are dropped.
 struct Ready;
 
@@ -153,7 +163,7 @@
     }
 }
 
-#[divan::bench(args = FLEETS)]
+#[divan::bench(args = FLEETS, sample_count = 50, sample_size = 5_000)]
 fn tower_p2c(bencher: divan::Bencher<'_, '_>, servers: usize) {
     let services = (0..servers).map(|_| PendingRequests::new(Ready, CompleteOnResponse::default()));
     let mut balance = Balance::new(ServiceList::new::<()>(services));
@@ -178,17 +188,17 @@
     bencher.bench_local(|| balancer.select(&draw.next_u64().to_le_bytes(), 8).expect("one is there"));
 }
 
-#[divan::bench(args = FLEETS)]
+#[divan::bench(args = FLEETS, sample_count = 50, sample_size = 5_000)]
 fn pingora_round_robin(bencher: divan::Bencher<'_, '_>, servers: usize) {
     pingora::<RoundRobin>(bencher, servers);
 }
 
-#[divan::bench(args = FLEETS)]
+#[divan::bench(args = FLEETS, sample_count = 50, sample_size = 5_000)]
 fn pingora_random(bencher: divan::Bencher<'_, '_>, servers: usize) {
     pingora::<Random>(bencher, servers);
 }
 
-#[divan::bench(args = FLEETS)]
+#[divan::bench(args = FLEETS, sample_count = 50, sample_size = 5_000)]
 fn pingora_consistent(bencher: divan::Bencher<'_, '_>, servers: usize) {
     pingora::<Consistent>(bencher, servers);
 }
