Name servers in the module's log lines as the operator does

The module knows servers by ids, and its lines in the log said them in hexadecimal digits. A line now carries the id, and the pool puts its own name and the server's name there.

--- a/crates/adapter/src/wire.rs
+++ b/crates/adapter/src/wire.rs
@@ -346,9 +346,10 @@
                 put(&mut r, 5, &after.to_be_bytes());
                 put(&mut r, 13, &token.to_be_bytes());
             }
-            Action::Log { text } => {
+            Action::Log { server, text } => {
                 r[0] = 120;
-                self.refer(&mut r, 5, text.as_bytes());
+                let line = server.map_or(text.clone(), |server| format!("{server}: {text}"));
+                self.refer(&mut r, 5, line.as_bytes());
             }
         }
         self.records.extend_from_slice(&r);
--- a/crates/balance/src/balancer/health.rs
+++ b/crates/balance/src/balancer/health.rs
@@ -94,7 +94,8 @@
         let pause = self.longest as f64 / 2.0 * f64::from(1 << node.strikes) * jitter;
         node.blocked_until = now + pause as Nanos;
         if node.strikes == 2 {
-            sink.push(Action::Log { text: format!("ejected {} after {ending:?}", node.server.id) });
+            let server = Some(node.server.id);
+            sink.push(Action::Log { server, text: format!("ejected after {ending:?}") });
         }
     }
 }
--- a/crates/balance/src/interface.rs
+++ b/crates/balance/src/interface.rs
@@ -489,6 +489,8 @@
     },
     /// A line for the operator's log.
     Log {
+        /// The server that it is about; who reads the log knows it by its name.
+        server: Option<ServerId>,
         /// The text.
         text: String,
     },
--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -4,7 +4,6 @@
 
 use crate::body::Pieces;
 use crate::clock::Clock;
-use crate::log::log;
 use crate::message::{Answer, AttemptId, Message};
 use corkhollow_balance::interface::{
     Action, Ending, Event, ListKind, Nanos, Request, RequestId, Server, ServerId, Settings, SettingsError,
@@ -41,6 +40,9 @@
 
     /// Asks discovery.
     fn ask(&self, call: ListCall);
+
+    /// Writes a line of the module's, about this server.
+    fn log(&self, server: Option<ServerId>, text: &str);
 }
 
 /// An attempt that is under way.
@@ -341,7 +343,7 @@
             }
             Action::Subscribe => self.carrier.ask(ListCall::Subscribe),
             Action::FetchList => self.carrier.ask(ListCall::Fetch),
-            Action::Log { text } => log(format_args!("{text}")),
+            Action::Log { server, text } => self.carrier.log(server, &text),
             // The site allows neither, and the module asks for neither.
             Action::Probe { .. } | Action::Tell { .. } => {}
         }
--- a/crates/proxy/src/upstream/fleet.rs
+++ b/crates/proxy/src/upstream/fleet.rs
@@ -88,6 +88,11 @@
         servers
     }
 
+    /// The name by which lists know it.
+    pub(super) fn name(&self, server: ServerId) -> Option<&str> {
+        self.upstreams.get(&server).map(|u| u.host.as_str())
+    }
+
     pub(super) fn dial(&self, server: ServerId) -> Option<SocketAddr> {
         self.upstreams.get(&server).filter(|u| u.closed_at.is_none()).map(|u| u.dial)
     }
--- a/crates/proxy/src/upstream/upstreams.rs
+++ b/crates/proxy/src/upstream/upstreams.rs
@@ -4,7 +4,7 @@
 use super::fleet::{Entry, Fleet};
 use crate::socket::Socket;
 use corkhollow_balance::interface::{ListKind, Nanos, Server, ServerId};
-use corkhollow_engine::{AttemptId, Carrier, Clock, Engine, ListCall, Message, Running};
+use corkhollow_engine::{log, AttemptId, Carrier, Clock, Engine, ListCall, Message, Running};
 use corkhollow_plan::limits::Budget;
 use corkhollow_plan::plan::{Dialect, Limits, Pool};
 use std::cell::{Cell, RefCell};
@@ -20,6 +20,8 @@
 
 /// See the module's documentation.
 pub struct Upstreams {
+    /// The pool's name.
+    name: String,
     fleet: RefCell<Fleet>,
     pub(super) dialect: Dialect,
     pub(super) budget: Rc<Budget>,
@@ -88,6 +90,7 @@
         list_calls: mpsc::UnboundedSender<ListCall>,
     ) -> Rc<Self> {
         Rc::new(Upstreams {
+            name: pool.name.clone(),
             fleet: RefCell::new(Fleet::new(pool.idle_timeout)),
             dialect: pool.dialect,
             budget,
@@ -191,6 +194,14 @@
     fn ask(&self, call: ListCall) {
         let _ = self.0.list_calls.send(call);
     }
+
+    fn log(&self, server: Option<ServerId>, text: &str) {
+        let pool = &self.0.name;
+        match server.and_then(|id| self.0.fleet(|f| f.name(id).map(str::to_owned))) {
+            Some(server) => log(format_args!("pool {pool}: server {server}: {text}")),
+            None => log(format_args!("pool {pool}: {text}")),
+        }
+    }
 }
 
 struct Sent {
