--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -283,12 +283,13 @@
         let Some(live) = state.live.get_mut(&id.request) else { return };
         let Some(attempt) = live.attempts.get_mut(usize::from(id.number)).filter(|a| a.open) else { return };
         attempt.open = false;
+        let now = self.clock.now();
         let event = Event::Outcome {
             request: id.request,
             server: attempt.server,
             attempt: id.number,
             finished: live.reply.is_none(),
-            took: self.clock.now().saturating_sub(attempt.sent_at),
+            took: now.saturating_sub(attempt.sent_at),
             ending,
             spent: live.message.spent(),
             report: None,
--- a/crates/proxy/src/upstream/attempt.rs
+++ b/crates/proxy/src/upstream/attempt.rs
@@ -50,22 +50,26 @@
     seen: &RefCell<Option<Rc<Socket>>>,
 ) -> Result<(), Ending> {
     let Some(dial) = upstreams.fleet(|f| f.dial(server)) else { return Err(Ending::NotSent) };
-    let mut kept = upstreams.fleet(|f| f.checkout(server, upstreams.clock.now()));
+    let mut begun = upstreams.clock.now();
+    let mut kept = upstreams.fleet(|f| f.checkout(server, begun));
     loop {
-        let rested = kept.as_ref().map(|idle| upstreams.clock.now().saturating_sub(idle.since));
+        let rested = kept.as_ref().map(|idle| begun.saturating_sub(idle.since));
         let (mut link, opened) = match kept.take() {
             Some(idle) => (idle.link, idle.opened),
-            None => match connect(upstreams, dial).await {
-                Ok(link) => (link, upstreams.clock.now()),
+            // Rare and large: apart from the attempt, which is made for every request.
+            None => match Box::pin(connect(upstreams, dial)).await {
+                Ok(link) => {
+                    // Connecting takes time, and discovery may have spoken: nothing new to a server that drains.
+                    if upstreams.fleet(|f| f.dial(server)) != Some(dial) {
+                        return Err(Ending::ConnectFailed);
+                    }
+                    begun = upstreams.clock.now();
+                    (link, begun)
+                }
                 Err(NoLink::Failed) => return Err(Ending::ConnectFailed),
                 Err(NoLink::Exhausted) => return Err(Ending::NotSent),
             },
         };
-        // Connecting takes time, and discovery may have spoken: nothing new to a server that drains.
-        if upstreams.fleet(|f| f.dial(server)) != Some(dial) {
-            return Err(Ending::ConnectFailed);
-        }
-        let begun = upstreams.clock.now();
         let Some(request) = request(upstreams, message, begun) else { return Err(Ending::NotSent) };
         *seen.borrow_mut() = Some(link.socket.clone());
         // A server of the platform begins a request with its last byte; any other may do so with its head.
@@ -77,7 +81,8 @@
         let socket = link.socket.clone();
         return match link.drive(response).await {
             Ok(response) => {
-                upstreams.fleet(|f| f.lives.note(upstreams.clock.now(), rested, false));
+                let now = upstreams.clock.now();
+                upstreams.fleet(|f| f.lives.note(now, rested, false));
                 let keep = answer(upstreams, engine, id, message, &mut link, response).await;
                 if keep && link.reusable().await && !upstreams.crowded() {
                     let idle = Idle { link, opened, since: upstreams.clock.now() };
--- a/crates/proxy/src/upstream/general.rs
+++ b/crates/proxy/src/upstream/general.rs
@@ -78,13 +78,26 @@
     }
     let (gathered, _lease) = gathered.into_parts();
     let first = gathered.into_iter().map(|data| Ok(hyper::body::Frame::data(data))).chain(over);
+    // Apart from the attempt, which is made for short answers too.
+    let whole = Box::pin(stream(upstreams, link, &mut body, first, to_client)).await;
+    whole && !two_lengths
+}
+
+/// Passes an answer on, its first pieces and then the rest; true where it came to its end.
+async fn stream(
+    upstreams: &Upstreams,
+    link: &mut Link,
+    body: &mut Incoming,
+    first: impl Iterator<Item = Piece>,
+    to_client: mpsc::Sender<Piece>,
+) -> bool {
     for piece in first {
         let broken = piece.is_err();
         if to_client.send(piece).await.is_err() || broken {
             return false;
         }
     }
-    pass_on(upstreams, link, &mut body, &to_client).await && !two_lengths
+    pass_on(upstreams, link, body, &to_client).await
 }
 
 /// Tells the engine; false where nobody wants the answer.
--- a/crates/proxy/src/upstream/platform.rs
+++ b/crates/proxy/src/upstream/platform.rs
@@ -43,7 +43,7 @@
             _ => Ending::Error,
         };
         engine.ended(id, ending);
-        return drain(link, body).await;
+        return Box::pin(drain(link, body)).await;
     }
     let mut headers = head.headers;
     strip(&mut headers);
@@ -77,7 +77,8 @@
             }
         }
     }
-    stream(engine, id, link, headers, length, pieces, next, body).await
+    // Apart from the attempt, which is made for short answers too.
+    Box::pin(stream(engine, id, link, headers, length, pieces, next, body)).await
 }
 
 /// Reads the rest of an answer that nobody wants, so that the connection can be kept; not for long.
