Pass interim answers on to clients

A proxy must forward 1xx answers (RFC 9110, 15.2); the program took them and said nothing, for hyper's server has no words for them. They are now written beside hyper, between two of its messages only, as the socket knows from hyper's flushes. At most 16 a request, one at a time to a client that does not read, none to HTTP/1.0, and none of 100, which the program asks for by itself.

tests/site.rs: in order before the final answer over pipelined requests, a flood of 500 cut to 16; socket.rs: whole behind a full kernel buffer, nothing in the middle of a message.

--- a/crates/bench/benches/memory.rs
+++ b/crates/bench/benches/memory.rs
@@ -106,7 +106,11 @@
     for (what, up) in [("from a server", false), ("to a server", true)] {
         let (more, seconds) = pass(&node, long, up);
         let rate = long as f64 / 1e6 / seconds;
-        println!("{:.1} GB {what}: {:.2} MB more at most, {rate:.0} MB/s", long as f64 / 1e9, more as f64 / 1e6);
+        println!(
+            "{:.1} GB {what}: {:.2} MB more at most, {rate:.0} MB/s",
+            long as f64 / 1e9,
+            more as f64 / 1e6
+        );
     }
     let before = node.memory();
     let mut open: Vec<_> = (0..clients).map(|_| node.connect()).collect();
--- a/crates/corkhollow/tests/site.rs
+++ b/crates/corkhollow/tests/site.rs
@@ -481,10 +481,43 @@
         _ => Reply::Last(b"HTTP/1.1 102 Processing\r\n\r\n".to_vec()),
     });
     let node = plain(&servers.dials);
-    let first = node.raw(&asked("GET / HTTP/1.1")).unwrap();
+    let mut stream = node.connect();
+    stream.write_all(&asked("GET / HTTP/1.1")).unwrap();
+    assert_eq!(read(&mut stream).unwrap().status(), 103);
+    let first = read(&mut stream).unwrap();
     assert_eq!((first.status(), &first.body[..]), (200, &b"fine"[..]));
-    let dead = node.raw(&asked("POST / HTTP/1.1")).unwrap();
-    assert_eq!(dead.status(), 502, "it said something, and died");
+    stream.write_all(&asked("POST / HTTP/1.1")).unwrap();
+    assert_eq!(read(&mut stream).unwrap().status(), 102);
+    assert_eq!(read(&mut stream).unwrap().status(), 502, "it said something, and died");
+}
+
+/// Interim answers are the client's (RFC 9110, 15.2), before the final one; not all of a flood, and not where the
+/// client's version has none.
+#[test]
+fn interim_answers_pass_in_order() {
+    let servers = Servers::new(1, |_, m| {
+        let count = m.header("x-count").unwrap().parse().unwrap();
+        let hint = "HTTP/1.1 103 Early Hints\r\nLink: </a.css>\r\nConnection: x-gone\r\nX-Gone: 1\r\n\r\n";
+        Reply::Say(
+            [hint.repeat(count).into_bytes(), response("200 OK", "", count.to_string().as_bytes())].concat(),
+        )
+    });
+    let node = plain(&servers.dials);
+    for version in ["1.1", "1.0"] {
+        let ask = |count: usize, end: &str| {
+            format!("GET / HTTP/{version}\r\nHost: a\r\nX-Count: {count}\r\nConnection: {end}\r\n\r\n")
+        };
+        let text =
+            [ask(2, "keep-alive"), ask(0, "keep-alive"), ask(500, "keep-alive"), ask(1, "close")].concat();
+        let all = whole(&node, text.as_bytes()).to_lowercase();
+        let statuses: String = all.split("http/1.1 ").skip(1).map(|m| &m[..1]).collect();
+        match version {
+            "1.1" => assert_eq!(statuses, format!("112{}{}212", 2, "1".repeat(16)), "{all}"),
+            _ => assert!(!all.contains("early hints"), "{all}"),
+        }
+        assert!(!all.contains("x-gone"), "{all}");
+        assert_eq!(all.matches("link: </a.css>").count(), all.matches(" 103 ").count());
+    }
 }
 
 /// The head has gone out: all that is left is to let the client see that the rest is missing.
--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -208,6 +208,18 @@
         }
     }
 
+    /// An attempt has brought an interim answer: the client's, as long as it waits for the final one.
+    pub fn interim(&self, id: AttemptId, status: StatusCode, headers: HeaderMap) {
+        let waits = |live: &&Live| live.reply.is_some() && live.attempts[usize::from(id.number)].open;
+        let interims = {
+            let state = self.state.borrow();
+            state.live.get(&id.request).filter(waits).and_then(|live| live.message.interims.clone())
+        };
+        if let Some(interims) = interims {
+            interims.take(status, headers);
+        }
+    }
+
     fn client_gone(self: &Rc<Self>, request: RequestId) {
         let mut state = self.state.borrow_mut();
         let Some(live) = state.live.get_mut(&request) else { return };
--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -14,4 +14,6 @@
 pub use clock::Clock;
 pub use engine::{Carrier, Engine, ListCall, Running, Ticket};
 pub use log::log;
-pub use message::{Answer, AttemptId, Broken, ClientBody, Message, Payload, Piece, Progress, Upload};
+pub use message::{
+    Answer, AttemptId, Broken, ClientBody, Interims, Message, Payload, Piece, Progress, Upload,
+};
--- a/crates/engine/src/message.rs
+++ b/crates/engine/src/message.rs
@@ -23,6 +23,29 @@
     pub payload: Payload,
     /// When the client abandons it.
     pub give_up_at: Nanos,
+    /// Where servers' interim answers go; none where the client's side cannot take them.
+    pub interims: Option<Interims>,
+}
+
+/// What takes servers' interim answers (1xx) to a client that waits (RFC 9110, 15.2).
+#[derive(Clone)]
+pub struct Interims(Rc<dyn Fn(StatusCode, HeaderMap)>);
+
+impl Interims {
+    /// Calls this with each.
+    pub fn new(take: impl Fn(StatusCode, HeaderMap) + 'static) -> Self {
+        Interims(Rc::new(take))
+    }
+
+    pub(crate) fn take(&self, status: StatusCode, headers: HeaderMap) {
+        (self.0)(status, headers);
+    }
+}
+
+impl std::fmt::Debug for Interims {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str("Interims")
+    }
 }
 
 /// The body of a request.
--- a/crates/proxy/src/http1/general.rs
+++ b/crates/proxy/src/http1/general.rs
@@ -7,7 +7,7 @@
 use crate::site::Site;
 use bytes::Bytes;
 use corkhollow_balance::interface::{self, Nanos};
-use corkhollow_engine::{Answer, Message, Payload};
+use corkhollow_engine::{Answer, Interims, Message, Payload};
 use corkhollow_plan::plan::Listener;
 use corkhollow_plan::routes::path::normalise;
 use corkhollow_plan::routes::{Host, Outcome, Rewrite, Target};
@@ -79,7 +79,7 @@
 pub(super) async fn answer(
     service: &Rc<Service>,
     site: &Site,
-    client: &Client,
+    client: &Rc<Client>,
     listener: Option<usize>,
     request: Request<Incoming>,
 ) -> Response<AnswerBody> {
@@ -100,7 +100,7 @@
 async fn handle(
     service: &Rc<Service>,
     site: &Site,
-    client: &Client,
+    client: &Rc<Client>,
     listener: Option<usize>,
     request: Request<Incoming>,
 ) -> Result<Response<AnswerBody>, Problem> {
@@ -183,7 +183,9 @@
                 is_write: !head.method.is_safe(),
                 ..interface::Request::new(0, give_up_at)
             };
-            let message = Message { method: head.method, uri: Uri::from(sent), headers, payload, give_up_at };
+            let interims = (head.version == Version::HTTP_11).then(|| interims(client, listener));
+            let message =
+                Message { method: head.method, uri: Uri::from(sent), headers, payload, give_up_at, interims };
             client.stage.set(Stage::Waiting);
             let Some(mut ticket) = pool.engine.submit(None, request, message) else {
                 return Err(Problem::new(StatusCode::INTERNAL_SERVER_ERROR, "engine", "not taken"));
@@ -314,6 +316,26 @@
     headers.insert(name, value);
 }
 
+/// Passes interim answers on. The server side of hyper has no words for them: they are written beside it, which the
+/// socket allows between two messages only.
+fn interims(client: &Rc<Client>, listener: &Listener) -> Interims {
+    let (client, via) = (client.clone(), listener.via.clone());
+    Interims::new(move |status, mut headers| {
+        strip(&mut headers);
+        headers.remove(header::CONTENT_LENGTH);
+        if let Some(via) = &via {
+            headers.append(header::VIA, via.clone());
+        }
+        let reason = status.canonical_reason().unwrap_or_default();
+        let mut head = format!("HTTP/1.1 {} {reason}\r\n", status.as_str()).into_bytes();
+        for (name, value) in &headers {
+            head.extend([name.as_str().as_bytes(), b": ", value.as_bytes(), b"\r\n"].concat());
+        }
+        head.extend(b"\r\n");
+        client.socket.say(&head);
+    })
+}
+
 /// What the client gets for what became of its request.
 fn answered(answer: Answer, rewrite: &Rewrite, listener: &Listener) -> Result<Response<AnswerBody>, Problem> {
     let (status, mut headers, body) = match answer {
--- a/crates/proxy/src/http1/platform.rs
+++ b/crates/proxy/src/http1/platform.rs
@@ -97,7 +97,14 @@
         Some(path) if head.uri.scheme().is_some() => Uri::from(path.clone()),
         _ => head.uri,
     };
-    let message = Message { method: head.method, uri, headers, payload: Payload::Whole(body), give_up_at };
+    let message = Message {
+        method: head.method,
+        uri,
+        headers,
+        payload: Payload::Whole(body),
+        give_up_at,
+        interims: None,
+    };
     let Some(mut ticket) = pool.engine.submit(Some(id), request, message) else {
         return closing(text(StatusCode::CONFLICT, "a request with this X-Request-ID is open\n"));
     };
--- a/crates/proxy/src/socket.rs
+++ b/crates/proxy/src/socket.rs
@@ -27,6 +27,10 @@
     /// Something has gone either way since the node last cleared this.
     pub moved: Cell<bool>,
     outgoing: Cell<Outgoing>,
+    /// Hyper has handed over all that it has to write.
+    flushed: Cell<bool>,
+    /// What is to go out before anything else of hyper's: one message at most.
+    said: RefCell<Vec<u8>>,
     first: RefCell<Vec<u8>>,
 }
 
@@ -74,6 +78,8 @@
             heard: Cell::new(None),
             moved: Cell::new(true),
             outgoing: Cell::default(),
+            flushed: Cell::new(true),
+            said: RefCell::default(),
             first: RefCell::default(),
         })
     }
@@ -119,6 +125,28 @@
         self.outgoing.get().whole()
     }
 
+    /// Writes a message of its own between two of hyper's; nothing where hyper is in the middle of one, or where the
+    /// peer has not even taken the message before.
+    pub fn say(&self, message: &[u8]) {
+        let mut said = self.said.borrow_mut();
+        if self.flushed.get() && said.is_empty() {
+            // What fails here fails for hyper too.
+            let n = self.stream.borrow().try_write(message).unwrap_or(0);
+            self.moved.set(true);
+            said.extend_from_slice(&message[n..]);
+        }
+    }
+
+    /// Writes the rest of what was said.
+    fn poll_said(&self, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        let mut said = self.said.borrow_mut();
+        while !said.is_empty() {
+            let n = ready!(Pin::new(&mut *self.stream.borrow_mut()).poll_write(cx, &said))?;
+            said.drain(..n);
+        }
+        Poll::Ready(Ok(()))
+    }
+
     /// Nothing has come and the peer has not closed. This asks the kernel itself: what the runtime knows may
     /// be older than a close that would lose the next request.
     pub fn quiet(&self) -> bool {
@@ -154,6 +182,8 @@
         cx: &mut Context<'_>,
         slices: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
+        ready!(self.0.poll_said(cx))?;
+        self.0.flushed.set(false);
         let n = ready!(Pin::new(&mut *self.0.stream.borrow_mut()).poll_write_vectored(cx, slices))?;
         self.0.moved.set(true);
         let (mut outgoing, mut left) = (self.0.outgoing.get(), n);
@@ -170,8 +200,9 @@
         true
     }
 
-    fn poll_flush(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Poll::Ready(Ok(()))
+    fn poll_flush(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        self.0.flushed.set(true);
+        self.0.poll_said(cx)
     }
 
     fn poll_shutdown(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
@@ -212,4 +243,34 @@
             assert!(start.elapsed().as_secs() < 20, "the close never came");
         }
     }
+
+    /// What is said between two messages comes out there, whole, also where the peer takes little at a time; in the
+    /// middle of a message nothing is said.
+    #[tokio::test]
+    async fn what_is_said_stands_between_messages() {
+        use tokio::io::{AsyncReadExt, AsyncWriteExt};
+        let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+        let socket = Socket::new(TcpStream::connect(listener.local_addr().unwrap()).await.unwrap());
+        let peer = listener.accept().unwrap().0;
+        peer.set_nonblocking(true).unwrap();
+        let mut peer = TcpStream::from_std(peer).unwrap();
+        let mut io = SocketIo(socket.clone());
+        let long = vec![b'a'; 8 << 20];
+        socket.say(&long);
+        socket.say(b"too much");
+        assert!(!socket.said.borrow().is_empty(), "the kernel took all of it");
+        let write = async {
+            io.write_all(b"bbb").await.unwrap();
+            socket.say(b"in the middle");
+            io.write_all(b"bbb").await.unwrap();
+            io.flush().await.unwrap();
+            socket.say(b"cc");
+            drop(io);
+            drop(socket);
+        };
+        let mut seen = Vec::new();
+        let (_, read) = tokio::join!(write, peer.read_to_end(&mut seen));
+        read.unwrap();
+        assert!(seen[..long.len()] == long[..] && &seen[long.len()..] == b"bbbbbbcc", "{} bytes", seen.len());
+    }
 }
--- a/crates/proxy/src/upstream/attempt.rs
+++ b/crates/proxy/src/upstream/attempt.rs
@@ -1,6 +1,6 @@
 //! One attempt: a connection, the request on it, and what becomes of that.
 
-use super::link::{connect, Idle, Link, NoLink};
+use super::link::{connect, Heard, Idle, Link, NoLink};
 use super::upstreams::Upstreams;
 use super::{general, platform};
 use crate::body::{PieceBody, RequestBody};
@@ -11,9 +11,10 @@
 use corkhollow_plan::plan::Dialect;
 use hyper::body::Incoming;
 use hyper::header::{self, HeaderValue};
-use hyper::{Method, Request, Response};
+use hyper::{Method, Request, Response, StatusCode};
 use std::cell::RefCell;
-use std::pin::Pin;
+use std::future::{poll_fn, Future};
+use std::pin::{pin, Pin};
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -70,14 +71,26 @@
                 Err(NoLink::Exhausted) => return Err(Ending::NotSent),
             },
         };
-        let Some(request) = request(upstreams, message, begun) else { return Err(Ending::NotSent) };
+        let heard = message.interims.as_ref().map(|_| link.interims());
+        let Some(request) = request(upstreams, message, begun, heard.clone()) else {
+            return Err(Ending::NotSent);
+        };
         *seen.borrow_mut() = Some(link.socket.clone());
         // A server of the platform begins a request with its last byte; any other may do so with its head.
         link.socket.expect_request(match (&message.payload, upstreams.dialect) {
             (Payload::Whole(body), Dialect::Platform) => body.len(),
             _ => 0,
         });
-        let response = link.sender.try_send_request(request);
+        let mut response = pin!(link.sender.try_send_request(request));
+        let response = poll_fn(|cx| {
+            // Interim answers first: they came before the final one.
+            heard
+                .iter()
+                .filter_map(Heard::take)
+                .flatten()
+                .for_each(|(status, headers)| engine.interim(id, status, headers));
+            response.as_mut().poll(cx)
+        });
         let socket = link.socket.clone();
         return match link.drive(response).await {
             Ok(response) => {
@@ -130,7 +143,12 @@
 }
 
 /// The client's request as it goes to a server; none where its body has gone elsewhere.
-fn request(upstreams: &Upstreams, message: &Message, now: Nanos) -> Option<Request<RequestBody>> {
+fn request(
+    upstreams: &Upstreams,
+    message: &Message,
+    now: Nanos,
+    heard: Option<Heard>,
+) -> Option<Request<RequestBody>> {
     let asked = message.headers.contains_key(header::EXPECT).then(|| Arc::new(Notify::new()));
     let body = match &message.payload {
         Payload::Whole(pieces) => RequestBody::Whole(PieceBody::new(pieces.clone())),
@@ -147,11 +165,12 @@
         let left = message.give_up_at.saturating_sub(now).div_ceil(1_000_000).max(1);
         request.headers_mut().insert(TIMEOUT, HeaderValue::from(left));
     }
-    if let Some(asked) = asked {
-        hyper::ext::on_informational(&mut request, move |interim| {
-            if interim.status() == hyper::StatusCode::CONTINUE {
-                asked.notify_one();
-            }
+    if asked.is_some() || heard.is_some() {
+        // `100 Continue` is the program's own affair: it asks its client by itself.
+        hyper::ext::on_informational(&mut request, move |interim| match (interim.status(), &asked, &heard) {
+            (StatusCode::CONTINUE, Some(asked), _) => asked.notify_one(),
+            (StatusCode::CONTINUE, None, _) | (_, _, None) => {}
+            (status, _, Some(heard)) => heard.note(status, interim.headers()),
         });
     }
     Some(request)
--- a/crates/proxy/src/upstream/fleet.rs
+++ b/crates/proxy/src/upstream/fleet.rs
@@ -170,6 +170,7 @@
                 socket: socket.clone(),
                 sender,
                 connection: Some(Box::new(connection)),
+                heard: Default::default(),
                 _slot: slot,
                 _place: place,
             };
--- a/crates/proxy/src/upstream/link.rs
+++ b/crates/proxy/src/upstream/link.rs
@@ -6,20 +6,26 @@
 use corkhollow_balance::interface::Nanos;
 use corkhollow_plan::limits::Slot;
 use hyper::client::conn::http1::{self, Connection, SendRequest};
+use hyper::{HeaderMap, StatusCode};
 use hyper_util::rt::TokioIo;
 use std::future::{poll_fn, Future};
 use std::net::SocketAddr;
 use std::pin::{pin, Pin};
 use std::rc::Rc;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::task::{Context, Poll};
 use tokio::net::TcpStream;
 
+/// Interim answers of one request that are passed on; a server that sends more says nothing by them.
+const MOST_INTERIMS: usize = 16;
+
 /// A connection with hyper's two halves. There is no task behind it: whoever uses it drives it.
 pub(super) struct Link {
     pub(super) socket: Rc<Socket>,
     pub(super) sender: SendRequest<RequestBody>,
     /// In a place of its own: it is large, and a link is handed on twice for each attempt.
     pub(super) connection: Option<Box<Connection<TokioIo<SocketIo>, RequestBody>>>,
+    pub(super) heard: Heard,
     pub(super) _slot: Slot,
     pub(super) _place: Place,
 }
@@ -33,7 +39,44 @@
     pub(super) since: Nanos,
 }
 
+/// Interim answers (1xx) that have come on a connection and have not been passed on. (Hyper may tell of them on any
+/// thread.)
+#[derive(Clone, Default)]
+pub(super) struct Heard(Arc<Mutex<Interim>>);
+
+#[derive(Default)]
+struct Interim {
+    /// How many this request has brought.
+    count: usize,
+    left: Vec<(StatusCode, HeaderMap)>,
+}
+
+impl Heard {
+    fn lock(&self) -> MutexGuard<'_, Interim> {
+        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    pub(super) fn note(&self, status: StatusCode, headers: &HeaderMap) {
+        let mut heard = self.lock();
+        heard.count += 1;
+        if heard.count <= MOST_INTERIMS {
+            heard.left.push((status, headers.clone()));
+        }
+    }
+
+    pub(super) fn take(&self) -> Option<Vec<(StatusCode, HeaderMap)>> {
+        let mut heard = self.lock();
+        (!heard.left.is_empty()).then(|| std::mem::take(&mut heard.left))
+    }
+}
+
 impl Link {
+    /// What comes of interim answers from here on.
+    pub(super) fn interims(&self) -> Heard {
+        *self.heard.lock() = Interim::default();
+        self.heard.clone()
+    }
+
     pub(super) fn turn(&mut self, cx: &mut Context<'_>) {
         if let Some(connection) = &mut self.connection {
             if Pin::new(&mut **connection).poll(cx).is_ready() {
@@ -97,5 +140,12 @@
     builder.max_buf_size(upstreams.buffer);
     let handshake = builder.handshake(TokioIo::new(SocketIo(socket.clone()))).await;
     let (sender, connection) = handshake.map_err(|_| NoLink::Failed)?;
-    Ok(Link { socket, sender, connection: Some(Box::new(connection)), _slot: slot, _place: place })
+    Ok(Link {
+        socket,
+        sender,
+        connection: Some(Box::new(connection)),
+        heard: Heard::default(),
+        _slot: slot,
+        _place: place,
+    })
 }
