Keep clients' connections behind chunked requests

Every connection of the general dialect was closed behind a chunked request, because a length beside the coding could not always be told. Where the head was seen as it came it can; only a head that came in one piece with the request before it, or in part, still ends its connection. Reused connections spare clients that stream uploads a handshake each.

tests/site.rs: three chunked requests on one connection; a length beside the coding behind another request, in one piece and cut after its first line, hides nothing.

--- a/crates/proxy/src/http1/clients.rs
+++ b/crates/proxy/src/http1/clients.rs
@@ -309,13 +309,13 @@
     fn drop(&mut self) {
         self.client.stage.set(Stage::Idle);
         self.client.idle_since.set(self.service.clock.now());
-        self.client.socket.heard.set(None);
+        self.client.socket.forget();
     }
 }
 
 /// Answers a request in the dialect of its listener, and ends the connection with it where the program leaves, the
-/// client has no place or the listener is no more. So it does behind a chunked body: a length beside it may hide
-/// another request in what follows (RFC 9112, 6.1).
+/// client has no place or the listener is no more. So it does behind a chunked body, on the platform and where the
+/// head has not been seen as it came: a length beside it may hide another request in what follows (RFC 9112, 6.1).
 async fn respond(
     service: &Rc<Service>,
     client: &Rc<Client>,
@@ -324,16 +324,18 @@
     client.stage.set(Stage::Reading);
     client.fresh_since.set(None);
     let chunked = request.headers().contains_key(header::TRANSFER_ENCODING);
+    let seen = chunked && client.socket.has_head(request.method().as_str());
     // Taken once: a new site takes over between two requests.
     let site = service.site.get();
     let listener = site.plan.listeners.iter().position(|l| *l.name == *client.listener);
     let dialect = listener.map_or(Dialect::Http, |l| site.plan.listeners[l].dialect);
+    let hides = chunked && !(seen && dialect == Dialect::Http);
     let mut response = match dialect {
         Dialect::Platform => platform::answer(service, &site, client, request).await,
         Dialect::Http => general::answer(service, &site, client, listener, request).await,
     };
     client.stage.set(Stage::Writing);
-    if service.leaving.get() || client.surplus || chunked || listener.is_none() {
+    if service.leaving.get() || client.surplus || hides || listener.is_none() {
         response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
     }
     Ok(response.map(|body| Outgoing { body, service: service.clone(), client: client.clone() }))
--- a/crates/proxy/src/socket.rs
+++ b/crates/proxy/src/socket.rs
@@ -101,6 +101,21 @@
         }
     }
 
+    /// A request is over: what comes next is another's.
+    pub fn forget(&self) {
+        self.heard.set(None);
+        self.first.borrow_mut().clear();
+    }
+
+    /// Whether what came first is the whole head of a request with this method. It is not where the head, or the
+    /// beginning of it, came behind the request before; a later line cannot begin like this, for no header's name
+    /// has a space in it.
+    pub fn has_head(&self, method: &str) -> bool {
+        let first = self.first.borrow();
+        let line = first.strip_prefix(method.as_bytes()).is_some_and(|rest| rest.starts_with(b" "));
+        line && first.ends_with(HEAD_END)
+    }
+
     /// Whether this, in small letters, stands in what came first.
     pub fn said(&self, text: &str) -> bool {
         let first = self.first.borrow().to_ascii_lowercase();
