Serve operators' calls, count requests, and empty the node when told to

Change: an address with a thread and runtime of its own (crates/proxy operator), figures by the prometheus crate and a pure life of the node (crates/operate), connections ended behind their answers and idle ones closed after 0.5 s while it drains. Ruled out: slow answers under load (the calls came back refused, not late) and the list (the node was up).

--- a/crates/balance/src/balancer/mod.rs
+++ b/crates/balance/src/balancer/mod.rs
@@ -185,6 +185,12 @@
         self.nodes.len()
     }
 
+    /// How many servers the list holds, and how many of these get nothing for now because of their failures.
+    pub fn census(&self, now: Nanos) -> (usize, usize) {
+        let listed = self.nodes.iter().filter(|n| n.server.phase != Phase::Gone);
+        listed.fold((0, 0), |(all, out), n| (all + 1, out + usize::from(n.blocked_until > now)))
+    }
+
     fn draw(&mut self, below: usize) -> usize {
         ((u64::from(self.rng.next_u32()) * below as u64) >> 32) as usize
     }
--- a/crates/corkhollow/src/commands/run.rs
+++ b/crates/corkhollow/src/commands/run.rs
@@ -3,10 +3,12 @@
 use super::{load, Failure};
 use crate::cli::RunArgs;
 use corkhollow_engine::{log, Clock};
+use corkhollow_operate::{Control, Figures, FiguresError};
 use corkhollow_plan::limits::Budget;
 use corkhollow_plan::plan::{Plan, Source};
 use corkhollow_plan::platform::{Config, ConfigError};
 use corkhollow_proxy::http1::{Clients, Service};
+use corkhollow_proxy::operator::Operator;
 use corkhollow_proxy::site::{Current, PoolError, Site};
 use corkhollow_proxy::upstream::Shared;
 use std::cell::Cell;
@@ -14,6 +16,7 @@
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 use tokio::net::{TcpListener, TcpSocket};
 use tokio::signal::unix::{signal, SignalKind};
@@ -22,8 +25,10 @@
 
 /// Connections that the kernel may hold for us while we are busy; it cuts this down to what it allows.
 const BACKLOG: u32 = 4096;
-/// At a planned restart new connections go on coming for a while.
-const STILL_ACCEPT: Duration = Duration::from_millis(500);
+/// How often figures and readiness are brought up to date.
+const WATCH: Duration = Duration::from_millis(50);
+/// How often a draining node looks for connections without a request.
+const EMPTY: Duration = Duration::from_millis(20);
 
 /// Why the program cannot serve.
 #[derive(Debug, thiserror::Error)]
@@ -36,6 +41,8 @@
     Listen { address: SocketAddr, error: std::io::Error },
     #[error("{0}")]
     System(#[from] std::io::Error),
+    #[error("{0}")]
+    Figures(#[from] FiguresError),
 }
 
 /// Where the plan comes from, now and at each reload.
@@ -68,6 +75,12 @@
     open().map_err(|error| StartError::Listen { address, error })
 }
 
+/// Opens the operator's address.
+fn listen_for_calls(address: SocketAddr) -> Result<std::net::TcpListener, StartError> {
+    let open = || listen(address).map(TcpListener::into_std);
+    open()?.map_err(|error| StartError::Listen { address, error })
+}
+
 /// A listener that takes connections.
 struct Open {
     told: SocketAddr,
@@ -128,44 +141,62 @@
     let mut hang_up = signal(SignalKind::hangup())?;
     let clock = Clock::start();
     let budget = Budget::new(plan.limits.descriptors, plan.limits.memory);
-    let shared = Shared { clock, budget: budget.clone() };
+    let figures = Figures::new()?;
+    let shared = Shared { clock, budget: budget.clone(), figures: figures.clone() };
     let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
     let seed = plan.seed.unwrap_or(since.as_nanos() as u64 ^ u64::from(std::process::id()));
     let mut listeners = Listeners::default();
     let bound = listeners.bind(&plan)?;
+    let calls = plan.operator.map(listen_for_calls).transpose()?;
+    let control = Control::default();
     let site = Site::start(plan, None, &shared, seed)?;
     let current = Current::new(site.clone());
     let service = Rc::new(Service {
         site: current.clone(),
         clock,
         budget,
-        leaving: Cell::new(false),
+        control: control.clone(),
         ids: Cell::new(seed),
     });
     let clients = Clients::new(service.clone());
+    let changed = Arc::new(Notify::new());
+    if let Some(calls) = calls {
+        log(format_args!("operators call at {}", calls.local_addr()?));
+        let (control, figures, changed) = (control.clone(), figures.clone(), changed.clone());
+        Operator { control, figures, clock, changed }.start(calls)?;
+    }
     listeners.start(&site.plan, bound, &clients)?;
     drop(site);
     spawn_local(sweep(current.clone(), clients.clone()));
+    spawn_local(watch(current.clone(), control.clone(), figures.clone()));
+    spawn_local(empty(clients.clone(), control.clone(), clock, changed));
 
     loop {
         tokio::select! {
             _ = terminate.recv() => break,
             _ = hang_up.recv() => match &told {
-                Told::Platform => move_discovery(&current),
-                Told::File(path) => {
-                    if let Err(why) = reload(path, &current, &mut listeners, &clients, &shared, seed) {
+                Told::Platform => match move_discovery(&current) {
+                    true => figures.applied.inc(),
+                    false => figures.rejected.inc(),
+                },
+                Told::File(path) => match reload(path, &current, &mut listeners, &clients, &shared, seed) {
+                    Ok(()) => figures.applied.inc(),
+                    Err(why) => {
+                        figures.rejected.inc();
                         log(format_args!("not reloaded: {why}"));
                     }
-                }
+                },
             },
         }
     }
     let told = Instant::now();
-    service.leaving.set(true);
-    tokio::time::sleep(STILL_ACCEPT).await;
+    control.lock().leave(clock.now(), false);
+    while control.lock().accepts(clock.now()) {
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
     listeners.close().await;
     let leave_within = Duration::from_nanos(current.get().plan.drain_timeout);
-    while clients.close_idle() > 0 && told.elapsed() < leave_within {
+    while close_idle(&clients, &control, clock) > 0 && told.elapsed() < leave_within {
         tokio::time::sleep(Duration::from_millis(10)).await;
     }
     Ok(())
@@ -198,11 +229,12 @@
 
 /// Takes over what a new configuration of the platform says of discovery; all else that it says counts from the
 /// next start. One that cannot be read leaves the old one in force.
-fn move_discovery(current: &Current) {
+fn move_discovery(current: &Current) -> bool {
     let site = current.get();
     match Config::load() {
         Ok(config) if site.plan.listeners.iter().any(|l| l.address != config.listen) => {
             log(format_args!("not reloaded: `listen` changes with a restart only"));
+            false
         }
         Ok(config) => {
             log(format_args!("reloaded: discovery at {}", config.discovery));
@@ -211,8 +243,41 @@
                     pool.move_to(config.discovery);
                 }
             }
+            true
+        }
+        Err(error) => {
+            log(format_args!("not reloaded: {error}"));
+            false
+        }
+    }
+}
+
+/// Keeps the figures of the servers and the node's readiness up to date, for good.
+async fn watch(current: Rc<Current>, control: Control, figures: Figures) {
+    loop {
+        let site = current.get();
+        control.lock().tell(site.ready());
+        let (listed, ejected) = site.census();
+        figures.discovered.set(listed as i64);
+        figures.ejected.set(ejected as i64);
+        tokio::time::sleep(WATCH).await;
+    }
+}
+
+/// Closes connections that have no request, as far as the node's life wants that; the number of those that are left.
+fn close_idle(clients: &Clients, control: &Control, clock: Clock) -> usize {
+    let before = control.lock().closes_idle_before(clock.now());
+    clients.close_idle(before.unwrap_or(0))
+}
+
+/// Empties the node as long as its operator wants that, for good.
+async fn empty(clients: Rc<Clients>, control: Control, clock: Clock, changed: Arc<Notify>) {
+    loop {
+        while control.lock().keeps() {
+            changed.notified().await;
         }
-        Err(error) => log(format_args!("not reloaded: {error}")),
+        close_idle(&clients, &control, clock);
+        tokio::time::sleep(EMPTY).await;
     }
 }
 
--- /dev/null
+++ b/crates/corkhollow/tests/operator.rs
@@ -0,0 +1,113 @@
+//! What operators call: readiness, figures, drain and resume, whatever else goes on.
+
+use corkhollow_standin::*;
+use std::io::{Read, Write};
+use std::net::TcpStream;
+use std::time::{Duration, Instant};
+
+fn shows(node: &Node, figure: &str, value: f64) {
+    until(figure, || node.figure(figure) == Some(value));
+}
+
+#[test]
+fn requests_are_counted_by_class_and_end() {
+    let servers = Servers::new(2, |_, m| match &m.body[..] {
+        b"bad" => Reply::Reset,
+        b"wait" => Reply::Silence,
+        _ => ok("fine"),
+    });
+    let (node, _discovery) = Node::with(&servers);
+    shows(&node, "gw_discovered", 2.0);
+    for class in ["safe", "once"] {
+        for figure in ["succeeded", "declined", "aborted"] {
+            assert_eq!(node.figure(&format!("gw_{figure}{{service=\"{class}\"}}")), Some(0.0), "{figure}");
+        }
+    }
+    for _ in 0..3 {
+        assert_eq!(node.get("/safe/1", "").unwrap().status(), 200);
+    }
+    assert_eq!(node.post("/once/1", b"bad").unwrap().status(), 502);
+    let mut held = node.connect();
+    held.write_all(&post("/once/1", b"wait")).unwrap();
+    shows(&node, "gw_outstanding", 1.0);
+    shows(&node, "gw_forwards", 5.0);
+    shows(&node, "gw_succeeded{service=\"safe\"}", 3.0);
+    shows(&node, "gw_aborted{service=\"once\"}", 1.0);
+    drop(held);
+    shows(&node, "gw_outstanding", 0.0);
+    node.signal("-HUP");
+    shows(&node, "gw_sighup_applied", 1.0);
+    node.reload("{");
+    shows(&node, "gw_sighup_rejected", 1.0);
+    assert_eq!(node.figure("gw_ejected"), Some(0.0));
+}
+
+/// A drained node says no, ends each connection behind its answer, lets go of the idle ones, and comes back.
+#[test]
+fn a_drain_empties_the_node_and_ends() {
+    let servers = Servers::new(1, |_, _| ok("fine"));
+    let (node, _discovery) = Node::with(&servers);
+    assert_eq!(node.call("GET", "/-/ready").unwrap().status(), 200);
+    let (mut busy, mut idle) = (node.connect(), node.connect());
+    for client in [&mut busy, &mut idle] {
+        client.write_all(&get("/safe/1", "")).unwrap();
+        assert_eq!(read(client).unwrap().header("connection"), None);
+    }
+    let start = Instant::now();
+    assert_eq!(node.call("POST", "/-/drain").unwrap().status(), 200);
+    assert_eq!(node.get("/up", "").unwrap().status(), 503);
+    assert_eq!(node.call("GET", "/-/ready").unwrap().status(), 503);
+    // Clients that come all the same, and those that go on, are served.
+    busy.write_all(&get("/safe/1", "")).unwrap();
+    let answer = read(&mut busy).unwrap();
+    assert_eq!((answer.status(), answer.header("connection")), (200, Some("close")));
+    assert_eq!(node.get("/safe/1", "").unwrap().status(), 200);
+    assert_eq!(idle.read(&mut [0]).unwrap(), 0, "the idle connection is not closed");
+    assert!(start.elapsed() < Duration::from_secs(4), "{:?}", start.elapsed());
+    assert_eq!(node.call("POST", "/-/resume").unwrap().status(), 200);
+    node.ready();
+    let mut kept = node.connect();
+    for _ in 0..2 {
+        kept.write_all(&get("/safe/1", "")).unwrap();
+        assert_eq!(read(&mut kept).unwrap().header("connection"), None);
+    }
+}
+
+/// Callers that say nothing, or half of it, keep nobody else from an answer, and are let go.
+#[test]
+fn silent_callers_hold_nothing_up() {
+    let servers = Servers::new(1, |_, _| ok("fine"));
+    let (node, _discovery) = Node::with(&servers);
+    let mut silent: Vec<_> = (0..60).map(|_| TcpStream::connect(node.operator.unwrap()).unwrap()).collect();
+    for caller in silent.iter_mut().step_by(2) {
+        let _ = caller.write_all(b"GET /-/metrics HTT");
+    }
+    let start = Instant::now();
+    for _ in 0..5 {
+        assert_eq!(node.call("GET", "/-/ready").unwrap().status(), 200);
+    }
+    assert!(start.elapsed() < Duration::from_secs(5), "{:?}", start.elapsed());
+    for caller in &mut silent {
+        caller.set_read_timeout(Some(Duration::from_secs(20))).unwrap();
+        let mut said = Vec::new();
+        // A close or a reset; a time-out would be neither.
+        let end = caller.read_to_end(&mut said).map_err(|e| e.kind());
+        assert_ne!(end, Err(std::io::ErrorKind::WouldBlock), "a silent caller is still held");
+    }
+}
+
+#[test]
+fn other_calls_are_told_no() {
+    let servers = Servers::new(1, |_, _| ok("fine"));
+    let (node, _discovery) = Node::with(&servers);
+    for (method, path, status) in [
+        ("GET", "/-/drain", 405),
+        ("POST", "/-/metrics", 405),
+        ("GET", "/", 404),
+        ("GET", "/safe/1", 404),
+        ("GET", "/up", 404),
+    ] {
+        assert_eq!(node.call(method, path).unwrap().status(), status, "{method} {path}");
+    }
+    assert_eq!(node.call("GET", "/-/ready").unwrap().status(), 200);
+}
--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -235,6 +235,11 @@
         self.handle(&mut state, Event::List { kind, servers });
     }
 
+    /// Servers in the list, and how many of them the module has ejected for now.
+    pub fn census(&self) -> (usize, usize) {
+        self.state.borrow().balancer.census(self.clock.now())
+    }
+
     /// Waits for timers and tells the module of them, until the engine is retired and its last request is over.
     pub async fn run_timers(self: Rc<Self>, retired: Rc<Cell<bool>>) {
         while !(retired.get() && self.state.borrow().live.is_empty()) {
--- /dev/null
+++ b/crates/operate/src/lib.rs
@@ -0,0 +1,10 @@
+//! What operators see and steer: the node's life, its figures. The choices here have no input or output; whoever
+//! holds sockets asks them.
+
+mod figures;
+mod lifecycle;
+
+pub use figures::{ClassFigures, Figures, Tally};
+pub use prometheus::{Error as FiguresError, IntCounter};
+
+pub use lifecycle::{Control, Lifecycle, Stage};
--- a/crates/plan/src/file/compile.rs
+++ b/crates/plan/src/file/compile.rs
@@ -32,14 +32,26 @@
         file.pool.iter().enumerate().map(|(k, p)| pool(p, k, told(p), &zones, folder, reader)).collect();
     unique(file.pool.iter().map(|p| &p.name), "pool", reader);
     let routes = routes(file, &listeners, reader);
-    let drain_timeout = file.node.drain_timeout.0;
+    let (drain_timeout, operator) = (file.node.drain_timeout.0, file.node.operator);
     if reader.failed() {
         return None;
     }
     warn_of_unused(file, reader);
     let routes = RouteTable::new(routes.into_iter().flatten().collect(), listeners.len());
     warn_of_covered(&routes, reader);
-    Some(Plan { zone, zones, drain_timeout, limits, listeners, classes, tenants, pools, routes, seed: None })
+    Some(Plan {
+        zone,
+        zones,
+        drain_timeout,
+        operator,
+        limits,
+        listeners,
+        classes,
+        tenants,
+        pools,
+        routes,
+        seed: None,
+    })
 }
 
 /// More than this multiple of its present capacity, for so long, pushes a cold server over.
--- a/crates/plan/src/file/model.rs
+++ b/crates/plan/src/file/model.rs
@@ -26,11 +26,13 @@
     pub zone: Option<String>,
     pub zones: Vec<String>,
     pub drain_timeout: Duration,
+    /// The operator's address.
+    pub operator: Option<SocketAddr>,
 }
 
 impl Default for Node {
     fn default() -> Self {
-        Node { zone: None, zones: Vec::new(), drain_timeout: Duration::ms(30_000) }
+        Node { zone: None, zones: Vec::new(), drain_timeout: Duration::ms(30_000), operator: None }
     }
 }
 
--- a/crates/plan/src/file/schema.rs
+++ b/crates/plan/src/file/schema.rs
@@ -132,6 +132,8 @@
          them named here.";
     drain_timeout: Text(&DURATION), Value("\"30s\""),
         "How long SIGTERM waits for what is under way.";
+    operator: Text(&ADDRESS), Means("no calls"),
+        "Where operators ask for readiness and figures, drain and resume. Needs a restart to change.";
 }
 
 table! { LIMITS, "What the program may hold in all.",
--- a/crates/plan/src/limits.rs
+++ b/crates/plan/src/limits.rs
@@ -5,8 +5,8 @@
 
 /// The most that the body of a request or of an answer may hold.
 pub const MOST_BODY: u64 = 32_000_000;
-/// Descriptors that are neither a client's nor a server's: standard streams, listener, poller, discovery.
-const OWN_SOCKETS: usize = 24;
+/// Descriptors that are neither a client's nor a server's: standard streams, listeners, pollers, discovery, 16 operators.
+const OWN_SOCKETS: usize = 44;
 /// Part of the rest that clients may hold. A server connection carries a request, a client's may stand idle.
 const CLIENT_PART: f64 = 0.55;
 /// Part of the memory limit that bodies may fill; connection buffers and the heap's slack need the rest.
--- a/crates/plan/src/plan.rs
+++ b/crates/plan/src/plan.rs
@@ -17,6 +17,8 @@
     pub zones: Vec<String>,
     /// How long SIGTERM waits for what is under way.
     pub drain_timeout: Nanos,
+    /// Where operators call, if they may.
+    pub operator: Option<SocketAddr>,
     /// What it may hold.
     pub limits: Limits,
     /// Where clients connect.
--- a/crates/plan/src/platform.rs
+++ b/crates/plan/src/platform.rs
@@ -37,6 +37,8 @@
     Malformed { path: String, error: serde_json::Error },
     #[error("{path}: settings: {error}")]
     Settings { path: String, error: String },
+    #[error("GW_OPERATOR is `{text}`; allowed: an IP address with a port")]
+    Operator { text: String },
     #[error("{path}: `limits.{name}` is too small to serve with")]
     Limit { path: String, name: &'static str },
 }
@@ -44,6 +46,7 @@
 #[derive(Deserialize)]
 struct File {
     listen: SocketAddr,
+    operator: Option<SocketAddr>,
     discovery: SocketAddr,
     #[serde(default)]
     seed: String,
@@ -66,6 +69,8 @@
 pub struct Config {
     /// Where clients connect.
     pub listen: SocketAddr,
+    /// Where operators call.
+    pub operator: Option<SocketAddr>,
     /// Where discovery is.
     pub discovery: SocketAddr,
     /// For random numbers; new with each start.
@@ -96,7 +101,13 @@
         let path = std::env::var("GW_CONFIG").map_err(|_| ConfigError::Unset)?;
         let bytes = std::fs::read(Path::new(&path))
             .map_err(|error| ConfigError::Unreadable { path: path.clone(), error })?;
-        Self::parse(&path, &bytes)
+        let mut config = Self::parse(&path, &bytes)?;
+        // A process that replaces another has the file in common with it, and an address of its own.
+        if let Ok(text) = std::env::var("GW_OPERATOR") {
+            let told = text.parse().map_err(|_| ConfigError::Operator { text })?;
+            config.operator = Some(told);
+        }
+        Ok(config)
     }
 
     fn parse(path: &str, bytes: &[u8]) -> Result<Self, ConfigError> {
@@ -123,6 +134,7 @@
             zones: names("zones"),
             kinds: names("skus"),
             listen: file.listen,
+            operator: file.operator,
             discovery: file.discovery,
             // Any text is a seed: what counts is that it is new with each start.
             seed: u64::from_str_radix(&file.seed, 16).unwrap_or_else(|_| crate::mix(file.seed.as_bytes())),
@@ -191,6 +203,7 @@
             zone: settings.zone,
             zones: self.zones.clone(),
             drain_timeout: DRAIN,
+            operator: self.operator,
             limits: Holding {
                 descriptors: self.limits.sockets,
                 memory: self.limits.memory_mb << 20,
--- a/crates/plan/tests/file.rs
+++ b/crates/plan/tests/file.rs
@@ -401,6 +401,7 @@
         zone in option::of(name()),
         zones in vec(name(), 0..2),
         drain_timeout in duration(),
+        operator in any::<bool>(),
         memory in 16_000_000u64..1_000_000_000,
         names in proptest::collection::btree_set(name(), 1..4),
         via in option::of(name()),
@@ -436,7 +437,10 @@
             path: "/up".into(), every: aim, timeout: aim, rise: 1, fall: 2, status: vec![200, 204],
         });
         File {
-            node: model::Node { zone, zones, drain_timeout },
+            node: model::Node {
+                zone, zones, drain_timeout,
+                operator: operator.then(|| "127.0.0.1:9100".parse().unwrap()),
+            },
             limits: model::Limits { memory: Size(memory), ..Default::default() },
             listener: listener.collect(),
             class: vec![class],
--- a/crates/proxy/src/http1/clients.rs
+++ b/crates/proxy/src/http1/clients.rs
@@ -7,6 +7,7 @@
 use bytes::Bytes;
 use corkhollow_balance::interface::Nanos;
 use corkhollow_engine::{log, Broken, Clock};
+use corkhollow_operate::{ClassFigures, Control, Tally};
 use corkhollow_plan::limits::{Budget, Slot};
 use corkhollow_plan::plan::Dialect;
 use hyper::body::{Body, Frame, Incoming, SizeHint};
@@ -61,6 +62,8 @@
     cut: Cell<bool>,
     closing: Cell<bool>,
     close: Notify,
+    /// The request under way, once its class is known.
+    tally: RefCell<Option<Tally>>,
     _slot: Slot,
 }
 
@@ -81,6 +84,18 @@
         begun.is_some_and(|at| at.elapsed() > longest) && !self.closing.get()
     }
 
+    /// A request of this class is being read.
+    pub(super) fn count(&self, class: &ClassFigures) {
+        self.tally.replace(Some(Tally::new(class.clone())));
+    }
+
+    /// The last byte of the request has come.
+    pub(super) fn taken(&self) {
+        if let Some(tally) = &mut *self.tally.borrow_mut() {
+            tally.take();
+        }
+    }
+
     /// Ends the connection: at once, or when no request is open. The task that serves it sleeps and has to be
     /// woken, or it holds its descriptor until the client leaves.
     fn stop(&self, cut: bool) {
@@ -98,8 +113,8 @@
     pub clock: Clock,
     /// What it may hold.
     pub budget: Rc<Budget>,
-    /// SIGTERM has come: no more requests on kept connections.
-    pub leaving: Cell<bool>,
+    /// Whether it is up, keeps connections and takes new ones.
+    pub control: Control,
     /// Numbers requests that bring no id.
     pub ids: Cell<u64>,
 }
@@ -180,6 +195,7 @@
             cut: Cell::new(false),
             closing: Cell::new(false),
             close: Notify::new(),
+            tally: RefCell::default(),
             _slot: budget.client(),
         });
         let id = self.next.get();
@@ -249,10 +265,10 @@
         self.open.borrow().values().filter(|c| &*c.listener == name).for_each(|c| c.stop(false));
     }
 
-    /// Closes all connections that are between requests; the number of those that are left.
-    pub fn close_idle(&self) -> usize {
+    /// Closes all connections that have been between requests since this time; the number of those that are left.
+    pub fn close_idle(&self, before: Nanos) -> usize {
         let open = self.open.borrow();
-        open.values().filter(|c| c.idle()).for_each(|c| c.stop(false));
+        open.values().filter(|c| c.idle_since.get() <= before && c.idle()).for_each(|c| c.stop(false));
         open.len()
     }
 }
@@ -293,7 +309,12 @@
     type Error = Broken;
 
     fn poll_frame(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<Option<Result<Frame<Bytes>, Broken>>> {
-        Pin::new(&mut self.get_mut().body).poll_frame(cx)
+        let this = self.get_mut();
+        let piece = std::task::ready!(Pin::new(&mut this.body).poll_frame(cx));
+        if let (Some(Err(_)), Some(tally)) = (&piece, &mut *this.client.tally.borrow_mut()) {
+            tally.cut();
+        }
+        Poll::Ready(piece)
     }
 
     fn is_end_stream(&self) -> bool {
@@ -307,6 +328,7 @@
 
 impl Drop for Outgoing {
     fn drop(&mut self) {
+        self.client.tally.take();
         self.client.stage.set(Stage::Idle);
         self.client.idle_since.set(self.service.clock.now());
         self.client.socket.forget();
@@ -335,7 +357,10 @@
         Dialect::Http => general::answer(service, &site, client, listener, request).await,
     };
     client.stage.set(Stage::Writing);
-    if service.leaving.get() || client.surplus || hides || listener.is_none() {
+    if let Some(tally) = &mut *client.tally.borrow_mut() {
+        tally.answer(response.status().as_u16());
+    }
+    if !service.control.lock().keeps() || client.surplus || hides || listener.is_none() {
         response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
     }
     Ok(response.map(|body| Outgoing { body, service: service.clone(), client: client.clone() }))
--- a/crates/proxy/src/http1/general.rs
+++ b/crates/proxy/src/http1/general.rs
@@ -145,6 +145,7 @@
         }
         Outcome::Forward { pool, rewrite } => {
             let class = site.plan.class_of(route.class, &head.method);
+            client.count(&site.figures[class]);
             let sent = sent(rewrite, &path, &head.uri)?;
             let tenant = site.plan.tenant(head.headers.get(&site.plan.tenants.header));
             let mut headers = head.headers;
@@ -187,6 +188,7 @@
             let message =
                 Message { method: head.method, uri: Uri::from(sent), headers, payload, give_up_at, interims };
             client.stage.set(Stage::Waiting);
+            client.taken();
             let Some(mut ticket) = pool.engine.submit(None, request, message) else {
                 return Err(Problem::new(StatusCode::INTERNAL_SERVER_ERROR, "engine", "not taken"));
             };
--- a/crates/proxy/src/http1/platform.rs
+++ b/crates/proxy/src/http1/platform.rs
@@ -28,7 +28,7 @@
 ) -> Response<AnswerBody> {
     let (head, body) = request.into_parts();
     if head.uri.path() == "/up" && head.method == Method::GET {
-        let up = site.ready() && !service.leaving.get();
+        let up = service.control.lock().up();
         return text(if up { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE }, "");
     }
     if head.headers.contains_key(header::TRANSFER_ENCODING) && client.socket.said("\ncontent-length:") {
@@ -50,6 +50,7 @@
         return closing(text(StatusCode::NOT_FOUND, "no such class of requests\n"));
     };
     let settings = pool.settings();
+    client.count(&site.figures[class]);
     let body = match take(service, client.surplus, body).await {
         Ok(body) => Rc::new(body),
         Err(BodyError::TooLarge) => return closing(text(StatusCode::PAYLOAD_TOO_LARGE, "over 32 MB\n")),
@@ -75,6 +76,7 @@
         _ => return closing(text(StatusCode::BAD_REQUEST, "X-Timeout-Ms is no whole number\n")),
     };
     client.stage.set(Stage::Waiting);
+    client.taken();
     let now = service.clock.now();
     let give_up_at = now + wait;
     let number = |name: &str| headers.get(name).and_then(|v| v.to_str().ok()?.trim().parse::<f64>().ok());
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -4,6 +4,7 @@
 mod body;
 mod headers;
 pub mod http1;
+pub mod operator;
 pub mod site;
 mod socket;
 pub mod upstream;
--- /dev/null
+++ b/crates/proxy/src/operator.rs
@@ -0,0 +1,136 @@
+//! The operator's address (HTTP/1.1, one call to a connection): ready, figures, drain, resume. It has a thread and a
+//! runtime of its own, so that no load keeps an answer back.
+
+use bytes::Bytes;
+use corkhollow_engine::{log, Clock};
+use corkhollow_operate::{Control, Figures};
+use http_body_util::Full;
+use hyper::header::{self, HeaderValue};
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper::{Method, Request, Response, StatusCode};
+use hyper_util::rt::{TokioIo, TokioTimer};
+use std::collections::VecDeque;
+use std::convert::Infallible;
+use std::net::TcpListener;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::net::TcpStream;
+use tokio::sync::Notify;
+use tokio::task::AbortHandle;
+
+/// Callers that may be connected at once; the oldest goes for a new one. Calls take milliseconds: one that is still
+/// there says nothing.
+pub const MOST_CALLERS: usize = 16;
+/// A head that is not there after this will not come.
+const HEAD_WITHIN: Duration = Duration::from_secs(2);
+/// The whole of a call takes no longer, whoever reads slowly.
+const CALL_WITHIN: Duration = Duration::from_secs(5);
+/// The longest head of a call, in bytes.
+const HEAD: usize = 8 * 1024;
+
+/// What calls are answered from.
+#[derive(Clone, Debug)]
+pub struct Operator {
+    /// The node's life.
+    pub control: Control,
+    /// What it has done.
+    pub figures: Figures,
+    /// The clock that its life goes by.
+    pub clock: Clock,
+    /// Tells the serving side that the life has changed.
+    pub changed: Arc<Notify>,
+}
+
+impl Operator {
+    /// Serves on a thread of its own, for good.
+    ///
+    /// # Errors
+    /// Where the system has no thread or no descriptor left.
+    pub fn start(self, listener: TcpListener) -> std::io::Result<()> {
+        listener.set_nonblocking(true)?;
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+        let serve = move || runtime.block_on(self.serve(listener));
+        std::thread::Builder::new().name("operator".to_owned()).spawn(serve).map(drop)
+    }
+
+    async fn serve(self, listener: TcpListener) {
+        let listener = match tokio::net::TcpListener::from_std(listener) {
+            Ok(listener) => listener,
+            Err(error) => return log(format_args!("operator's address: {error}")),
+        };
+        let mut callers: VecDeque<AbortHandle> = VecDeque::new();
+        loop {
+            let Ok((stream, _)) = listener.accept().await else {
+                tokio::time::sleep(Duration::from_millis(20)).await;
+                continue;
+            };
+            callers.retain(|caller| !caller.is_finished());
+            while callers.len() >= MOST_CALLERS {
+                callers.pop_front().inspect(AbortHandle::abort);
+            }
+            callers.push_back(tokio::spawn(call(self.clone(), stream)).abort_handle());
+        }
+    }
+
+    fn answer(&self, method: &Method, path: &str) -> Response<Full<Bytes>> {
+        let allowed = match path {
+            "/-/ready" | "/-/metrics" => Method::GET,
+            "/-/drain" | "/-/resume" => Method::POST,
+            _ => return text(StatusCode::NOT_FOUND, "no such call\n"),
+        };
+        if *method != allowed {
+            let mut response = text(StatusCode::METHOD_NOT_ALLOWED, "not with this method\n");
+            let allow = HeaderValue::from_static(if allowed == Method::GET { "GET" } else { "POST" });
+            response.headers_mut().insert(header::ALLOW, allow);
+            return response;
+        }
+        match path {
+            "/-/ready" if self.control.lock().up() => text(StatusCode::OK, "ready\n"),
+            "/-/ready" => text(StatusCode::SERVICE_UNAVAILABLE, "not ready\n"),
+            "/-/metrics" => match self.figures.page() {
+                Ok((page, kind)) => {
+                    let mut response = Response::new(Full::new(Bytes::from(page)));
+                    response.headers_mut().insert(header::CONTENT_TYPE, HeaderValue::from_static(kind));
+                    response
+                }
+                Err(_) => text(StatusCode::INTERNAL_SERVER_ERROR, "the figures cannot be written\n"),
+            },
+            "/-/drain" => {
+                self.control.lock().drain(self.clock.now());
+                self.changed.notify_one();
+                log(format_args!("the operator drains the node"));
+                text(StatusCode::OK, "draining\n")
+            }
+            _ => {
+                let serving = self.control.lock().resume();
+                self.changed.notify_one();
+                log(format_args!("the operator resumes the node"));
+                match serving {
+                    true => text(StatusCode::OK, "serving\n"),
+                    false => text(StatusCode::CONFLICT, "the node ends\n"),
+                }
+            }
+        }
+    }
+}
+
+async fn call(operator: Operator, stream: TcpStream) {
+    let _ = stream.set_nodelay(true);
+    let answering = service_fn(|request: Request<hyper::body::Incoming>| {
+        let response = operator.answer(request.method(), request.uri().path());
+        async { Ok::<_, Infallible>(response) }
+    });
+    let mut builder = http1::Builder::new();
+    builder.keep_alive(false).max_buf_size(HEAD).timer(TokioTimer::new()).header_read_timeout(HEAD_WITHIN);
+    // What goes wrong here is the caller's.
+    let _ =
+        tokio::time::timeout(CALL_WITHIN, builder.serve_connection(TokioIo::new(stream), answering)).await;
+}
+
+fn text(status: StatusCode, text: &'static str) -> Response<Full<Bytes>> {
+    let mut response = Response::new(Full::new(Bytes::from_static(text.as_bytes())));
+    *response.status_mut() = status;
+    response.headers_mut().insert(header::CONTENT_TYPE, HeaderValue::from_static("text/plain"));
+    response
+}
--- a/crates/proxy/src/site.rs
+++ b/crates/proxy/src/site.rs
@@ -2,6 +2,7 @@
 
 use crate::upstream::{Pool, Shared};
 use corkhollow_balance::interface::SettingsError;
+use corkhollow_operate::ClassFigures;
 use corkhollow_plan::plan::Plan;
 use std::cell::RefCell;
 use std::rc::Rc;
@@ -12,6 +13,8 @@
     pub plan: Plan,
     /// The plan's pools, by their index there.
     pub pools: Vec<Rc<Pool>>,
+    /// Where requests are counted, by their class in the plan.
+    pub figures: Vec<ClassFigures>,
 }
 
 /// A pool that a plan names cannot be started.
@@ -50,7 +53,14 @@
         for (at, pool) in kept {
             pool.go_on(&plan, at);
         }
-        Ok(Rc::new(Site { plan, pools }))
+        let figures = plan.classes.iter().map(|class| shared.figures.class(&class.name)).collect();
+        Ok(Rc::new(Site { plan, pools, figures }))
+    }
+
+    /// Servers in the lists of all pools, and how many of them are ejected.
+    pub fn census(&self) -> (usize, usize) {
+        let counts = self.pools.iter().map(|p| p.engine.census());
+        counts.fold((0, 0), |sum, (listed, ejected)| (sum.0 + listed, sum.1 + ejected))
     }
 
     /// Whether all pools have been told who their servers are.
--- a/crates/proxy/src/socket.rs
+++ b/crates/proxy/src/socket.rs
@@ -1,6 +1,7 @@
 //! One TCP connection, shared between hyper and the node: hyper reads and writes it, the node asks what has
 //! gone over it.
 
+use corkhollow_operate::IntCounter;
 use memchr::memmem;
 use std::cell::{Cell, RefCell};
 use std::io;
@@ -27,6 +28,8 @@
     /// Something has gone either way since the node last cleared this.
     pub moved: Cell<bool>,
     outgoing: Cell<Outgoing>,
+    /// Counts a request once it is out whole.
+    forwards: RefCell<Option<IntCounter>>,
     /// Hyper has handed over all that it has to write.
     flushed: Cell<bool>,
     /// What is to go out before anything else of hyper's: one message at most.
@@ -78,6 +81,7 @@
             heard: Cell::new(None),
             moved: Cell::new(true),
             outgoing: Cell::default(),
+            forwards: RefCell::default(),
             flushed: Cell::new(true),
             said: RefCell::default(),
             first: RefCell::default(),
@@ -129,7 +133,8 @@
     }
 
     /// A request with a body of this length is about to be written.
-    pub fn expect_request(&self, body: u64) {
+    pub fn expect_request(&self, body: u64, forwards: IntCounter) {
+        self.forwards.replace(Some(forwards));
         self.outgoing.set(Outgoing { body_left: body, ..Outgoing::default() });
         // What comes from here on is the answer.
         self.heard.set(None);
@@ -208,6 +213,11 @@
             left -= part;
         }
         self.0.outgoing.set(outgoing);
+        if outgoing.whole() {
+            if let Some(forwards) = self.0.forwards.take() {
+                forwards.inc();
+            }
+        }
         Poll::Ready(Ok(n))
     }
 
--- a/crates/proxy/src/upstream/attempt.rs
+++ b/crates/proxy/src/upstream/attempt.rs
@@ -77,10 +77,11 @@
         };
         *seen.borrow_mut() = Some(link.socket.clone());
         // A server of the platform begins a request with its last byte; any other may do so with its head.
-        link.socket.expect_request(match (&message.payload, upstreams.dialect) {
+        let body = match (&message.payload, upstreams.dialect) {
             (Payload::Whole(body), Dialect::Platform) => body.len(),
             _ => 0,
-        });
+        };
+        link.socket.expect_request(body, upstreams.forwards.clone());
         let mut response = pin!(link.sender.try_send_request(request));
         let response = poll_fn(|cx| {
             // Interim answers first: they came before the final one.
--- a/crates/proxy/src/upstream/pool.rs
+++ b/crates/proxy/src/upstream/pool.rs
@@ -6,6 +6,7 @@
 use super::upstreams::{Sender, Upstreams};
 use corkhollow_balance::interface::{ListKind, Phase, Server as Told, ServerId, SettingsError};
 use corkhollow_engine::{log, Clock, Engine};
+use corkhollow_operate::Figures;
 use corkhollow_plan::file::read_servers;
 use corkhollow_plan::limits::Budget;
 use corkhollow_plan::plan::{self, Limits, Plan, Source};
@@ -31,6 +32,8 @@
     pub clock: Clock,
     /// What it may hold.
     pub budget: Rc<Budget>,
+    /// What it has done.
+    pub figures: Figures,
 }
 
 /// See the module's documentation.
@@ -69,7 +72,7 @@
     pub fn start(plan: &Plan, at: usize, shared: &Shared, seed: u64) -> Result<Rc<Self>, SettingsError> {
         let told = plan.pools[at].clone();
         let (list_calls, calls) = mpsc::unbounded_channel();
-        let upstreams = Upstreams::new(&told, &plan.limits, shared.budget.clone(), shared.clock, list_calls);
+        let upstreams = Upstreams::new(&told, &plan.limits, shared, list_calls);
         let engine =
             Engine::new(told.settings.clone(), seed, shared.clock, Rc::new(Sender(upstreams.clone())))?;
         let retired = Rc::new(Cell::new(false));
--- a/crates/proxy/src/upstream/upstreams.rs
+++ b/crates/proxy/src/upstream/upstreams.rs
@@ -2,9 +2,11 @@
 
 use super::attempt::attempt;
 use super::fleet::{Entry, Fleet};
+use super::Shared;
 use crate::socket::Socket;
 use corkhollow_balance::interface::{ListKind, Nanos, Server, ServerId};
 use corkhollow_engine::{log, AttemptId, Carrier, Clock, Engine, ListCall, Message, Running};
+use corkhollow_operate::IntCounter;
 use corkhollow_plan::limits::Budget;
 use corkhollow_plan::plan::{Dialect, Limits, Pool};
 use std::cell::{Cell, RefCell};
@@ -26,6 +28,8 @@
     pub(super) dialect: Dialect,
     pub(super) budget: Rc<Budget>,
     pub(super) clock: Clock,
+    /// Attempts written whole.
+    pub(super) forwards: IntCounter,
     pub(super) connect_timeout: Duration,
     /// How long an answer's body may stand still.
     pub(super) stall: Duration,
@@ -85,16 +89,16 @@
     pub fn new(
         pool: &Pool,
         limits: &Limits,
-        budget: Rc<Budget>,
-        clock: Clock,
+        shared: &Shared,
         list_calls: mpsc::UnboundedSender<ListCall>,
     ) -> Rc<Self> {
         Rc::new(Upstreams {
             name: pool.name.clone(),
             fleet: RefCell::new(Fleet::new(pool.idle_timeout)),
             dialect: pool.dialect,
-            budget,
-            clock,
+            budget: shared.budget.clone(),
+            clock: shared.clock,
+            forwards: shared.figures.forwards.clone(),
             connect_timeout: Duration::from_nanos(pool.connect_timeout),
             stall: Duration::from_nanos(limits.stall_timeout),
             buffer: limits.header_bytes,
--- a/crates/standin/src/program.rs
+++ b/crates/standin/src/program.rs
@@ -24,11 +24,19 @@
     pub known: String,
     /// How long a kept connection lives.
     pub idle_ms: u64,
+    /// Where operators call.
+    pub operator: &'static str,
 }
 
 impl Default for Options {
     fn default() -> Self {
-        Options { memory_mb: 192, sockets: 1024, known: String::from("null"), idle_ms: 10_000 }
+        Options {
+            memory_mb: 192,
+            sockets: 1024,
+            known: String::from("null"),
+            idle_ms: 10_000,
+            operator: "127.0.0.1:0",
+        }
     }
 }
 
@@ -40,13 +48,14 @@
         )
     };
     format!(
-        r#"{{"name":"n0","listen":"127.0.0.1:0","discovery":"{discovery}","seed":"8c1f30d27a5be964",
+        r#"{{"name":"n0","listen":"127.0.0.1:0","discovery":"{discovery}","operator":"{}","seed":"8c1f30d27a5be964",
         "limits":{{"cores":1.0,"memory_mb":{},"sockets":{}}},"known":{},
         "settings":{{"groupSize":1,"ordinal":0,"registryMode":"automatic","zone":0,"zones":["a"],"skus":["std"],
         "classes":[{},{}],
         "caps":{{"cancelling":true,"connIdleNs":{},"connectTimeoutNs":120000000,"maxAttempts":3,
         "maxRetryAfterNs":2000000000,"mayProbe":false,"peers":false,"retryAfter":true,"secondCopies":false}},
         "guarantees":{{"coldFrom":0.14,"fallNs":2000000000,"rampTimeNs":23000000000,"tipMultiple":3.0}}}}}}"#,
+        o.operator,
         o.memory_mb,
         o.sockets,
         o.known,
@@ -73,6 +82,10 @@
     path.join("corkhollow")
 }
 
+fn calls_at(line: &str) -> Option<SocketAddr> {
+    line.split_once("operators call at ")?.1.parse().ok()
+}
+
 /// A node of its own, from the built program.
 pub struct Node {
     child: Child,
@@ -81,6 +94,8 @@
     pub listeners: BTreeMap<String, SocketAddr>,
     /// Where it listens.
     pub address: SocketAddr,
+    /// Where operators call, if they may.
+    pub operator: Option<SocketAddr>,
     /// What it has logged.
     pub log: Arc<Mutex<Vec<String>>>,
 }
@@ -99,8 +114,10 @@
     pub fn start(discovery: SocketAddr, options: &Options) -> Self {
         let (mut child, config) = Self::spawn(&config(discovery, options));
         let mut lines = BufReader::new(child.stderr.take().unwrap()).lines();
+        let mut operator = None;
         let address = loop {
             let line = lines.next().expect("the node says where it listens").unwrap();
+            operator = operator.or_else(|| calls_at(&line));
             if let Some((_, address)) = line.split_once("listening on ") {
                 break address.parse().unwrap();
             }
@@ -108,7 +125,7 @@
         let log = Arc::new(Mutex::new(Vec::new()));
         let lines_of = log.clone();
         thread::spawn(move || lines.map_while(Result::ok).for_each(|l| lines_of.lock().unwrap().push(l)));
-        Node { child, config, listeners: BTreeMap::new(), address, log }
+        Node { child, config, listeners: BTreeMap::new(), address, operator, log }
     }
 
     /// The program on an operator's file, listening on as many listeners as the file has.
@@ -120,6 +137,7 @@
         let mut child = command.spawn().expect("the program starts");
         let mut lines = BufReader::new(child.stderr.take().unwrap()).lines();
         let mut listeners = BTreeMap::new();
+        let mut operator = None;
         let mut said = Vec::new();
         while listeners.len() < text.matches("[[listener]]").count() {
             let Some(Ok(line)) = lines.next() else { panic!("it does not listen: {said:?}") };
@@ -127,13 +145,14 @@
                 let name = name.rsplit(' ').next().unwrap_or_default().to_owned();
                 listeners.insert(name, address.parse().unwrap());
             }
+            operator = operator.or_else(|| calls_at(&line));
             said.push(line);
         }
         let log = Arc::new(Mutex::new(said));
         let lines_of = log.clone();
         thread::spawn(move || lines.map_while(Result::ok).for_each(|l| lines_of.lock().unwrap().push(l)));
         let address = *listeners.values().next().unwrap();
-        Node { child, config, listeners, address, log }
+        Node { child, config, listeners, address, operator, log }
     }
 
     /// Resident memory, in bytes.
@@ -180,6 +199,21 @@
         self.raw(&post(path, body))
     }
 
+    /// Calls the operator's address; none where nothing is answered.
+    pub fn call(&self, method: &str, path: &str) -> Option<Message> {
+        let mut stream = TcpStream::connect(self.operator.expect("operators may call")).ok()?;
+        stream.set_read_timeout(Some(PATIENCE)).ok()?;
+        stream.write_all(format!("{method} {path} HTTP/1.1\r\nHost: node\r\n\r\n").as_bytes()).ok()?;
+        read(&mut stream)
+    }
+
+    /// One of its figures, by its name and labels; none where it is not shown.
+    pub fn figure(&self, name: &str) -> Option<f64> {
+        let page = self.call("GET", "/-/metrics").filter(|m| m.status() == 200)?;
+        let page = String::from_utf8(page.body).ok()?;
+        page.lines().find_map(|l| l.strip_prefix(name)?.strip_prefix(' ')?.parse().ok())
+    }
+
     /// Replaces the file of its configuration and tells it so.
     pub fn reload(&self, config: &str) {
         std::fs::write(&self.config, config).unwrap();
