Take the place of a running process on the socket that it is handed

Change: the descriptor of GW_LISTEN_FD by listenfd; two processes find one another by locks in TMPDIR (corkhollow succession), a pure module settles shares of the limits and who accepts; the old one leaves the queue to its successor.

--- a/crates/corkhollow/src/commands/run.rs
+++ b/crates/corkhollow/src/commands/run.rs
@@ -2,6 +2,7 @@
 
 use super::{load, Failure};
 use crate::cli::RunArgs;
+use crate::succession::{self, Neighbours};
 use corkhollow_engine::{log, Clock};
 use corkhollow_operate::{Control, Figures, FiguresError};
 use corkhollow_plan::limits::Budget;
@@ -27,6 +28,8 @@
 const BACKLOG: u32 = 4096;
 /// How often figures and readiness are brought up to date.
 const WATCH: Duration = Duration::from_millis(50);
+/// How often the share of the limits is settled anew.
+const SHARE: Duration = Duration::from_millis(100);
 /// How often a draining node looks for connections without a request.
 const EMPTY: Duration = Duration::from_millis(20);
 
@@ -53,6 +56,7 @@
 
 /// Serves until SIGTERM.
 pub fn run(args: RunArgs) -> Result<(), Failure> {
+    let handed = succession::handed().map_err(StartError::from)?;
     let (told, plan) = match args.config {
         Some(path) => {
             let plan = load(&path)?.plan;
@@ -60,9 +64,11 @@
         }
         None => (Told::Platform, Config::load().map_err(StartError::from)?.plan()),
     };
+    let neighbours = handed.as_ref().map(|_| Neighbours::join(&std::env::temp_dir()));
+    let neighbours = neighbours.transpose().map_err(StartError::from)?;
     let runtime =
         tokio::runtime::Builder::new_current_thread().enable_all().build().map_err(StartError::from)?;
-    Ok(LocalSet::new().block_on(&runtime, serve(told, plan))?)
+    Ok(LocalSet::new().block_on(&runtime, serve(told, plan, handed, neighbours))?)
 }
 
 fn listen(address: SocketAddr) -> Result<TcpListener, StartError> {
@@ -90,12 +96,22 @@
 
 /// All listeners, by name.
 #[derive(Default)]
-struct Listeners(BTreeMap<String, Open>);
+struct Listeners {
+    open: BTreeMap<String, Open>,
+    /// The socket for the first listener, where the platform holds it.
+    handed: Option<std::net::TcpListener>,
+}
 
 impl Listeners {
     /// Opens those of a plan that are not open yet; nothing is accepted before `start`.
-    fn bind(&self, plan: &Plan) -> Result<Vec<(String, SocketAddr, TcpListener)>, StartError> {
-        let new = plan.listeners.iter().filter(|l| self.0.get(&l.name).is_none_or(|o| o.told != l.address));
+    fn bind(&mut self, plan: &Plan) -> Result<Vec<(String, SocketAddr, TcpListener)>, StartError> {
+        let open = &self.open;
+        let new = plan.listeners.iter().filter(|l| open.get(&l.name).is_none_or(|o| o.told != l.address));
+        let mut handed = self.handed.take();
+        let mut listen = |address| match handed.take() {
+            Some(listener) => Ok(TcpListener::from_std(listener)?),
+            None => listen(address),
+        };
         new.map(|l| Ok((l.name.clone(), l.address, listen(l.address)?))).collect()
     }
 
@@ -106,10 +122,14 @@
         bound: Vec<(String, SocketAddr, TcpListener)>,
         clients: &Rc<Clients>,
     ) -> std::io::Result<()> {
-        let gone: Vec<_> =
-            self.0.keys().filter(|name| !plan.listeners.iter().any(|l| l.name == **name)).cloned().collect();
+        let gone: Vec<_> = self
+            .open
+            .keys()
+            .filter(|name| !plan.listeners.iter().any(|l| l.name == **name))
+            .cloned()
+            .collect();
         for name in gone {
-            if let Some(open) = self.0.remove(&name) {
+            if let Some(open) = self.open.remove(&name) {
                 open.stop.notify_one();
             }
             clients.leave(&name);
@@ -120,32 +140,43 @@
             log(format_args!("{label}listening on {}", listener.local_addr()?));
             let stop = Rc::new(Notify::new());
             let accepting = spawn_local(clients.clone().accept(name.as_str().into(), listener, stop.clone()));
-            if let Some(old) = self.0.insert(name, Open { told, stop, accepting }) {
+            if let Some(old) = self.open.insert(name, Open { told, stop, accepting }) {
                 old.stop.notify_one();
             }
         }
         Ok(())
     }
 
+    /// Takes no more: what the kernel has accepted is another process's.
+    fn leave(self) {
+        self.open.values().for_each(|open| open.accepting.abort());
+    }
+
     /// Takes what the kernel has accepted by now, and then no more.
     async fn close(self) {
-        self.0.values().for_each(|open| open.stop.notify_one());
-        for open in self.0.into_values() {
+        self.open.values().for_each(|open| open.stop.notify_one());
+        for open in self.open.into_values() {
             let _ = open.accepting.await;
         }
     }
 }
 
-async fn serve(told: Told, plan: Plan) -> Result<(), StartError> {
+async fn serve(
+    told: Told,
+    plan: Plan,
+    handed: Option<std::net::TcpListener>,
+    neighbours: Option<Neighbours>,
+) -> Result<(), StartError> {
     let mut terminate = signal(SignalKind::terminate())?;
     let mut hang_up = signal(SignalKind::hangup())?;
     let clock = Clock::start();
+    let neighbours = neighbours.map(Rc::new);
     let budget = Budget::new(plan.limits.descriptors, plan.limits.memory);
     let figures = Figures::new()?;
     let shared = Shared { clock, budget: budget.clone(), figures: figures.clone() };
     let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
     let seed = plan.seed.unwrap_or(since.as_nanos() as u64 ^ u64::from(std::process::id()));
-    let mut listeners = Listeners::default();
+    let mut listeners = Listeners { handed, ..Listeners::default() };
     let bound = listeners.bind(&plan)?;
     let calls = plan.operator.map(listen_for_calls).transpose()?;
     let control = Control::default();
@@ -154,7 +185,7 @@
     let service = Rc::new(Service {
         site: current.clone(),
         clock,
-        budget,
+        budget: budget.clone(),
         control: control.clone(),
         ids: Cell::new(seed),
     });
@@ -165,10 +196,21 @@
         let (control, figures, changed) = (control.clone(), figures.clone(), changed.clone());
         Operator { control, figures, clock, changed }.start(calls)?;
     }
+    spawn_local(watch(current.clone(), control.clone(), figures.clone()));
+    if let Some(neighbours) = &neighbours {
+        budget.keep_to(neighbours.now().share());
+        while !neighbours.now().accepts(control.lock().up()) {
+            tokio::select! {
+                // Nothing has been taken yet.
+                _ = terminate.recv() => return Ok(()),
+                () = tokio::time::sleep(WATCH) => {}
+            }
+        }
+        spawn_local(share(neighbours.clone(), budget.clone()));
+    }
     listeners.start(&site.plan, bound, &clients)?;
     drop(site);
     spawn_local(sweep(current.clone(), clients.clone()));
-    spawn_local(watch(current.clone(), control.clone(), figures.clone()));
     spawn_local(empty(clients.clone(), control.clone(), clock, changed));
 
     loop {
@@ -190,11 +232,15 @@
         }
     }
     let told = Instant::now();
-    control.lock().leave(clock.now(), false);
+    let succeeded = neighbours.is_some_and(|n| n.now().newer);
+    control.lock().leave(clock.now(), succeeded);
     while control.lock().accepts(clock.now()) {
         tokio::time::sleep(Duration::from_millis(10)).await;
     }
-    listeners.close().await;
+    match succeeded {
+        true => listeners.leave(),
+        false => listeners.close().await,
+    }
     let leave_within = Duration::from_nanos(current.get().plan.drain_timeout);
     while close_idle(&clients, &control, clock) > 0 && told.elapsed() < leave_within {
         tokio::time::sleep(Duration::from_millis(10)).await;
@@ -264,6 +310,14 @@
     }
 }
 
+/// Keeps to this process's share of the limits, for good.
+async fn share(neighbours: Rc<Neighbours>, budget: Rc<Budget>) {
+    loop {
+        budget.keep_to(neighbours.now().share());
+        tokio::time::sleep(SHARE).await;
+    }
+}
+
 /// Closes connections that have no request, as far as the node's life wants that; the number of those that are left.
 fn close_idle(clients: &Clients, control: &Control, clock: Clock) -> usize {
     let before = control.lock().closes_idle_before(clock.now());
--- a/crates/corkhollow/src/main.rs
+++ b/crates/corkhollow/src/main.rs
@@ -2,6 +2,7 @@
 
 mod cli;
 mod commands;
+mod succession;
 
 use clap::Parser;
 use std::process::ExitCode;
--- /dev/null
+++ b/crates/corkhollow/src/succession.rs
@@ -0,0 +1,136 @@
+//! Processes that serve the same clients find one another by files under locks, in a folder that they share. The
+//! kernel lets go of a lock when its holder ends, however that comes about.
+
+use corkhollow_engine::log;
+use corkhollow_operate::Succession;
+use std::fs::{File, OpenOptions, TryLockError};
+use std::io;
+use std::net::TcpListener;
+use std::os::unix::fs::MetadataExt;
+use std::path::{Path, PathBuf};
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::Arc;
+
+/// Held by the process that serves, and by each that has come to its place.
+const SERVING: &str = "corkhollow-serving";
+/// Held by the newest process that came up beside another one.
+const SUCCESSOR: &str = "corkhollow-successor";
+
+/// The clients' listening socket, where the platform holds it and hands it down as the descriptor that
+/// `GW_LISTEN_FD` names.
+pub fn handed() -> io::Result<Option<TcpListener>> {
+    let Ok(number) = std::env::var("GW_LISTEN_FD") else { return Ok(None) };
+    if !number.parse::<i32>().is_ok_and(|n| n > 2) {
+        let what =
+            format!("GW_LISTEN_FD is `{number}`; allowed: the number of an open descriptor, from 3 on");
+        return Err(io::Error::new(io::ErrorKind::InvalidInput, what));
+    }
+    // In the words of systemd's protocol, which the crate speaks: it checks that this is a listening socket.
+    std::env::remove_var("LISTEN_PID");
+    std::env::set_var("LISTEN_FDS", "1");
+    std::env::set_var("LISTEN_FDS_FIRST_FD", &number);
+    let listener = listenfd::ListenFd::from_env().take_tcp_listener(0);
+    let listener =
+        listener.map_err(|e| io::Error::new(e.kind(), format!("GW_LISTEN_FD is `{number}`: {e}")))?;
+    if let Some(listener) = &listener {
+        listener.set_nonblocking(true)?;
+    }
+    Ok(listener)
+}
+
+/// What this process knows of the others.
+pub struct Neighbours {
+    folder: PathBuf,
+    /// An older process holds the lock.
+    older: Arc<AtomicBool>,
+    /// This one's mark, as the file system numbers it.
+    mark: Option<u64>,
+}
+
+impl Neighbours {
+    /// Takes its place in the folder, behind the process that serves if there is one.
+    pub fn join(folder: &Path) -> io::Result<Self> {
+        let open = |name: &str| {
+            OpenOptions::new().read(true).write(true).create(true).truncate(false).open(folder.join(name))
+        };
+        let serving = open(SERVING)?;
+        let mut neighbours = Neighbours { folder: folder.to_owned(), older: Arc::default(), mark: None };
+        match serving.try_lock() {
+            Ok(()) => {
+                // Held until the process ends.
+                std::mem::forget(serving);
+                return Ok(neighbours);
+            }
+            Err(TryLockError::WouldBlock) => neighbours.older.store(true, Ordering::SeqCst),
+            Err(TryLockError::Error(error)) => return Err(error),
+        }
+        // It is under its lock before anybody can find it.
+        let own = format!("{SUCCESSOR}-{}", std::process::id());
+        let mark = open(&own)?;
+        mark.lock()?;
+        neighbours.mark = Some(mark.metadata()?.ino());
+        std::fs::rename(folder.join(own), folder.join(SUCCESSOR))?;
+        std::mem::forget(mark);
+        let older = neighbours.older.clone();
+        let wait = move || {
+            if serving.lock().is_ok() {
+                std::mem::forget(serving);
+            }
+            older.store(false, Ordering::SeqCst);
+        };
+        std::thread::Builder::new().name("succession".to_owned()).spawn(wait)?;
+        log(format_args!("another process serves; this one comes to its place"));
+        Ok(neighbours)
+    }
+
+    /// Who is there now.
+    pub fn now(&self) -> Succession {
+        Succession { older: self.older.load(Ordering::SeqCst), newer: self.newer().unwrap_or(false) }
+    }
+
+    fn newer(&self) -> io::Result<bool> {
+        let file = match File::open(self.folder.join(SUCCESSOR)) {
+            Ok(file) => file,
+            Err(error) if error.kind() == io::ErrorKind::NotFound => return Ok(false),
+            Err(error) => return Err(error),
+        };
+        if Some(file.metadata()?.ino()) == self.mark {
+            return Ok(false);
+        }
+        // A mark that nobody holds is that of a process that has gone.
+        Ok(matches!(file.try_lock_shared(), Err(TryLockError::WouldBlock)))
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn folder() -> PathBuf {
+        let folder = std::env::temp_dir().join(format!("corkhollow-succession-{}", std::process::id()));
+        std::fs::create_dir_all(&folder).unwrap();
+        folder
+    }
+
+    /// Locks go with the open file, so that one process can stand for two here.
+    #[test]
+    fn each_finds_the_others_and_learns_of_their_end() {
+        let folder = folder();
+        let held = File::create(folder.join(SERVING)).unwrap();
+        held.lock().unwrap();
+        let second = Neighbours::join(&folder).unwrap();
+        assert_eq!(second.now(), Succession { older: true, newer: false });
+        let first = Neighbours { mark: None, older: Arc::default(), folder: folder.clone() };
+        assert_eq!(first.now(), Succession { older: false, newer: true });
+        drop(held);
+        let start = std::time::Instant::now();
+        while second.now() != Succession::default() {
+            assert!(start.elapsed().as_secs() < 20, "the end of the older process goes unnoticed");
+        }
+        // A mark that is left behind says nothing.
+        std::fs::write(folder.join("left"), b"").unwrap();
+        std::fs::rename(folder.join("left"), folder.join(SUCCESSOR)).unwrap();
+        assert_eq!(first.now(), Succession::default());
+        let _ = std::fs::remove_dir_all(folder);
+    }
+}
--- /dev/null
+++ b/crates/corkhollow/tests/upgrade.rs
@@ -0,0 +1,120 @@
+//! One process replaces another under load, on a listening socket that both are handed.
+
+use corkhollow_standin::*;
+use std::io::{Read, Write};
+use std::net::TcpListener;
+use std::path::PathBuf;
+use std::sync::atomic::{AtomicBool, Ordering::SeqCst};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+/// A folder that processes have in common, gone with the test.
+struct Folder(PathBuf);
+
+impl Folder {
+    fn new(name: &str) -> Self {
+        let path = std::env::temp_dir().join(format!("corkhollow-{name}-{}", std::process::id()));
+        std::fs::create_dir_all(&path).unwrap();
+        Folder(path)
+    }
+}
+
+impl Drop for Folder {
+    fn drop(&mut self) {
+        let _ = std::fs::remove_dir_all(&self.0);
+    }
+}
+
+fn is_ready(node: &Node) -> bool {
+    node.call("GET", "/-/ready").is_some_and(|m| m.status() == 200)
+}
+
+/// Clients that come all the while, and one whose request is under way, lose nothing.
+#[test]
+fn no_request_is_turned_back_while_processes_change() {
+    let servers = Servers::new(2, |_, m| match m.head.starts_with("GET /safe/slow ") {
+        true => Reply::Do(Box::new(|stream| {
+            std::thread::sleep(Duration::from_millis(900));
+            let _ = stream.write_all(&response("200 OK", "", b"late"));
+        })),
+        false => ok("fine"),
+    });
+    let discovery = Discovery::new(vec![servers.list(1)], true);
+    let folder = Folder::new("upgrade");
+    let socket = TcpListener::bind("127.0.0.1:0").unwrap();
+    let start = || Node::handed(&socket, &folder.0, discovery.address, &Options::default());
+    let mut old = start();
+    until("the first process is ready", || is_ready(&old));
+    let over = Arc::new(AtomicBool::new(false));
+    let clients: Vec<_> = (0..3)
+        .map(|_| {
+            let (over, address) = (over.clone(), socket.local_addr().unwrap());
+            std::thread::spawn(move || {
+                let mut done = 0;
+                while !over.load(SeqCst) {
+                    let mut stream = std::net::TcpStream::connect(address).unwrap();
+                    stream.set_read_timeout(Some(Duration::from_secs(20))).unwrap();
+                    for _ in 0..20 {
+                        stream.write_all(&get("/safe/1", "")).unwrap();
+                        let answer = read(&mut stream).expect("a request is turned back");
+                        // Refused is an answer too: the slow request makes the servers look busy.
+                        assert!([200, 503].contains(&answer.status()), "{}", answer.head);
+                        done += 1;
+                        if answer.header("connection") == Some("close") {
+                            break;
+                        }
+                    }
+                }
+                done
+            })
+        })
+        .collect();
+    let new = start();
+    until("the second process is ready", || is_ready(&new));
+    let served = |node: &Node| node.figure("gw_succeeded{service=\"safe\"}").unwrap_or(0.0);
+    let mut slow = old.connect();
+    let mut idle = old.connect();
+    slow.write_all(&get("/safe/slow", "")).unwrap();
+    old.signal("-TERM");
+    let told = Instant::now();
+    assert_eq!(read(&mut slow).unwrap().body, b"late");
+    let _ = idle.read(&mut [0]);
+    assert!(old.exit().success());
+    assert!(told.elapsed() < Duration::from_secs(8), "{:?}", told.elapsed());
+    let before = served(&new);
+    until("the new process serves", || served(&new) > before + 50.0);
+    over.store(true, SeqCst);
+    let done: u32 = clients.into_iter().map(|c| c.join().expect("a client lost a request")).sum();
+    assert!(done > 100, "{done}");
+    assert!(is_ready(&new));
+}
+
+/// A process that cannot serve yet takes nothing away from the one that can.
+#[test]
+fn a_successor_that_knows_no_servers_takes_no_clients() {
+    let servers = Servers::new(1, |_, _| ok("fine"));
+    let discovery = Discovery::new(vec![servers.list(1)], true);
+    let folder = Folder::new("unready");
+    let socket = TcpListener::bind("127.0.0.1:0").unwrap();
+    let old = Node::handed(&socket, &folder.0, discovery.address, &Options::default());
+    until("the first process is ready", || is_ready(&old));
+    let new = Node::handed(&socket, &folder.0, nobody(), &Options::default());
+    assert!(!is_ready(&new));
+    for k in 0..30 {
+        assert_eq!(old.get("/safe/1", "").unwrap().status(), 200, "request {k}");
+    }
+    // When the old one has gone all the same, clients hear that the new one is not ready.
+    drop(old);
+    until("the new process answers clients", || new.get("/up", "").is_some_and(|m| m.status() == 503));
+}
+
+#[test]
+fn what_is_no_listening_socket_is_named() {
+    let output = std::process::Command::new(env!("CARGO_BIN_EXE_corkhollow"))
+        .arg("run")
+        .env("GW_LISTEN_FD", "two")
+        .output()
+        .unwrap();
+    let said = String::from_utf8_lossy(&output.stderr);
+    assert!(!output.status.success() && said.contains("GW_LISTEN_FD is `two`; allowed:"), "{said}");
+}
--- a/crates/operate/src/lib.rs
+++ b/crates/operate/src/lib.rs
@@ -3,8 +3,10 @@
 
 mod figures;
 mod lifecycle;
+mod succession;
 
 pub use figures::{ClassFigures, Figures, Tally};
 pub use prometheus::{Error as FiguresError, IntCounter};
 
 pub use lifecycle::{Control, Lifecycle, Stage};
+pub use succession::Succession;
--- a/crates/plan/src/limits.rs
+++ b/crates/plan/src/limits.rs
@@ -14,14 +14,19 @@
 /// Bookkeeping for one piece of a body: without it a body of one-byte chunks would cost far more than counted.
 const PIECE: usize = 64;
 
+/// How much of each may be held.
+#[derive(Clone, Copy, Debug)]
+struct Most {
+    clients: usize,
+    servers: usize,
+    bytes: usize,
+}
+
 /// Counts what is held against the limits of the configuration.
 #[derive(Debug)]
 pub struct Budget {
-    /// Connections that clients may hold before new ones are refused.
-    pub most_clients: usize,
-    /// Connections that may be open to servers.
-    pub most_servers: usize,
-    most_bytes: usize,
+    full: Most,
+    most: Cell<Most>,
     clients: Cell<usize>,
     servers: Cell<usize>,
     bytes: Cell<usize>,
@@ -33,24 +38,45 @@
         let rest = sockets.saturating_sub(OWN_SOCKETS).max(8);
         // One in eight of the clients' is kept for those that are only told to come back.
         let clients = (rest as f64 * CLIENT_PART) as usize;
+        let full = Most {
+            clients: (clients - clients / 8).max(1),
+            servers: rest - clients,
+            bytes: (memory as f64 * BODY_PART) as usize,
+        };
         Rc::new(Budget {
-            most_clients: (clients - clients / 8).max(1),
-            most_servers: rest - clients,
-            most_bytes: (memory as f64 * BODY_PART) as usize,
+            full,
+            most: Cell::new(full),
             clients: Cell::new(0),
             servers: Cell::new(0),
             bytes: Cell::new(0),
         })
     }
 
-    /// Clients' connections at present.
-    pub fn clients(&self) -> usize {
-        self.clients.get()
+    /// Keeps to a part of the limits from here on; what is held beyond it goes when its holders let go.
+    pub fn keep_to(&self, share: f64) {
+        let part = |of: usize| ((of as f64 * share) as usize).max(1);
+        let Most { clients, servers, bytes } = self.full;
+        self.most.set(Most { clients: part(clients), servers: part(servers), bytes: part(bytes) });
+    }
+
+    /// Connections that may be open to servers.
+    pub fn most_servers(&self) -> usize {
+        self.most.get().servers
+    }
+
+    /// More connections to servers are open than may be.
+    pub fn servers_over(&self) -> bool {
+        self.servers.get() > self.most.get().servers
+    }
+
+    /// New clients can only be told to come back.
+    pub fn clients_full(&self) -> bool {
+        self.clients.get() >= self.most.get().clients
     }
 
     /// No further client may even be turned away: the backlog has to hold it.
     pub fn clients_exhausted(&self) -> bool {
-        self.clients.get() >= self.most_clients + self.most_clients / 8
+        self.clients.get() >= self.most.get().clients + self.most.get().clients / 8
     }
 
     /// A place for one more client; the caller sees to it that there is one.
@@ -60,7 +86,7 @@
 
     /// A place for one more connection to a server, if there is any.
     pub fn server(self: &Rc<Self>) -> Option<Slot> {
-        (self.servers.get() < self.most_servers).then(|| Slot::take(self, |b| &b.servers))
+        (self.servers.get() < self.most.get().servers).then(|| Slot::take(self, |b| &b.servers))
     }
 
     /// Nothing held yet; it grows with `Lease::grow`.
@@ -102,7 +128,7 @@
     pub fn grow(&mut self, bytes: usize) -> bool {
         let cost = bytes + PIECE;
         let sum = self.budget.bytes.get() + cost;
-        if sum > self.budget.most_bytes {
+        if sum > self.budget.most.get().bytes {
             return false;
         }
         self.budget.bytes.set(sum);
--- a/crates/proxy/src/http1/clients.rs
+++ b/crates/proxy/src/http1/clients.rs
@@ -180,7 +180,7 @@
 
     fn open(self: &Rc<Self>, name: &Rc<str>, stream: TcpStream, peer: SocketAddr) {
         let budget = &self.service.budget;
-        let surplus = budget.clients() >= budget.most_clients && !self.make_room();
+        let surplus = budget.clients_full() && !self.make_room();
         let client = Rc::new(Client {
             socket: Socket::new(stream),
             peer,
--- a/crates/proxy/src/upstream/upstreams.rs
+++ b/crates/proxy/src/upstream/upstreams.rs
@@ -127,6 +127,7 @@
     /// Closes what has stood idle for too long or was closed by its server.
     pub fn sweep(&self) {
         self.fleet(|f| f.sweep(self.clock.now()));
+        while self.budget.servers_over() && self.evict() {}
     }
 
     /// Ends attempts that have lingered for long enough.
--- a/crates/standin/src/program.rs
+++ b/crates/standin/src/program.rs
@@ -112,12 +112,41 @@
 
     /// Starts it and waits until it listens.
     pub fn start(discovery: SocketAddr, options: &Options) -> Self {
-        let (mut child, config) = Self::spawn(&config(discovery, options));
+        let (child, config) = Self::spawn(&config(discovery, options));
+        Self::started(child, config, None)
+    }
+
+    /// The program on a listening socket that it is handed, with a folder that it has in common with others on the same
+    /// socket. Waits until it says where operators call.
+    pub fn handed(
+        listener: &std::net::TcpListener,
+        folder: &std::path::Path,
+        discovery: SocketAddr,
+        options: &Options,
+    ) -> Self {
+        let path = path("json");
+        let address = listener.local_addr().unwrap();
+        let text = config(discovery, options)
+            .replace("\"listen\":\"127.0.0.1:0\"", &format!("\"listen\":\"{address}\""));
+        std::fs::write(&path, text).unwrap();
+        let mut command = Command::new("sh");
+        command.args(["-c", "exec \"$0\" run 3<&0 </dev/null"]).arg(program());
+        command.env("GW_CONFIG", &path).env("GW_LISTEN_FD", "3").env("TMPDIR", folder);
+        let socket = std::os::fd::OwnedFd::from(listener.try_clone().unwrap());
+        let child =
+            command.stdin(Stdio::from(socket)).stderr(Stdio::piped()).spawn().expect("the node starts");
+        Self::started(child, path, Some(address))
+    }
+
+    fn started(mut child: Child, config: PathBuf, address: Option<SocketAddr>) -> Self {
         let mut lines = BufReader::new(child.stderr.take().unwrap()).lines();
         let mut operator = None;
         let address = loop {
             let line = lines.next().expect("the node says where it listens").unwrap();
             operator = operator.or_else(|| calls_at(&line));
+            if let (Some(address), Some(_)) = (address, operator) {
+                break address;
+            }
             if let Some((_, address)) = line.split_once("listening on ") {
                 break address.parse().unwrap();
             }
