Take new settings over at SIGHUP, whole or not at all, under open requests

Change: the module retunes in place (balancer/retune): what it knows of servers stays, open requests keep the class and the number of attempts they were taken under. The platform's file is checked for keys that went missing and for numbers above 0; pools of an operator's file go on under other settings too.

--- a/crates/adapter/src/wire.rs
+++ b/crates/adapter/src/wire.rs
@@ -243,7 +243,7 @@
     let options = u16_at(r, 38);
     Request {
         id: u32_at(r, 5),
-        class: r[9],
+        class: u16::from(r[9]),
         tenant: u32_at(r, 10),
         key: u64_at(r, 14),
         give_up_at: u64_at(r, 22),
--- a/crates/balance/src/balancer/admission.rs
+++ b/crates/balance/src/balancer/admission.rs
@@ -29,6 +29,7 @@
             request,
             arrived: now,
             attempts: Vec::new(),
+            most: self.settings.max_attempts,
             fence: None,
             answered: false,
             streaming: false,
@@ -71,6 +72,7 @@
         let class = &self.settings.classes[usize::from(request.class)];
         let cost = |c: usize| if self.settings.worth_by_work { 1.0 } else { self.typical[c] };
         let best = (0..self.typical.len())
+            .filter(|c| self.places[*c].retired.is_none())
             .map(|c| self.settings.classes[c].worth / cost(c))
             .fold(f64::MIN_POSITIVE, f64::max);
         let mut value = class.worth / cost(usize::from(request.class)) / best;
--- a/crates/balance/src/balancer/attempts.rs
+++ b/crates/balance/src/balancer/attempts.rs
@@ -78,7 +78,7 @@
         let allowed = !p.streaming
             && !rejected
             && !spent
-            && p.attempts.len() < self.settings.max_attempts as usize
+            && p.attempts.len() < p.most as usize
             && (!may_have_run || effect != Effect::Unsafe)
             && (free || self.budget >= 1.0)
             && now + (self.typical[class] / 2.0) as Nanos <= p.request.give_up_at;
@@ -109,7 +109,7 @@
     /// A second copy for a request that is slow to come back, within the budget.
     pub(super) fn hedge(&mut self, now: Nanos, id: RequestId, sink: &mut Vec<Action>) {
         let Some(p) = self.pending.remove(&id) else { return };
-        let fits = !p.answered && p.open() == 1 && p.attempts.len() < self.settings.max_attempts as usize;
+        let fits = !p.answered && p.open() == 1 && p.attempts.len() < p.most as usize;
         let class = usize::from(p.request.class);
         let left = (p.arrived + self.settings.classes[class].aim).saturating_sub(now) as f64;
         let next = if fits && self.budget >= 1.0 && now < p.request.give_up_at {
--- a/crates/balance/src/balancer/mod.rs
+++ b/crates/balance/src/balancer/mod.rs
@@ -1,8 +1,8 @@
 //! All decisions of one node for one pool. Types, events and actions: `src/interface.rs`.
 //!
 //! One file per concern: `list` (who there is), `ranking` and `order` (accomplishment), `queue` (how long an
-//! answer takes), `choice` (JSQ-DAS), `cold`, `health`, `admission`, `attempts`. Constants are ratios of
-//! settings or of observations.
+//! answer takes), `choice` (JSQ-DAS), `cold`, `health`, `admission`, `attempts`, `retune`. Constants are
+//! ratios of settings or of observations.
 
 mod admission;
 mod attempts;
@@ -13,6 +13,7 @@
 mod order;
 mod queue;
 mod ranking;
+mod retune;
 
 use crate::interface::*;
 use order::Order;
@@ -55,6 +56,7 @@
     request: Request,
     arrived: Nanos,
     attempts: Vec<Attempt>,
+    most: u32,
     fence: Option<(usize, Nanos)>,
     answered: bool,
     streaming: bool,
@@ -84,6 +86,7 @@
     pending: BTreeMap<RequestId, Pending>,
     typical: Vec<f64>,
     hints: Vec<[f64; 3]>,
+    places: Vec<retune::Place>,
     pressure: f64,
     pressure_at: Nanos,
     arrivals: Rate,
@@ -130,6 +133,7 @@
             pending: BTreeMap::new(),
             typical: settings.classes.iter().map(|c| c.aim as f64 / 3.0).collect(),
             hints: vec![[0.0; 3]; settings.classes.len()],
+            places: settings.classes.iter().map(|_| retune::Place { retired: None }).collect(),
             pressure: 1.0,
             pressure_at: 0,
             arrivals: Rate::default(),
--- /dev/null
+++ b/crates/balance/src/balancer/retune.rs
@@ -0,0 +1,79 @@
+//! Other settings take over while requests are open: these keep the rules under which they were taken.
+
+use super::{Balancer, Rate, LAG_MEMORY, RELIEF};
+use crate::interface::{Class, Nanos, Settings, SettingsError};
+
+/// A class that has gone keeps its place for this many of the longest give-up times: requests whose
+/// body is still coming name it.
+const REMEMBER: Nanos = 100;
+
+/// A place in the table of classes.
+pub(super) struct Place {
+    /// Since when no settings name it; none while they do.
+    pub(super) retired: Option<Nanos>,
+}
+
+impl Balancer {
+    /// Goes by other settings from here on, with all that is known of servers. For each of their classes,
+    /// `heirs` says whose place had its name before, in the settings or as this returned it. Returns each
+    /// class's place, by which [`Request::class`](crate::interface::Request::class) names it; open requests
+    /// keep theirs, with its rules.
+    ///
+    /// # Errors
+    /// Where no node could act on the settings; the old ones stay in force.
+    pub fn retune(
+        &mut self,
+        now: Nanos,
+        mut settings: Settings,
+        heirs: &[Option<u16>],
+    ) -> Result<Vec<u16>, SettingsError> {
+        settings.validate()?;
+        self.places.iter_mut().for_each(|place| place.retired = place.retired.or(Some(now)));
+        let classes = std::mem::take(&mut settings.classes);
+        let mut table = std::mem::take(&mut self.settings.classes);
+        let places: Vec<_> = classes
+            .iter()
+            .enumerate()
+            .map(|(k, class)| {
+                let heir = heirs.get(k).copied().flatten().map(usize::from).filter(|p| *p < table.len());
+                // The same name with other rules is another class; it begins with what was learnt.
+                let at = heir
+                    .filter(|p| table[*p] == *class)
+                    .unwrap_or_else(|| self.place(now, &mut table, class));
+                if let Some(heir) = heir {
+                    (self.typical[at], self.hints[at]) = (self.typical[heir], self.hints[heir]);
+                }
+                self.places[at].retired = None;
+                at as u16
+            })
+            .collect();
+        let named = |part: fn(&Class) -> Nanos| classes.iter().map(part).max().unwrap_or(1);
+        self.longest = named(|c| c.give_up);
+        self.memory = LAG_MEMORY * self.longest as f64;
+        self.relief = RELIEF * named(|c| c.aim) as f64;
+        if settings.tenant_quota.len() != self.tenants.len() {
+            self.tenants = vec![Rate::default(); settings.tenant_quota.len()];
+        }
+        self.settings = Settings { classes: table, ..settings };
+        (0..self.ready.len()).for_each(|zone| self.regroup(now, zone));
+        Ok(places)
+    }
+
+    /// A place for a new class: one that nothing goes by any longer, or one more.
+    fn place(&mut self, now: Nanos, table: &mut Vec<Class>, class: &Class) -> usize {
+        let old = REMEMBER * self.longest;
+        let over = |p: &usize| self.places[*p].retired.is_some_and(|at| now.saturating_sub(at) > old);
+        let open = |p: &usize| self.pending.values().any(|r| usize::from(r.request.class) == *p);
+        let free = (0..table.len()).find(|p| over(p) && !open(p));
+        let at = free.unwrap_or(table.len());
+        if at == table.len() {
+            table.push(class.clone());
+            self.typical.push(0.0);
+            self.hints.push([0.0; 3]);
+            self.places.push(Place { retired: None });
+        }
+        table[at] = class.clone();
+        (self.typical[at], self.hints[at]) = (class.aim as f64 / 3.0, [0.0; 3]);
+        at
+    }
+}
--- a/crates/balance/src/interface.rs
+++ b/crates/balance/src/interface.rs
@@ -7,6 +7,8 @@
 pub type Nanos = u64;
 /// The node's own number for one request; never used twice.
 pub type RequestId = u32;
+/// The most classes that settings may have.
+pub const MOST_CLASSES: usize = 256;
 
 /// A server's identity, the same for as long as lists name it. Nodes that share a list should agree on the order of
 /// their servers' identities, for each ranks a window of that order; the value means nothing else.
@@ -215,6 +217,9 @@
         if self.classes.is_empty() {
             return Err(SettingsError::Empty("classes"));
         }
+        if self.classes.len() > MOST_CLASSES {
+            return Err(SettingsError::OutOfRange("classes"));
+        }
         for class in &self.classes {
             for (name, value) in [("aim", class.aim), ("give_up", class.give_up)] {
                 if value == 0 {
@@ -285,8 +290,8 @@
 pub struct Request {
     /// The node's number for it.
     pub id: RequestId,
-    /// Its class, as an index into [`Settings::classes`].
-    pub class: u8,
+    /// Its class: its index in [`Settings::classes`], or its place as [`retune`](crate::Balancer::retune) told it.
+    pub class: u16,
     /// Its tenant, as an index into [`Settings::tenant_quota`].
     pub tenant: u32,
     /// Routing key, 0 for none.
--- a/crates/balance/tests/common/mod.rs
+++ b/crates/balance/tests/common/mod.rs
@@ -53,10 +53,14 @@
 
     /// The same with a hint of its work.
     pub fn hinted(&mut self, work_hint: Option<Nanos>) -> (RequestId, Vec<Action>) {
+        let (id, request) = self.draft();
+        (id, self.feed(Event::Request(Request { work_hint, ..request })))
+    }
+
+    /// A new request that has not come in yet.
+    pub fn draft(&mut self) -> (RequestId, Request) {
         self.next += 1;
-        let id = self.next;
-        let request = Request { work_hint, ..Request::new(id, self.now + 800 * MS) };
-        (id, self.feed(Event::Request(request)))
+        (self.next, Request::new(self.next, self.now + 800 * MS))
     }
 
     pub fn outcome(
--- a/crates/balance/tests/replay.rs
+++ b/crates/balance/tests/replay.rs
@@ -118,7 +118,7 @@
                 let class = (draw >> 16) % 3;
                 let give_up = [600, 1500, 2500][class as usize];
                 let request = Request {
-                    class: class as u8,
+                    class: class as u16,
                     tenant: (draw >> 20) % 3,
                     key: u64::from(draw >> 26),
                     work_hint: (draw & 64 != 0).then_some(u64::from(draw % 50) * MS),
--- a/crates/corkhollow/src/commands/run.rs
+++ b/crates/corkhollow/src/commands/run.rs
@@ -7,7 +7,7 @@
 use corkhollow_operate::{Control, Figures, FiguresError};
 use corkhollow_plan::limits::Budget;
 use corkhollow_plan::plan::{Plan, Source};
-use corkhollow_plan::platform::{Config, ConfigError};
+use corkhollow_plan::platform::{Config, ConfigError, Shape};
 use corkhollow_proxy::http1::{Clients, Service};
 use corkhollow_proxy::operator::Operator;
 use corkhollow_proxy::site::{Current, PoolError, Site};
@@ -51,7 +51,8 @@
 /// Where the plan comes from, now and at each reload.
 enum Told {
     File(PathBuf),
-    Platform,
+    /// The platform's file; what it held when it was last taken.
+    Platform(Shape),
 }
 
 /// Serves until SIGTERM.
@@ -62,7 +63,10 @@
             let plan = load(&path)?.plan;
             (Told::File(path), plan)
         }
-        None => (Told::Platform, Config::load().map_err(StartError::from)?.plan()),
+        None => {
+            let config = Config::load().map_err(StartError::from)?;
+            (Told::Platform(config.shape.clone()), config.plan())
+        }
     };
     let neighbours = handed.as_ref().map(|_| Neighbours::join(&std::env::temp_dir()));
     let neighbours = neighbours.transpose().map_err(StartError::from)?;
@@ -162,7 +166,7 @@
 }
 
 async fn serve(
-    told: Told,
+    mut told: Told,
     plan: Plan,
     handed: Option<std::net::TcpListener>,
     neighbours: Option<Neighbours>,
@@ -216,19 +220,15 @@
     loop {
         tokio::select! {
             _ = terminate.recv() => break,
-            _ = hang_up.recv() => match &told {
-                Told::Platform => match move_discovery(&current) {
-                    true => figures.applied.inc(),
-                    false => figures.rejected.inc(),
-                },
-                Told::File(path) => match reload(path, &current, &mut listeners, &clients, &shared, seed) {
+            _ = hang_up.recv() => {
+                match reload(&mut told, &current, &mut listeners, &clients, &shared, seed) {
                     Ok(()) => figures.applied.inc(),
                     Err(why) => {
                         figures.rejected.inc();
                         log(format_args!("not reloaded: {why}"));
                     }
-                },
-            },
+                }
+            }
         }
     }
     let told = Instant::now();
@@ -250,15 +250,21 @@
 
 /// Takes over a whole new file between two requests, or none of it.
 fn reload(
-    path: &std::path::Path,
+    told: &mut Told,
     current: &Current,
     listeners: &mut Listeners,
     clients: &Rc<Clients>,
     shared: &Shared,
     seed: u64,
 ) -> Result<(), Failure> {
-    let plan = load(path)?.plan;
     let old = current.get();
+    let (plan, shape) = match told {
+        Told::File(path) => (load(path)?.plan, None),
+        Told::Platform(shape) => {
+            let config = Config::reload(shape).map_err(StartError::from)?;
+            (config.plan_beside(&old.plan).map_err(StartError::from)?, Some(config.shape))
+        }
+    };
     let bound = listeners.bind(&plan)?;
     let site = Site::start(plan, Some(&old), shared, seed).map_err(StartError::from)?;
     let (now, then) = (&site.plan.limits, &old.plan.limits);
@@ -266,38 +272,21 @@
         log(format_args!("`limits.descriptors` and `limits.memory` change with a restart only"));
     }
     current.put(site.clone());
+    if let (Told::Platform(old), Some(new)) = (told, shape) {
+        *old = new;
+    }
     listeners.start(&site.plan, bound, clients).map_err(StartError::from)?;
     let plan = &site.plan;
+    for pool in &plan.pools {
+        if let Source::Discovery(from) = &pool.source {
+            log(format_args!("reloaded: discovery at {}", from.address));
+        }
+    }
     let (routes, pools) = (plan.routes.routes().len(), plan.pools.len());
     log(format_args!("reloaded: listeners: {}, routes: {routes}, pools: {pools}", plan.listeners.len()));
     Ok(())
 }
 
-/// Takes over what a new configuration of the platform says of discovery; all else that it says counts from the
-/// next start. One that cannot be read leaves the old one in force.
-fn move_discovery(current: &Current) -> bool {
-    let site = current.get();
-    match Config::load() {
-        Ok(config) if site.plan.listeners.iter().any(|l| l.address != config.listen) => {
-            log(format_args!("not reloaded: `listen` changes with a restart only"));
-            false
-        }
-        Ok(config) => {
-            log(format_args!("reloaded: discovery at {}", config.discovery));
-            for (pool, told) in site.pools.iter().zip(&site.plan.pools) {
-                if matches!(told.source, Source::Discovery(_)) {
-                    pool.move_to(config.discovery);
-                }
-            }
-            true
-        }
-        Err(error) => {
-            log(format_args!("not reloaded: {error}"));
-            false
-        }
-    }
-}
-
 /// Keeps the figures of the servers and the node's readiness up to date, for good.
 async fn watch(current: Rc<Current>, control: Control, figures: Figures) {
     loop {
--- /dev/null
+++ b/crates/corkhollow/tests/retune.rs
@@ -0,0 +1,105 @@
+//! New settings at SIGHUP on the platform: taken whole or turned down whole, under open requests.
+
+use corkhollow_standin::*;
+use std::io::Write;
+
+const EXTRA: &str = r#"{"name":"extra","aimNs":1000000000,"giveUpNs":2000000000,"worth":2.0,"effect":"pure","group":"all","windowNs":1000000000}"#;
+
+/// The node's configuration with its classes as `change` has them.
+fn changed(discovery: &Discovery, change: impl Fn(&str) -> String) -> String {
+    let text = config(discovery.address, &Options::default());
+    let (before, rest) = text.split_once("\"classes\":[").unwrap();
+    let (classes, after) = rest.split_once("],").unwrap();
+    format!("{before}\"classes\":[{}],{after}", change(classes))
+}
+
+fn applied(node: &Node, count: f64) {
+    until("the file is taken", || node.figure("gw_sighup_applied") == Some(count));
+}
+
+#[test]
+fn classes_come_and_go() {
+    let servers = Servers::new(2, |_, _| ok("fine"));
+    let (node, discovery) = Node::with(&servers);
+    let mut kept = node.connect();
+    kept.write_all(&get("/safe/1", "")).unwrap();
+    assert_eq!(read(&mut kept).unwrap().status(), 200);
+    assert_eq!(node.get("/extra/1", "").unwrap().status(), 404);
+    // In front of the others: their places in the settings change.
+    node.reload(&changed(&discovery, |classes| format!("{EXTRA},{classes}")));
+    applied(&node, 1.0);
+    for path in ["/extra/1", "/safe/1"] {
+        assert_eq!(node.get(path, "").unwrap().status(), 200, "{path}");
+    }
+    assert_eq!(node.post("/once/1", b"body").unwrap().status(), 200);
+    assert_eq!(node.figure("gw_succeeded{service=\"extra\"}"), Some(1.0));
+    assert_eq!(node.figure("gw_succeeded{service=\"once\"}"), Some(1.0));
+    node.reload(&changed(&discovery, |_| EXTRA.to_owned()));
+    applied(&node, 2.0);
+    assert_eq!(node.get("/safe/1", "").unwrap().status(), 404);
+    assert_eq!(node.get("/extra/1", "").unwrap().status(), 200);
+    // A client's connection and what the node has of servers' outlast both.
+    kept.write_all(&get("/extra/1", "")).unwrap();
+    assert_eq!(read(&mut kept).unwrap().status(), 200);
+    assert_eq!(discovery.watched(), 1, "the list was asked for anew");
+}
+
+/// What was taken as unsafe is not sent again because its class is safe by now; what comes later is.
+#[test]
+fn an_effect_changes_for_what_comes_later() {
+    let (say, heard) = std::sync::mpsc::channel::<()>();
+    let heard = std::sync::Mutex::new(Some(heard));
+    let servers = Servers::new(2, move |n, _| match n {
+        0 => {
+            let heard = heard.lock().unwrap().take();
+            Reply::Do(Box::new(move |stream| {
+                let _ = heard.unwrap().recv();
+                reset(stream.try_clone().unwrap());
+            }))
+        }
+        1 => Reply::Reset,
+        _ => ok("fine"),
+    });
+    let (node, discovery) = Node::with(&servers);
+    let mut open = node.connect();
+    open.write_all(&post("/once/1", b"body")).unwrap();
+    until("the server has the request", || servers.seen() == 1);
+    node.reload(&changed(&discovery, |classes| classes.replace("side_effect", "pure")));
+    applied(&node, 1.0);
+    say.send(()).unwrap();
+    assert_eq!(read(&mut open).unwrap().status(), 502);
+    assert_eq!(servers.seen(), 1);
+    assert_eq!(node.post("/once/2", b"body").unwrap().status(), 200);
+    assert_eq!(servers.seen(), 3, "a reset of what is safe by now is followed by another attempt");
+}
+
+#[test]
+fn a_file_that_cannot_be_used_is_turned_down_whole() {
+    let servers = Servers::new(2, |_, _| ok("fine"));
+    let (node, discovery) = Node::with(&servers);
+    let good = changed(&discovery, |classes| format!("{EXTRA},{classes}"));
+    let bad = [
+        String::new(),
+        good[..good.len() / 2].to_owned(),
+        good.replace("\"maxAttempts\":3,", ""),
+        good.replace("\"maxAttempts\":3", "\"maxAttempts\":0"),
+        good.replace("\"maxAttempts\":3", "\"maxAttempts\":\"3\""),
+        good.replace("\"giveUpNs\":2000000000", "\"giveUpNs\":-5"),
+        good.replace("\"giveUpNs\":2000000000", "\"giveUpNs\":\"soon\""),
+        good.replace("\"giveUpNs\":2000000000,", ""),
+        good.replace("\"discovery\":", "\"elsewhere\":"),
+        good.replace("\"settings\":", "\"others\":"),
+        good.replace("\"name\":\"extra\"", "\"name\":\"safe\""),
+    ];
+    for (k, text) in bad.iter().enumerate() {
+        node.reload(text);
+        let turned_down = (k + 1) as f64;
+        until("the file is turned down", || node.figure("gw_sighup_rejected") == Some(turned_down));
+        assert_eq!(node.get("/extra/1", "").unwrap().status(), 404, "file {k}");
+        assert_eq!(node.get("/safe/1", "").unwrap().status(), 200, "file {k}");
+    }
+    assert_eq!(node.figure("gw_sighup_applied"), Some(0.0));
+    node.reload(&good);
+    applied(&node, 1.0);
+    assert_eq!(node.get("/extra/1", "").unwrap().status(), 200);
+}
--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -64,6 +64,8 @@
     message: Rc<Message>,
     reply: Option<oneshot::Sender<Answer>>,
     attempts: Vec<Attempt>,
+    /// More are not sent, whatever the settings say by now.
+    most_attempts: usize,
     /// How long it may take from the end of its body.
     patience: Nanos,
     /// A server's own answer that tells of a failure: the client's, unless a later attempt brings a better one.
@@ -78,6 +80,7 @@
 }
 
 struct State {
+    most_attempts: usize,
     balancer: Balancer,
     /// Bounded by the clients' connections: each carries one request, and attempts outlive it by a deadline.
     live: HashMap<RequestId, Live>,
@@ -94,7 +97,6 @@
 /// See the module's documentation.
 pub struct Engine {
     clock: Clock,
-    most_attempts: usize,
     carrier: Rc<dyn Carrier>,
     state: RefCell<State>,
     timer: Notify,
@@ -108,8 +110,8 @@
         clock: Clock,
         carrier: Rc<dyn Carrier>,
     ) -> Result<Rc<Self>, SettingsError> {
-        let most_attempts = settings.max_attempts as usize;
         let state = State {
+            most_attempts: settings.max_attempts as usize,
             balancer: Balancer::new(settings, seed)?,
             live: HashMap::new(),
             ids: HashSet::new(),
@@ -118,13 +120,7 @@
             actions: Vec::new(),
             next_id: 0,
         };
-        Ok(Rc::new(Engine {
-            clock,
-            most_attempts,
-            carrier,
-            state: RefCell::new(state),
-            timer: Notify::new(),
-        }))
+        Ok(Rc::new(Engine { clock, carrier, state: RefCell::new(state), timer: Notify::new() }))
     }
 
     /// The engine's clock.
@@ -155,6 +151,7 @@
             message: Rc::new(message),
             reply: Some(reply),
             attempts: Vec::new(),
+            most_attempts: state.most_attempts,
             fallback: None,
         };
         state.live.insert(id, live);
@@ -235,6 +232,19 @@
         self.handle(&mut state, Event::List { kind, servers });
     }
 
+    /// Other settings take over; requests that are open keep the rules under which they were taken. `heirs` and what
+    /// this returns: see [`Balancer::retune`].
+    ///
+    /// # Errors
+    /// Where no node could act on the settings; the old ones stay in force.
+    pub fn retune(&self, settings: Settings, heirs: &[Option<u16>]) -> Result<Vec<u16>, SettingsError> {
+        let mut state = self.state.borrow_mut();
+        let most_attempts = settings.max_attempts as usize;
+        let places = state.balancer.retune(self.clock.now(), settings, heirs)?;
+        state.most_attempts = most_attempts;
+        Ok(places)
+    }
+
     /// Servers in the list, and how many of them the module has ejected for now.
     pub fn census(&self) -> (usize, usize) {
         self.state.borrow().balancer.census(self.clock.now())
@@ -370,7 +380,7 @@
     fn send(self: &Rc<Self>, state: &mut State, request: RequestId, server: ServerId, timeout: Nanos) {
         let Some(live) = state.live.get_mut(&request) else { return };
         let id = AttemptId { request, number: live.attempts.len() as u8 };
-        let wanted = live.reply.is_some() && live.attempts.len() < self.most_attempts;
+        let wanted = live.reply.is_some() && live.attempts.len() < live.most_attempts;
         live.fallback = None;
         let running = wanted.then(|| self.carrier.send(self, id, server, live.message.clone()));
         live.attempts.push(Attempt { server, sent_at: self.clock.now(), open: true, running });
--- a/crates/plan/src/lib.rs
+++ b/crates/plan/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod platform;
 pub mod pools;
 pub mod routes;
+mod shape;
 
 /// A stable hash: FNV-1a with its bits mixed, so that its low ones are as good as its high ones.
 pub fn mix(bytes: &[u8]) -> u64 {
--- a/crates/plan/src/plan.rs
+++ b/crates/plan/src/plan.rs
@@ -195,11 +195,10 @@
 }
 
 impl Pool {
-    /// Whether two are the same but for who their servers are.
-    pub fn same_but_source(&self, other: &Pool) -> bool {
+    /// Whether two are the same but for who their servers are and what their decision modules are told.
+    pub fn same_but_told(&self, other: &Pool) -> bool {
         self.name == other.name
             && self.dialect == other.dialect
-            && self.settings == other.settings
             && (self.connect_timeout, self.idle_timeout) == (other.connect_timeout, other.idle_timeout)
             && (self.max_connections, self.max_waiting) == (other.max_connections, other.max_waiting)
             && self.cold == other.cold
--- a/crates/plan/src/platform.rs
+++ b/crates/plan/src/platform.rs
@@ -1,5 +1,7 @@
 //! The platform's configuration, the file that `GW_CONFIG` names: read once, refused with one line when it cannot be acted on.
 
+pub use crate::shape::Shape;
+
 use crate::hosts::HostList;
 use crate::limits::MOST_BODY;
 use crate::plan::{
@@ -37,6 +39,12 @@
     Malformed { path: String, error: serde_json::Error },
     #[error("{path}: settings: {error}")]
     Settings { path: String, error: String },
+    #[error("{path}: `{key}` is missing; the configuration in force has it")]
+    Missing { path: String, key: String },
+    #[error("{path}: `{key}` is no number above 0")]
+    NoNumber { path: String, key: String },
+    #[error("`{key}` changes with a restart only")]
+    Fixed { key: &'static str },
     #[error("GW_OPERATOR is `{text}`; allowed: an IP address with a port")]
     Operator { text: String },
     #[error("{path}: `limits.{name}` is too small to serve with")]
@@ -93,10 +101,29 @@
     pub zones: Vec<String>,
     /// Kinds of machines by their index.
     pub kinds: Vec<String>,
+    /// What the file held.
+    pub shape: Shape,
 }
 
 impl Config {
+    /// Reads the file that `GW_CONFIG` names in place of one that has been taken.
+    ///
+    /// # Errors
+    /// Where the file cannot be used, or lacks what the other one has.
+    pub fn reload(old: &Shape) -> Result<Self, ConfigError> {
+        let config = Self::load()?;
+        match old.missing(&config.shape) {
+            Some(key) => {
+                Err(ConfigError::Missing { path: std::env::var("GW_CONFIG").unwrap_or_default(), key })
+            }
+            None => Ok(config),
+        }
+    }
+
     /// Reads the file that `GW_CONFIG` names.
+    ///
+    /// # Errors
+    /// Where the file cannot be used.
     pub fn load() -> Result<Self, ConfigError> {
         let path = std::env::var("GW_CONFIG").map_err(|_| ConfigError::Unset)?;
         let bytes = std::fs::read(Path::new(&path))
@@ -112,8 +139,13 @@
 
     fn parse(path: &str, bytes: &[u8]) -> Result<Self, ConfigError> {
         let path = path.to_owned();
-        let file: File = serde_json::from_slice(bytes)
-            .map_err(|error| ConfigError::Malformed { path: path.clone(), error })?;
+        let malformed = |error| ConfigError::Malformed { path: path.clone(), error };
+        let shape: Value = serde_json::from_slice(bytes).map_err(malformed)?;
+        let file = File::deserialize(&shape).map_err(malformed)?;
+        let shape = Shape::new(shape);
+        if let Some(key) = shape.no_number() {
+            return Err(ConfigError::NoNumber { path, key });
+        }
         for (name, value, least) in
             [("memory_mb", file.limits.memory_mb, 16), ("sockets", file.limits.sockets as u64, 48)]
         {
@@ -129,7 +161,7 @@
         Ok(Config {
             conn_idle: pairs.get("caps.connIdleNs").map_err(fault)?,
             connect_timeout: pairs.get("caps.connectTimeoutNs").map_err(fault)?,
-            classes: names("classes"),
+            classes: unlike(names("classes")).map_err(fault)?,
             tenants: names("tenants"),
             zones: names("zones"),
             kinds: names("skus"),
@@ -141,10 +173,20 @@
             limits: file.limits,
             known: file.known,
             settings,
+            shape,
         })
     }
 }
 
+/// Classes are told apart by their names.
+fn unlike(names: Vec<String>) -> Result<Vec<String>, String> {
+    let twice = names.iter().enumerate().find(|(k, name)| names[..*k].contains(name) || name.is_empty());
+    match twice {
+        Some((k, name)) => Err(format!("`classes.{k}.name` is `{name}`; allowed: a name of its own")),
+        None => Ok(names),
+    }
+}
+
 fn names(list: &Value) -> Vec<String> {
     let name = |item: &Value| item.as_str().or(item["name"].as_str()).unwrap_or_default().to_owned();
     list.as_array().map(|items| items.iter().map(name).collect()).unwrap_or_default()
@@ -168,6 +210,8 @@
 fn plain(value: &Value) -> String {
     match value {
         Value::String(text) => text.replace([' ', ','], "_"),
+        // 2e9 is a whole number too.
+        Value::Number(n) if n.is_f64() => n.as_f64().unwrap_or(f64::NAN).to_string(),
         other => other.to_string(),
     }
 }
@@ -177,6 +221,24 @@
 const TENANT: HeaderName = HeaderName::from_static("x-tenant-id");
 
 impl Config {
+    /// The plan in place of one that is in force.
+    ///
+    /// # Errors
+    /// Where it changes what needs a restart.
+    pub fn plan_beside(&self, old: &Plan) -> Result<Plan, ConfigError> {
+        let plan = self.plan();
+        let addresses = |plan: &Plan| plan.listeners.iter().map(|l| l.address).collect::<Vec<_>>();
+        let fixed = [
+            ("listen", addresses(&plan) == addresses(old)),
+            ("settings.zones", plan.zones == old.zones),
+            ("settings.zone", plan.zone == old.zone),
+        ];
+        match fixed.iter().find(|(_, same)| !same) {
+            Some((key, _)) => Err(ConfigError::Fixed { key }),
+            None => Ok(Plan { limits: old.limits, operator: old.operator, ..plan }),
+        }
+    }
+
     /// The plan that this configuration stands for: one listener, one pool, and a route for each class, whose name
     /// is the first part of the path. All speak the platform's dialect.
     pub fn plan(&self) -> Plan {
--- a/crates/proxy/src/http1/general.rs
+++ b/crates/proxy/src/http1/general.rs
@@ -176,10 +176,10 @@
                 }
                 headers.remove(header::EXPECT);
             }
-            let pool = &site.pools[*pool];
+            let (pool, places) = (&site.pools[*pool], &site.places[*pool]);
             let give_up_at = service.clock.now() + site.plan.classes[class].class.give_up;
             let request = interface::Request {
-                class: class as u8,
+                class: places[class],
                 tenant: tenant.map_or(u32::MAX, |t| t as u32),
                 is_write: !head.method.is_safe(),
                 ..interface::Request::new(0, give_up_at)
--- a/crates/proxy/src/http1/platform.rs
+++ b/crates/proxy/src/http1/platform.rs
@@ -43,13 +43,13 @@
         method: &head.method,
         headers: &head.headers,
     };
-    let Some((class, pool)) = site.plan.routes.find(&target).and_then(|(_, route)| match route.outcome {
-        Outcome::Forward { pool, .. } => Some((route.class?, &site.pools[pool])),
+    let Some((class, at)) = site.plan.routes.find(&target).and_then(|(_, route)| match route.outcome {
+        Outcome::Forward { pool, .. } => Some((route.class?, pool)),
         _ => None,
     }) else {
         return closing(text(StatusCode::NOT_FOUND, "no such class of requests\n"));
     };
-    let settings = pool.settings();
+    let (pool, settings) = (&site.pools[at], &site.plan.pools[at].settings);
     client.count(&site.figures[class]);
     let body = match take(service, client.surplus, body).await {
         Ok(body) => Rc::new(body),
@@ -82,7 +82,7 @@
     let number = |name: &str| headers.get(name).and_then(|v| v.to_str().ok()?.trim().parse::<f64>().ok());
     let tenant = site.plan.tenant(headers.get(&site.plan.tenants.header));
     let request = interface::Request {
-        class: class as u8,
+        class: site.places[at][class],
         tenant: tenant.map_or(u32::MAX, |t| t as u32),
         key: headers.get("x-route-key").map_or(0, |k| route_key(k.as_bytes())),
         work_hint: number("x-cost").filter(|us| *us > 0.0).map(|us| (us * 1000.0) as Nanos),
--- a/crates/proxy/src/site.rs
+++ b/crates/proxy/src/site.rs
@@ -13,6 +13,8 @@
     pub plan: Plan,
     /// The plan's pools, by their index there.
     pub pools: Vec<Rc<Pool>>,
+    /// By pool and by class of the plan, the place that the pool's decision module has for the class.
+    pub places: Vec<Vec<u16>>,
     /// Where requests are counted, by their class in the plan.
     pub figures: Vec<ClassFigures>,
 }
@@ -49,12 +51,30 @@
                 pools.push(started.map_err(|error| PoolError { pool: told.name.clone(), error })?);
             }
         }
-        // Nothing can fail from here on.
+        // A new pool has its classes in the plan's order.
+        let mut places: Vec<Vec<u16>> = vec![(0..plan.classes.len() as u16).collect(); pools.len()];
+        for pool in &plan.pools {
+            pool.settings.validate().map_err(|error| PoolError { pool: pool.name.clone(), error })?;
+        }
+        // Nothing can fail from here on: the settings are sound.
         for (at, pool) in kept {
-            pool.go_on(&plan, at);
+            let name = &plan.pools[at].name;
+            let heirs = old.map(|old| old.heirs(&plan, name)).unwrap_or_default();
+            places[at] =
+                pool.go_on(&plan, at, &heirs).map_err(|error| PoolError { pool: name.clone(), error })?;
         }
         let figures = plan.classes.iter().map(|class| shared.figures.class(&class.name)).collect();
-        Ok(Rc::new(Site { plan, pools, figures }))
+        Ok(Rc::new(Site { plan, pools, places, figures }))
+    }
+
+    /// By class of another plan, the place that a pool of this site has for the class of that name.
+    fn heirs(&self, plan: &Plan, pool: &str) -> Vec<Option<u16>> {
+        let places = self.plan.pools.iter().position(|p| p.name == pool).map(|at| &self.places[at]);
+        let place = |name: &str| {
+            let at = self.plan.classes.iter().position(|c| c.name == name)?;
+            places?.get(at).copied()
+        };
+        plan.classes.iter().map(|class| place(&class.name)).collect()
     }
 
     /// Servers in the lists of all pools, and how many of them are ejected.
--- a/crates/proxy/src/upstream/pool.rs
+++ b/crates/proxy/src/upstream/pool.rs
@@ -4,7 +4,7 @@
 use super::discovery::{Following, Watcher};
 use super::fleet::Entry;
 use super::upstreams::{Sender, Upstreams};
-use corkhollow_balance::interface::{ListKind, Phase, Server as Told, ServerId, SettingsError};
+use corkhollow_balance::interface::{ListKind, Phase, Server as Told, ServerId, Settings, SettingsError};
 use corkhollow_engine::{log, Clock, Engine};
 use corkhollow_operate::Figures;
 use corkhollow_plan::file::read_servers;
@@ -127,34 +127,31 @@
         Ok(pool)
     }
 
-    /// What its decision module is told.
-    pub fn settings(&self) -> &corkhollow_balance::interface::Settings {
-        &self.told.settings
-    }
-
-    /// Whether the pool can go on under a new plan, with another list of servers at most.
+    /// Whether the pool can go on under a new plan, with another list of servers and with other settings for its
+    /// decision module at most.
     pub fn fits(&self, plan: &Plan, at: usize) -> bool {
         let new = &plan.pools[at];
         let kind = |s: &Source| std::mem::discriminant(s);
-        let own = plan::Pool { source: new.source.clone(), ..self.told.clone() };
-        self.limits == plan.limits && kind(&self.told.source) == kind(&new.source) && own.same_but_source(new)
+        let fixed = |s: &Settings| (s.zone, s.backup_zone, s.must_subscribe);
+        self.limits == plan.limits
+            && kind(&self.told.source) == kind(&new.source)
+            && fixed(&self.told.settings) == fixed(&new.settings)
+            && self.told.same_but_told(new)
     }
 
-    /// Goes on under a new plan.
-    pub fn go_on(&self, plan: &Plan, at: usize) {
+    /// Goes on under a new plan. `heirs`, and what is returned, are as [`Engine::retune`] has them.
+    ///
+    /// # Errors
+    /// Where no node could act on the settings; all is as it was.
+    pub fn go_on(&self, plan: &Plan, at: usize, heirs: &[Option<u16>]) -> Result<Vec<u16>, SettingsError> {
+        let places = self.engine.retune(plan.pools[at].settings.clone(), heirs)?;
         let source = &plan.pools[at].source;
         if let (Some(discovery), Source::Discovery(from)) = (&self.discovery, source) {
             self.move_discovery(discovery, from.address);
         } else {
             self.follow(plan, source);
         }
-    }
-
-    /// Discovery has moved.
-    pub fn move_to(&self, address: SocketAddr) {
-        if let Some(discovery) = &self.discovery {
-            self.move_discovery(discovery, address);
-        }
+        Ok(places)
     }
 
     fn move_discovery(&self, discovery: &watch::Sender<SocketAddr>, address: SocketAddr) {
