Tell the module how long servers take without the bodies' time on their way

Seen by a line for each outcome and refusal: answers of 12 times the usual length moved the fleet's pressure from 1 to 3.5. Ruled out: room for bodies, descriptors, servers turning away, time-outs. Change: the engine takes the time from the request's last byte to the answer's head.

--- a/crates/corkhollow/tests/platform.rs
+++ b/crates/corkhollow/tests/platform.rs
@@ -545,3 +545,27 @@
         assert!(said.contains(word) || said.contains("socket address"), "{word}: {said}");
     }
 }
+
+/// How long an answer's body is on its way says nothing of how busy its server is: nobody is refused for it.
+#[test]
+fn slow_bodies_do_not_make_the_fleet_look_busy() {
+    let servers = Servers::new(12, |n, _| match n {
+        0..12 => Reply::Do(Box::new(|stream| {
+            let _ = stream.write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 6\r\n\r\n");
+            for _ in 0..6 {
+                std::thread::sleep(Duration::from_millis(170));
+                let _ = stream.write_all(b"x");
+            }
+        })),
+        _ => ok("fine"),
+    });
+    let (node, _discovery) = Node::with(&servers);
+    std::thread::scope(|scope| {
+        for _ in 0..12 {
+            scope.spawn(|| assert_eq!(node.get("/safe/1", "").unwrap().body, b"xxxxxx"));
+        }
+    });
+    for k in 0..10 {
+        assert_eq!(node.get("/safe/1", "").unwrap().status(), 200, "request {k}");
+    }
+}
--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -54,6 +54,8 @@
 struct Attempt {
     server: ServerId,
     sent_at: Nanos,
+    /// How long its server took to answer, once the answer's head is there.
+    took: Option<Nanos>,
     open: bool,
     running: Option<Box<dyn Running>>,
 }
@@ -166,6 +168,16 @@
         self.conclude(&mut state, id, ending);
     }
 
+    /// The head of an answer has come, so long after the request's last byte went. That tells how busy the server is;
+    /// how long the bodies take on their way, slow peers that they are, does not.
+    pub fn answering(&self, id: AttemptId, took: Nanos) {
+        let mut state = self.state.borrow_mut();
+        let attempts = state.live.get_mut(&id.request).map(|live| &mut live.attempts);
+        if let Some(attempt) = attempts.and_then(|all| all.get_mut(usize::from(id.number))) {
+            attempt.took = Some(took);
+        }
+    }
+
     /// An attempt has brought a whole answer: the first one is the client's.
     pub fn served(self: &Rc<Self>, id: AttemptId, status: StatusCode, headers: HeaderMap, body: Pieces) {
         let mut state = self.state.borrow_mut();
@@ -316,7 +328,7 @@
             server: attempt.server,
             attempt: id.number,
             finished: live.reply.is_none(),
-            took: now.saturating_sub(attempt.sent_at),
+            took: attempt.took.unwrap_or(now.saturating_sub(attempt.sent_at)),
             ending,
             spent: live.message.spent(),
             report: None,
@@ -383,7 +395,7 @@
         let wanted = live.reply.is_some() && live.attempts.len() < live.most_attempts;
         live.fallback = None;
         let running = wanted.then(|| self.carrier.send(self, id, server, live.message.clone()));
-        live.attempts.push(Attempt { server, sent_at: self.clock.now(), open: true, running });
+        live.attempts.push(Attempt { server, sent_at: self.clock.now(), took: None, open: true, running });
         if !wanted {
             self.conclude(state, id, Ending::NotSent);
         } else if timeout > 0 {
--- a/crates/proxy/src/socket.rs
+++ b/crates/proxy/src/socket.rs
@@ -9,7 +9,7 @@
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{ready, Context, Poll};
-use std::time::Instant;
+use std::time::{Duration, Instant};
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 
@@ -28,6 +28,8 @@
     /// Something has gone either way since the node last cleared this.
     pub moved: Cell<bool>,
     outgoing: Cell<Outgoing>,
+    /// When the request was out whole.
+    written_at: Cell<Option<Instant>>,
     /// Counts a request once it is out whole.
     forwards: RefCell<Option<IntCounter>>,
     /// Hyper has handed over all that it has to write.
@@ -81,6 +83,7 @@
             heard: Cell::new(None),
             moved: Cell::new(true),
             outgoing: Cell::default(),
+            written_at: Cell::default(),
             forwards: RefCell::default(),
             flushed: Cell::new(true),
             said: RefCell::default(),
@@ -135,6 +138,7 @@
     /// A request with a body of this length is about to be written.
     pub fn expect_request(&self, body: u64, forwards: IntCounter) {
         self.forwards.replace(Some(forwards));
+        self.written_at.set(None);
         self.outgoing.set(Outgoing { body_left: body, ..Outgoing::default() });
         // What comes from here on is the answer.
         self.heard.set(None);
@@ -145,6 +149,11 @@
         self.outgoing.get().whole()
     }
 
+    /// How long ago the request was out whole; none where it isn't.
+    pub fn since_written(&self) -> Option<Duration> {
+        self.written_at.get().map(|at| at.elapsed())
+    }
+
     /// Writes a message of its own between two of hyper's; nothing where hyper is in the middle of one, or where the
     /// peer has not even taken the message before.
     pub fn say(&self, message: &[u8]) {
@@ -216,6 +225,7 @@
         if outgoing.whole() {
             if let Some(forwards) = self.0.forwards.take() {
                 forwards.inc();
+                self.0.written_at.set(Some(Instant::now()));
             }
         }
         Poll::Ready(Ok(n))
--- a/crates/proxy/src/upstream/attempt.rs
+++ b/crates/proxy/src/upstream/attempt.rs
@@ -97,6 +97,9 @@
             Ok(response) => {
                 let now = upstreams.clock.now();
                 upstreams.fleet(|f| f.lives.note(now, rested, false));
+                if let Some(took) = socket.since_written() {
+                    engine.answering(id, took.as_nanos() as Nanos);
+                }
                 let keep = answer(upstreams, engine, id, message, &mut link, response).await;
                 if keep && link.reusable().await && !upstreams.crowded() {
                     let idle = Idle { link, opened, since: upstreams.clock.now() };
