Pass long bodies of requests on as they come, within the memory limit

Need: bodies reach 32 MB, many at a time; a node of 48 MB held each whole, within 17 MB, and refused the rest. 32 MiB was over the limit, and a body of more than 1.3 MB at 64 kB a second was cut after 20 s. Change: the platform's front takes bodies as the general one does, with a pace to keep to; the module counts such an attempt from the last byte (Event::Written); what is refused meanwhile is answered when its client has sent all.

--- a/crates/balance/src/balancer/attempts.rs
+++ b/crates/balance/src/balancer/attempts.rs
@@ -13,6 +13,20 @@
         } else {
             self.nodes[i].cold_next = 0;
         }
+        self.credit(i, credit);
+        let server = self.nodes[i].server.id;
+        let working = self.pending.get(&id).is_some_and(|p| !p.request.streamed);
+        if working {
+            self.works(now, i, weight);
+        }
+        if let Some(p) = self.pending.get_mut(&id) {
+            p.attempts.push(Attempt { node: i, credit, weight, open: true, working });
+            sink.push(Action::Send { request: id, server, timeout: 0 });
+        }
+    }
+
+    /// A server begins with a request's last byte: what is still coming is no work, its silence says nothing.
+    fn works(&mut self, now: Nanos, i: usize, weight: f64) {
         let node = &mut self.nodes[i];
         if node.out == 0 {
             node.silent_since = now;
@@ -20,11 +34,15 @@
         node.out += 1;
         node.load += weight;
         node.sent_since += weight;
-        let server = node.server.id;
-        self.credit(i, credit);
-        if let Some(p) = self.pending.get_mut(&id) {
-            p.attempts.push(Attempt { node: i, credit, weight, open: true });
-            sink.push(Action::Send { request: id, server, timeout: 0 });
+    }
+
+    pub(super) fn written(&mut self, now: Nanos, id: RequestId, attempt: u8) {
+        let attempts = self.pending.get_mut(&id).map(|p| &mut p.attempts);
+        let attempt = attempts.and_then(|all| all.get_mut(usize::from(attempt)));
+        if let Some(a) = attempt.filter(|a| a.open && !a.working) {
+            a.working = true;
+            let (i, weight) = (a.node, a.weight);
+            self.works(now, i, weight);
         }
     }
 
@@ -41,11 +59,14 @@
         let Some(a) = p.attempts.get_mut(usize::from(attempt)).filter(|a| a.open) else { return };
         a.open = false;
         let (i, credit, weight, class) = (a.node, a.credit, a.weight, usize::from(p.request.class));
-        let hint = p.request.work_hint;
+        let (hint, working) = (p.request.work_hint, a.working);
         let window = self.settings.classes[class].window;
         if !ending.never_ran() && p.fence.is_none() {
             p.fence = Some((i, now.saturating_sub(took) + window));
         }
+        if working {
+            self.rests(i, weight);
+        }
         self.judge(now, i, (class, weight, hint), took, ending, credit, sink);
         if finished {
             return self.close(id, sink);
--- a/crates/balance/src/balancer/health.rs
+++ b/crates/balance/src/balancer/health.rs
@@ -15,6 +15,13 @@
 const HINT_WEIGHT: f64 = 0.01;
 
 impl Balancer {
+    /// A server is done with a request, or nobody waits for it any longer.
+    pub(super) fn rests(&mut self, i: usize, weight: f64) {
+        let node = &mut self.nodes[i];
+        node.out = node.out.saturating_sub(1);
+        node.load = if node.out == 0 { 0.0 } else { (node.load - weight).max(0.0) };
+    }
+
     /// What an ending says of its server.
     #[allow(clippy::too_many_arguments)]
     pub(super) fn judge(
@@ -29,8 +36,6 @@
     ) {
         let fleet = self.pressure_now(now);
         let node = &mut self.nodes[i];
-        node.out = node.out.saturating_sub(1);
-        node.load = if node.out == 0 { 0.0 } else { (node.load - weight).max(0.0) };
         if matches!(ending, Ending::Ok | Ending::Error | Ending::Rejected | Ending::Full | Ending::Reset) {
             node.silent_since = now;
         }
--- a/crates/balance/src/balancer/mod.rs
+++ b/crates/balance/src/balancer/mod.rs
@@ -50,6 +50,7 @@
     credit: f64,
     weight: f64,
     open: bool,
+    working: bool,
 }
 
 struct Pending {
@@ -159,6 +160,7 @@
                 self.learn(now, server, report);
                 self.outcome(now, (request, attempt), finished, took, (ending, spent), sink)
             }
+            Event::Written { request, attempt } => self.written(now, request, attempt),
             Event::StreamStarted { request, .. } => {
                 if let Some(p) = self.pending.get_mut(&request) {
                     p.streaming = true;
--- a/crates/balance/src/interface.rs
+++ b/crates/balance/src/interface.rs
@@ -304,6 +304,8 @@
     pub is_retry: bool,
     /// It writes.
     pub is_write: bool,
+    /// Its body is still coming and goes on as it comes: [`Event::Written`] tells when a server has all of it.
+    pub streamed: bool,
 }
 
 impl Request {
@@ -318,6 +320,7 @@
             work_hint: None,
             is_retry: false,
             is_write: false,
+            streamed: false,
         }
     }
 }
@@ -397,6 +400,13 @@
         /// The server's load, where told.
         report: Option<Report>,
     },
+    /// A server has the last byte of a request whose body came bit by bit.
+    Written {
+        /// The request.
+        request: RequestId,
+        /// Attempt number.
+        attempt: u8,
+    },
     /// The answer of a streamed request has begun.
     StreamStarted {
         /// The request.
--- a/crates/balance/tests/mechanism.rs
+++ b/crates/balance/tests/mechanism.rs
@@ -162,3 +162,21 @@
     }
     assert!(hits <= 8, "{hits} of 400 went to the server that rejects all");
 }
+
+/// A body that comes slowly is no work for its server yet, and the server's silence meanwhile says nothing.
+#[test]
+fn a_server_works_from_the_last_byte_on() {
+    for written in [false, true] {
+        let mut bed = Bed::new(settings(Effect::Safe), servers(1), 1);
+        let (id, request) = bed.draft();
+        let late = bed.now + 60_000 * MS;
+        bed.feed(Event::Request(Request { streamed: true, give_up_at: late, ..request }));
+        if written {
+            bed.feed(Event::Written { request: id, attempt: 0 });
+        }
+        bed.now += 5_000 * MS;
+        let (_, actions) = bed.request();
+        let sent = actions.iter().any(|a| matches!(a, Action::Send { .. }));
+        assert_eq!(sent, !written, "{actions:?}");
+    }
+}
--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -168,6 +168,12 @@
         self.conclude(&mut state, id, ending);
     }
 
+    /// A server has the last byte of a request that went on as it came.
+    pub fn written(self: &Rc<Self>, id: AttemptId) {
+        let mut state = self.state.borrow_mut();
+        self.handle(&mut state, Event::Written { request: id.request, attempt: id.number });
+    }
+
     /// The head of an answer has come, so long after the request's last byte went. That tells how busy the server is;
     /// how long the bodies take on their way, slow peers that they are, does not.
     pub fn answering(&self, id: AttemptId, took: Nanos) {
--- a/crates/plan/src/limits.rs
+++ b/crates/plan/src/limits.rs
@@ -4,7 +4,7 @@
 use std::rc::Rc;
 
 /// The most that the body of a request or of an answer may hold.
-pub const MOST_BODY: u64 = 32_000_000;
+pub const MOST_BODY: u64 = 32 << 20;
 /// Descriptors that are neither a client's nor a server's: standard streams, listeners, pollers, discovery, 16 operators.
 const OWN_SOCKETS: usize = 44;
 /// Part of the rest that clients may hold. A server connection carries a request, a client's may stand idle.
--- a/crates/plan/src/platform.rs
+++ b/crates/plan/src/platform.rs
@@ -3,7 +3,6 @@
 pub use crate::shape::Shape;
 
 use crate::hosts::HostList;
-use crate::limits::MOST_BODY;
 use crate::plan::{
     Dialect, Discovery, Limits as Holding, Listener, Plan, Pool, RequestClass, Source, Tenants,
 };
@@ -16,6 +15,8 @@
 use std::net::SocketAddr;
 use std::path::Path;
 
+/// Bodies of requests up to this part of the memory limit are kept until they are answered.
+const KEPT_PART: u64 = 16;
 /// Read buffer of a client's connection and the longest head; it bounds what 1,000 connections hold.
 const HEAD: usize = 16 * 1024;
 /// A client may take 2 s to write a head; the rest is for what was late on the way.
@@ -269,7 +270,7 @@
             limits: Holding {
                 descriptors: self.limits.sockets,
                 memory: self.limits.memory_mb << 20,
-                replay_buffer: MOST_BODY,
+                replay_buffer: (self.limits.memory_mb << 20) / KEPT_PART,
                 header_bytes: HEAD,
                 header_timeout: HEAD_WITHIN,
                 idle_timeout: IDLE,
--- a/crates/proxy/src/http1/clients.rs
+++ b/crates/proxy/src/http1/clients.rs
@@ -64,6 +64,8 @@
     close: Notify,
     /// The request under way, once its class is known.
     tally: RefCell<Option<Tally>>,
+    /// The rest of a body that was passed on in part and is not wanted any longer.
+    pub(super) rest: RefCell<Option<Incoming>>,
     _slot: Slot,
 }
 
@@ -196,6 +198,7 @@
             closing: Cell::new(false),
             close: Notify::new(),
             tally: RefCell::default(),
+            rest: RefCell::default(),
             _slot: budget.client(),
         });
         let id = self.next.get();
@@ -329,6 +332,7 @@
 impl Drop for Outgoing {
     fn drop(&mut self) {
         self.client.tally.take();
+        self.client.rest.take();
         self.client.stage.set(Stage::Idle);
         self.client.idle_since.set(self.service.clock.now());
         self.client.socket.forget();
--- a/crates/proxy/src/http1/general.rs
+++ b/crates/proxy/src/http1/general.rs
@@ -156,11 +156,14 @@
             let limits = &site.plan.limits;
             let rules = upload::Rules {
                 most_kept: limits.replay_buffer,
+                most: u64::MAX,
                 stall: Duration::from_nanos(limits.stall_timeout),
+                pace: None,
+                hand_back: false,
                 wait: expects,
             };
-            let payload =
-                upload::take(body, &rules, &service.budget, service.clock).await.map_err(|e| match e {
+            let payload = upload::take(body, &rules, &service.budget, service.clock, client).await.map_err(
+                |e| match e {
                     UploadError::Late => {
                         let detail = "the body stood still for too long";
                         Problem {
@@ -168,8 +171,12 @@
                             ..Problem::new(StatusCode::REQUEST_TIMEOUT, "body-late", detail)
                         }
                     }
+                    UploadError::TooLarge => {
+                        Problem::new(StatusCode::PAYLOAD_TOO_LARGE, "too-large", "the body is too long")
+                    }
                     UploadError::Broken => Problem::unreadable("the body broke off or cannot be read"),
-                })?;
+                },
+            )?;
             if let Payload::Whole(pieces) = &payload {
                 if !headers.contains_key(header::CONTENT_LENGTH) && !pieces.is_empty() {
                     headers.insert(header::CONTENT_LENGTH, HeaderValue::from(pieces.len()));
@@ -182,13 +189,16 @@
                 class: places[class],
                 tenant: tenant.map_or(u32::MAX, |t| t as u32),
                 is_write: !head.method.is_safe(),
+                streamed: matches!(payload, Payload::Stream(_)),
                 ..interface::Request::new(0, give_up_at)
             };
             let interims = (head.version == Version::HTTP_11).then(|| interims(client, listener));
             let message =
                 Message { method: head.method, uri: Uri::from(sent), headers, payload, give_up_at, interims };
             client.stage.set(Stage::Waiting);
-            client.taken();
+            if matches!(message.payload, Payload::Whole(_)) {
+                client.taken();
+            }
             let Some(mut ticket) = pool.engine.submit(None, request, message) else {
                 return Err(Problem::new(StatusCode::INTERNAL_SERVER_ERROR, "engine", "not taken"));
             };
--- a/crates/proxy/src/http1/platform.rs
+++ b/crates/proxy/src/http1/platform.rs
@@ -1,29 +1,31 @@
 //! Requests in the platform's dialect: its headers, whole bodies, and nothing served that a server could not use.
 
 use super::clients::{closing, Client, Service, Stage};
+use super::upload::{self, Pace, Rules, UploadError};
 use crate::body::{AnswerBody, PieceBody};
 use crate::headers::{strip, ID, TIMEOUT};
 use crate::site::Site;
 use bytes::Bytes;
 use corkhollow_balance::interface::{self, Nanos, Settings};
-use corkhollow_engine::{Answer, Message, Payload, Pieces};
+use corkhollow_engine::{Answer, Message, Payload};
 use corkhollow_plan::limits::MOST_BODY;
 use corkhollow_plan::routes::{Outcome, Target};
-use http_body_util::BodyExt;
 use hyper::body::{Body, Incoming};
 use hyper::header::{self, HeaderMap, HeaderName, HeaderValue};
 use hyper::{Method, Request, Response, StatusCode, Uri};
 use std::rc::Rc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
-/// A body may stand still for this long, and take this long in all.
+/// A body may stand still for this long.
 const STILL_BODY: Duration = Duration::from_millis(2200);
-const LONGEST_BODY: Duration = Duration::from_secs(20);
+/// A body that takes longer than this has to keep to the slowest pace, in bytes a second.
+const GRACE: Duration = Duration::from_secs(20);
+const SLOWEST: u64 = 32_000;
 
 pub(super) async fn answer(
     service: &Rc<Service>,
     site: &Site,
-    client: &Client,
+    client: &Rc<Client>,
     request: Request<Incoming>,
 ) -> Response<AnswerBody> {
     let (head, body) = request.into_parts();
@@ -51,14 +53,30 @@
     };
     let (pool, settings) = (&site.pools[at], &site.plan.pools[at].settings);
     client.count(&site.figures[class]);
-    let body = match take(service, client.surplus, body).await {
-        Ok(body) => Rc::new(body),
-        Err(BodyError::TooLarge) => return closing(text(StatusCode::PAYLOAD_TOO_LARGE, "over 32 MB\n")),
-        Err(BodyError::NoRoom) => return closing(refused(interface::Nanos::MAX, settings)),
-        Err(BodyError::Late) => {
+    let rules = Rules {
+        most_kept: site.plan.limits.replay_buffer,
+        most: MOST_BODY,
+        stall: STILL_BODY,
+        pace: Some(Pace { grace: GRACE, bytes_per_second: SLOWEST }),
+        hand_back: true,
+        wait: false,
+    };
+    if client.surplus {
+        // It is only told to come back, once it has sent all.
+        if body.size_hint().lower() <= MOST_BODY {
+            upload::discard(body, &rules).await;
+        }
+        return closing(refused(Nanos::MAX, settings));
+    }
+    let payload = match upload::take(body, &rules, &service.budget, service.clock, client).await {
+        Ok(payload) => payload,
+        Err(UploadError::TooLarge) => {
+            return closing(text(StatusCode::PAYLOAD_TOO_LARGE, "over 32 MiB\n"));
+        }
+        Err(UploadError::Late) => {
             return closing(text(StatusCode::REQUEST_TIMEOUT, "the body took too long\n"))
         }
-        Err(BodyError::Broken) => return closing(text(StatusCode::BAD_REQUEST, "the body broke off\n")),
+        Err(UploadError::Broken) => return closing(text(StatusCode::BAD_REQUEST, "the body broke off\n")),
     };
     let mut headers = head.headers;
     strip(&mut headers);
@@ -76,7 +94,9 @@
         _ => return closing(text(StatusCode::BAD_REQUEST, "X-Timeout-Ms is no whole number\n")),
     };
     client.stage.set(Stage::Waiting);
-    client.taken();
+    if matches!(payload, Payload::Whole(_)) {
+        client.taken();
+    }
     let now = service.clock.now();
     let give_up_at = now + wait;
     let number = |name: &str| headers.get(name).and_then(|v| v.to_str().ok()?.trim().parse::<f64>().ok());
@@ -90,27 +110,32 @@
         is_write: headers
             .get("x-attrs")
             .is_some_and(|v| v.to_str().unwrap_or_default().split(',').any(|a| a.trim() == "write=1")),
+        streamed: matches!(payload, Payload::Stream(_)),
         ..interface::Request::new(0, give_up_at)
     };
-    if !headers.contains_key(header::CONTENT_LENGTH) && !body.is_empty() {
-        headers.insert(header::CONTENT_LENGTH, HeaderValue::from(body.len()));
+    match &payload {
+        Payload::Whole(body) if !headers.contains_key(header::CONTENT_LENGTH) && !body.is_empty() => {
+            headers.insert(header::CONTENT_LENGTH, HeaderValue::from(body.len()));
+        }
+        _ => {}
     }
     let uri = match head.uri.path_and_query() {
         Some(path) if head.uri.scheme().is_some() => Uri::from(path.clone()),
         _ => head.uri,
     };
-    let message = Message {
-        method: head.method,
-        uri,
-        headers,
-        payload: Payload::Whole(body),
-        give_up_at,
-        interims: None,
-    };
+    let message = Message { method: head.method, uri, headers, payload, give_up_at, interims: None };
     let Some(mut ticket) = pool.engine.submit(Some(id), request, message) else {
         return closing(text(StatusCode::CONFLICT, "a request with this X-Request-ID is open\n"));
     };
-    match ticket.answer().await {
+    let answer = ticket.answer().await;
+    // Nobody reads the body any longer, or somebody has read all of it.
+    drop(ticket);
+    let rest = client.rest.take();
+    let whole = match rest {
+        Some(rest) => upload::discard(rest, &rules).await,
+        None => true,
+    };
+    let response = match answer {
         Answer::Whole { headers, body, .. } => {
             served(headers, AnswerBody::Whole(PieceBody::new(Rc::new(body))))
         }
@@ -120,6 +145,11 @@
         Answer::Refused { retry_after } => refused(retry_after, settings),
         Answer::Failed { late: true } => text(StatusCode::GATEWAY_TIMEOUT, "no answer in time\n"),
         Answer::Failed { late: false } => text(StatusCode::BAD_GATEWAY, "failed\n"),
+    };
+    if whole {
+        response
+    } else {
+        closing(response)
     }
 }
 
@@ -157,37 +187,3 @@
     *response.status_mut() = status;
     response
 }
-
-enum BodyError {
-    TooLarge,
-    NoRoom,
-    Late,
-    Broken,
-}
-
-/// Reads a body whole. Without room for it the rest is read and thrown away: the client gets its refusal when
-/// it listens, and not a reset in the middle of its sending.
-async fn take(service: &Service, throw_away: bool, mut body: Incoming) -> Result<Pieces, BodyError> {
-    if body.size_hint().lower() > MOST_BODY {
-        return Err(BodyError::TooLarge);
-    }
-    let mut pieces = Some(Pieces::new(service.budget.lease())).filter(|_| !throw_away);
-    let mut len = 0;
-    let end = Instant::now() + LONGEST_BODY;
-    loop {
-        // A length that is never filled must not hold its client and its bytes.
-        let patience = STILL_BODY.min(end.saturating_duration_since(Instant::now()));
-        let frame = tokio::time::timeout(patience, body.frame()).await.map_err(|_| BodyError::Late)?;
-        let Some(frame) = frame else { break };
-        let frame = frame.map_err(|_| BodyError::Broken)?;
-        let Ok(data) = frame.into_data() else { continue };
-        len += data.len() as u64;
-        if len > MOST_BODY {
-            return Err(BodyError::TooLarge);
-        }
-        if pieces.as_mut().is_some_and(|p| !p.push(data)) {
-            pieces = None;
-        }
-    }
-    pieces.ok_or(BodyError::NoRoom)
-}
--- a/crates/proxy/src/upstream/attempt.rs
+++ b/crates/proxy/src/upstream/attempt.rs
@@ -79,9 +79,12 @@
         // A server of the platform begins a request with its last byte; any other may do so with its head.
         let body = match (&message.payload, upstreams.dialect) {
             (Payload::Whole(body), Dialect::Platform) => body.len(),
+            (Payload::Stream(_), Dialect::Platform) => length(message),
             _ => 0,
         };
         link.socket.expect_request(body, upstreams.forwards.clone());
+        let socket = link.socket.clone();
+        let mut coming = message.upload().is_some();
         let mut response = pin!(link.sender.try_send_request(request));
         let response = poll_fn(|cx| {
             // Interim answers first: they came before the final one.
@@ -90,9 +93,13 @@
                 .filter_map(Heard::take)
                 .flatten()
                 .for_each(|(status, headers)| engine.interim(id, status, headers));
-            response.as_mut().poll(cx)
+            let polled = response.as_mut().poll(cx);
+            if coming && socket.written() {
+                coming = false;
+                engine.written(id);
+            }
+            polled
         });
-        let socket = link.socket.clone();
         return match link.drive(response).await {
             Ok(response) => {
                 let now = upstreams.clock.now();
@@ -146,6 +153,12 @@
     }
 }
 
+/// The length that the client has told of a body, 0 where it has told none.
+fn length(message: &Message) -> u64 {
+    let told = message.headers.get(header::CONTENT_LENGTH).and_then(|l| l.to_str().ok()?.parse().ok());
+    told.unwrap_or(0)
+}
+
 /// The client's request as it goes to a server; none where its body has gone elsewhere.
 fn request(
     upstreams: &Upstreams,
