--- a/crates/plan/src/limits.rs
+++ b/crates/plan/src/limits.rs
@@ -5,8 +5,9 @@
 
 /// The most that the body of a request or of an answer may hold.
 pub const MOST_BODY: u64 = 32 << 20;
-/// Descriptors that are neither a client's nor a server's: standard streams, listeners, pollers, discovery, 16 operators.
-const OWN_SOCKETS: usize = 44;
+/// Descriptors that are neither a client's nor a server's: standard streams, listeners, pollers, locks, discovery (20 in
+/// all), and 8 operators. On a small node each one more is a connection less.
+const OWN_SOCKETS: usize = 28;
 /// Part of the rest that clients may hold. A server connection carries a request, a client's may stand idle.
 const CLIENT_PART: f64 = 0.55;
 /// Part of the memory limit that bodies may fill; connection buffers and the heap's slack need the rest.
--- a/crates/proxy/src/operator.rs
+++ b/crates/proxy/src/operator.rs
@@ -21,7 +21,7 @@
 
 /// Callers that may be connected at once; the oldest goes for a new one. Calls take milliseconds: one that is still
 /// there says nothing.
-pub const MOST_CALLERS: usize = 16;
+pub const MOST_CALLERS: usize = 8;
 /// A head that is not there after this will not come.
 const HEAD_WITHIN: Duration = Duration::from_secs(2);
 /// The whole of a call takes no longer, whoever reads slowly.
