--- a/crates/balance/src/balancer/health.rs
+++ b/crates/balance/src/balancer/health.rs
@@ -11,6 +11,9 @@
 const PRESSURE_WEIGHT: f64 = 0.1;
 const TYPICAL_UP: f64 = 200.0;
 const TYPICAL_DOWN: f64 = 50.0;
+/// Weight of a new ending in a server's share of failures, and the least share of answers that is believed.
+const FAILURE_WEIGHT: f64 = 0.15;
+const LEAST_ANSWERED: f64 = 0.02;
 /// Weight of a new answer in what is learnt of hints.
 const HINT_WEIGHT: f64 = 0.01;
 
@@ -58,6 +61,18 @@
             self.pressure_at = now;
             node.lag_at = now;
         }
+        let failed = match ending {
+            Ending::Ok => Some(0.0),
+            Ending::Error | Ending::Full | Ending::ConnectFailed | Ending::Reset => Some(1.0),
+            Ending::Rejected | Ending::TimedOut | Ending::Cancelled | Ending::NotSent => None,
+        };
+        if let Some(failed) = failed {
+            let share = self.failure_share(now, i);
+            let node = &mut self.nodes[i];
+            node.failures = share + (failed - share) * FAILURE_WEIGHT;
+            node.failures_at = now;
+        }
+        let node = &mut self.nodes[i];
         match ending {
             Ending::Ok => {
                 if node.blocked_until <= now {
@@ -80,6 +95,17 @@
         }
     }
 
+    fn failure_share(&self, now: Nanos, i: usize) -> f64 {
+        let node = &self.nodes[i];
+        node.failures * (-(now.saturating_sub(node.failures_at) as f64) / self.memory).exp()
+    }
+
+    /// How many times a request goes to the server until it is answered. One that fails fast has the shortest
+    /// queue of all, and would keep winning wherever it can't be ejected.
+    pub(super) fn tries(&self, now: Nanos, i: usize) -> f64 {
+        1.0 / (1.0 - self.failure_share(now, i)).max(LEAST_ANSWERED)
+    }
+
     pub(super) fn strike(&mut self, now: Nanos, i: usize, ending: Ending, sink: &mut Vec<Action>) {
         let zone = usize::from(self.nodes[i].server.zone);
         if self.nodes[i].blocked_until > now || self.nodes[i].server.phase != Phase::Ready {
--- a/crates/balance/src/balancer/list.rs
+++ b/crates/balance/src/balancer/list.rs
@@ -92,6 +92,8 @@
             score: 0.0,
             blocked_until: 0,
             strikes: 0,
+            failures: 0.0,
+            failures_at: now,
             cold_next: 0,
             left_at: now,
         };
@@ -118,6 +120,7 @@
         if server.phase == Phase::Ready && (fresh || restarted) {
             let node = &mut self.nodes[i];
             (node.lag, node.lag_at, node.strikes, node.blocked_until) = (1.0, now, 0, 0);
+            node.failures = 0.0;
             let zone = usize::from(server.zone);
             if self.ranks.len() <= zone {
                 self.ranks.resize(zone + 1, Order::default());
--- a/crates/balance/src/balancer/mod.rs
+++ b/crates/balance/src/balancer/mod.rs
@@ -41,6 +41,8 @@
     score: f64,
     blocked_until: Nanos,
     strikes: u32,
+    failures: f64,
+    failures_at: Nanos,
     cold_next: Nanos,
     left_at: Nanos,
 }
--- a/crates/balance/tests/incidents.rs
+++ b/crates/balance/tests/incidents.rs
@@ -268,3 +268,30 @@
         }
     }
 }
+
+/// All servers of the home zone fail fast, and only half of a zone may be ejected: the other half must not win on its
+/// empty queue. Once they are well again they get their part back.
+#[test]
+fn what_fails_fast_does_not_win_where_it_cannot_be_ejected() {
+    let list = (0..6).map(|k| Server { zone: u8::from(k >= 2), ..Server::warm(server(k)) }).collect();
+    let mut bed = Bed::new(settings(Effect::Unsafe), list, 3);
+    let mut sick_share = |rounds: u32, sick_fails: bool| {
+        let mut to_sick = 0;
+        for _ in 0..rounds {
+            bed.now += 10 * MS;
+            let (id, actions) = bed.request();
+            let to = sent(&actions, id).expect("four well servers stand idle");
+            let sick = to.0 < 2;
+            to_sick += u32::from(sick);
+            let (took, ending) = if sick && sick_fails { (MS, Ending::Error) } else { (80 * MS, Ending::Ok) };
+            bed.outcome(id, to, 0, took, ending);
+        }
+        f64::from(to_sick) / f64::from(rounds)
+    };
+    sick_share(100, true);
+    let while_sick = sick_share(400, true);
+    assert!(while_sick < 0.1, "{while_sick} of all requests went to servers that fail them");
+    sick_share(2_000, false);
+    let well = sick_share(400, false);
+    assert!(well > 0.5, "only {well} went to the home zone after it was well again");
+}
