--- a/crates/balance/src/balancer/queue.rs
+++ b/crates/balance/src/balancer/queue.rs
@@ -32,8 +32,8 @@
     }
 
     /// How long an answer takes here, in the class's mean responses: recent lag, or the silence while work is
-    /// out if that is longer (a hung server must not look idle), and the work that waits per unit of size; all of it
-    /// as often as it takes until one is answered.
+    /// out if that is longer (a hung server must not look idle), and the work that waits per unit of size;
+    /// all of it as often as it takes until one is answered.
     pub(super) fn queue(&self, now: Nanos, i: usize, mean: f64, weight: f64) -> f64 {
         let node = &self.nodes[i];
         let faded = (-(now.saturating_sub(node.lag_at) as f64) / self.memory).exp();
