Learn a class's yardstick from its first answers, and look at other zones before refusing

Its yardstick of answer times began as a guess that only answers correct, and the class was refused by it; and other zones were looked at later than the class was refused.

A yardstick is the mean of its first answers before it becomes the slow average; a class that had nothing sent for an aim may try a server with nothing out; choose() widens where the request would else be refused.

--- a/crates/balance/src/balancer/admission.rs
+++ b/crates/balance/src/balancer/admission.rs
@@ -38,7 +38,11 @@
         if class < self.settings.classes.len() {
             if let Some((i, queue)) = self.choose(now, &pending) {
                 let wait = self.expected(class, queue) - self.limit(now, &request);
-                if wait <= 0.0 {
+                // What is always refused brings no answer that could show that it would be quick.
+                let place = &mut self.places[class];
+                let forgotten = now.saturating_sub(place.tried_at) > self.settings.classes[class].aim;
+                if wait <= 0.0 || (forgotten && self.nodes[i].out == 0) {
+                    place.tried_at = now;
                     if let Some(rate) = self.tenants.get_mut(request.tenant as usize) {
                         rate.count(now, self.memory);
                     }
--- a/crates/balance/src/balancer/choice.rs
+++ b/crates/balance/src/balancer/choice.rs
@@ -11,7 +11,7 @@
 const TOP_SHARE: f64 = 0.5;
 /// Queues closer than this part of a mean response count as tied.
 const TIE_STEP: f64 = 0.1;
-/// Another zone is looked at when the local answer is expected after this part of the aim ...
+/// Another zone is looked at when the local answer is expected after this part of the aim, or too late ...
 const WIDEN_AT: f64 = 0.6;
 /// ... and taken when it is expected to be this much quicker.
 const CROSS_GAIN: f64 = 0.6;
@@ -99,10 +99,12 @@
 
     pub(super) fn choose(&mut self, now: Nanos, pending: &Pending) -> Option<(usize, f64)> {
         let class = usize::from(pending.request.class);
+        // Nothing is refused while another zone would serve it.
         let aim = self.settings.classes[class].aim as f64;
+        let most = (WIDEN_AT * aim).min(self.limit(now, &pending.request));
         let home = usize::from(self.settings.zone);
         let local = self.choose_in(now, home, pending);
-        if local.is_some_and(|(_, q)| self.expected(class, q) < WIDEN_AT * aim) || self.ranks.len() < 2 {
+        if local.is_some_and(|(_, q)| self.expected(class, q) < most) || self.ranks.len() < 2 {
             return local;
         }
         let skip = self.draw(self.ranks.len());
--- a/crates/balance/src/balancer/health.rs
+++ b/crates/balance/src/balancer/health.rs
@@ -52,8 +52,13 @@
                 *both += (far * late - *both) * HINT_WEIGHT;
             }
             let ratio = took as f64 / (*typical * weight);
-            // The yardstick follows slowly, upwards slowest: it has to outlive a jam.
-            *typical += (took as f64 - *typical) / if ratio > 1.0 { TYPICAL_UP } else { TYPICAL_DOWN };
+            // The yardstick follows slowly, upwards slowest: it has to outlive a jam. The guess that it
+            // begins with counts for one answer.
+            let slow = if ratio > 1.0 { TYPICAL_UP } else { TYPICAL_DOWN };
+            let seen = &mut self.places[class].answers;
+            *seen += f64::from(u8::from(ending == Ending::Ok));
+            *typical +=
+                (took as f64 - *typical) / if ending == Ending::Ok { slow.min(*seen + 1.0) } else { slow };
             let gap = (-(now.saturating_sub(node.lag_at) as f64) / self.memory).exp();
             node.lag = 1.0 + (node.lag - 1.0) * gap;
             node.lag += (ratio / fleet - node.lag) * LAG_WEIGHT.max(1.0 - gap);
@@ -61,22 +66,11 @@
             self.pressure_at = now;
             node.lag_at = now;
         }
-        let failed = match ending {
-            Ending::Ok => Some(0.0),
-            Ending::Error | Ending::Full | Ending::ConnectFailed | Ending::Reset => Some(1.0),
-            Ending::Rejected | Ending::TimedOut | Ending::Cancelled | Ending::NotSent => None,
-        };
-        if let Some(failed) = failed {
-            let share = self.failure_share(now, i);
-            let node = &mut self.nodes[i];
-            node.failures = share + (failed - share) * FAILURE_WEIGHT;
-            node.failures_at = now;
-        }
-        let node = &mut self.nodes[i];
         match ending {
             Ending::Ok => {
-                if node.blocked_until <= now {
-                    node.strikes = 0;
+                self.fails(now, i, 0.0);
+                if self.nodes[i].blocked_until <= now {
+                    self.nodes[i].strikes = 0;
                 }
             }
             Ending::Cancelled | Ending::NotSent => {}
@@ -88,6 +82,9 @@
             | Ending::ConnectFailed
             | Ending::Reset => {
                 self.credit(i, -credit);
+                if !matches!(ending, Ending::TimedOut | Ending::Rejected) {
+                    self.fails(now, i, 1.0);
+                }
                 if ending != Ending::TimedOut {
                     self.strike(now, i, ending, sink);
                 }
@@ -95,6 +92,12 @@
         }
     }
 
+    fn fails(&mut self, now: Nanos, i: usize, failed: f64) {
+        let share = self.failure_share(now, i);
+        self.nodes[i].failures = share + (failed - share) * FAILURE_WEIGHT;
+        self.nodes[i].failures_at = now;
+    }
+
     fn failure_share(&self, now: Nanos, i: usize) -> f64 {
         let node = &self.nodes[i];
         node.failures * (-(now.saturating_sub(node.failures_at) as f64) / self.memory).exp()
--- a/crates/balance/src/balancer/mod.rs
+++ b/crates/balance/src/balancer/mod.rs
@@ -136,7 +136,7 @@
             pending: BTreeMap::new(),
             typical: settings.classes.iter().map(|c| c.aim as f64 / 3.0).collect(),
             hints: vec![[0.0; 3]; settings.classes.len()],
-            places: settings.classes.iter().map(|_| retune::Place { retired: None }).collect(),
+            places: settings.classes.iter().map(|_| retune::Place::default()).collect(),
             pressure: 1.0,
             pressure_at: 0,
             arrivals: Rate::default(),
--- a/crates/balance/src/balancer/retune.rs
+++ b/crates/balance/src/balancer/retune.rs
@@ -8,9 +8,13 @@
 const REMEMBER: Nanos = 100;
 
 /// A place in the table of classes.
+#[derive(Default)]
 pub(super) struct Place {
     /// Since when no settings name it; none while they do.
     pub(super) retired: Option<Nanos>,
+    /// How many answers its yardstick rests on, and when a request of the class was last sent.
+    pub(super) answers: f64,
+    pub(super) tried_at: Nanos,
 }
 
 impl Balancer {
@@ -42,6 +46,7 @@
                     .unwrap_or_else(|| self.place(now, &mut table, class));
                 if let Some(heir) = heir {
                     (self.typical[at], self.hints[at]) = (self.typical[heir], self.hints[heir]);
+                    self.places[at].answers = self.places[heir].answers;
                 }
                 self.places[at].retired = None;
                 at as u16
@@ -70,8 +75,9 @@
             table.push(class.clone());
             self.typical.push(0.0);
             self.hints.push([0.0; 3]);
-            self.places.push(Place { retired: None });
+            self.places.push(Place::default());
         }
+        self.places[at] = Place::default();
         table[at] = class.clone();
         (self.typical[at], self.hints[at]) = (class.aim as f64 / 3.0, [0.0; 3]);
         at
--- a/crates/balance/tests/incidents.rs
+++ b/crates/balance/tests/incidents.rs
@@ -295,3 +295,64 @@
     let well = sick_share(400, false);
     assert!(well > 0.5, "only {well} went to the home zone after it was well again");
 }
+
+/// Two classes, one of much more worth.
+fn worthy_and_least() -> Settings {
+    let mut s = settings(Effect::Safe);
+    let most = Class { worth: 20.0, ..s.classes[0].clone() };
+    let least = Class { worth: 1.0, ..s.classes[0].clone() };
+    s.classes = vec![most, least];
+    s
+}
+
+fn ask(bed: &mut Bed, class: u16) -> (RequestId, Option<ServerId>) {
+    let (id, request) = bed.draft();
+    let actions = bed.feed(Event::Request(Request { class, ..request }));
+    (id, sent(&actions, id))
+}
+
+/// The class of least worth was refused for as long as the guess of its answer time stood, and it stood for as long as
+/// the class was refused, beside servers that had nothing to do.
+#[test]
+fn the_least_class_is_let_in_once_it_is_known_to_be_quick() {
+    let mut bed = Bed::new(worthy_and_least(), servers(10), 3);
+    let mut refused = 0;
+    for round in 0..600 {
+        bed.now += 20 * MS;
+        // Most answers are quick and some are not, so the fleet seems to be under some pressure.
+        if let (id, Some(server)) = ask(&mut bed, 0) {
+            bed.outcome(id, server, 0, if round % 4 == 0 { 100 * MS } else { 20 * MS }, Ending::Ok);
+        }
+        if round >= 200 {
+            match ask(&mut bed, 1) {
+                (id, Some(server)) => drop(bed.outcome(id, server, 0, 25 * MS, Ending::Ok)),
+                (_, None) => refused += u32::from(round >= 400),
+            }
+        }
+    }
+    assert!(refused < 20, "{refused} of 200 refused by a fleet that has nothing to do");
+}
+
+/// The home zone is too busy for the class of least worth, and the next one has nothing to do.
+#[test]
+fn nothing_is_refused_while_another_zone_would_serve_it() {
+    let list = (0..8).map(|k| Server { zone: u8::from(k >= 4), ..Server::warm(server(k)) }).collect();
+    let mut bed = Bed::new(worthy_and_least(), list, 3);
+    // The classes are known: what decides is the queue.
+    for _ in 0..200 {
+        bed.now += 20 * MS;
+        for class in 0..2 {
+            if let (id, Some(server)) = ask(&mut bed, class) {
+                bed.outcome(id, server, 0, 45 * MS, Ending::Ok);
+            }
+        }
+    }
+    let mut went = [0, 0];
+    for _ in 0..8 {
+        let (_, to) = ask(&mut bed, 1);
+        let to = to.expect("refused beside an idle zone");
+        went[usize::from(to.0 >= 4)] += 1;
+    }
+    assert!(went[0] >= 3, "home comes first: {went:?}");
+    assert!(went[1] >= 3, "{went:?}");
+}
