--- a/crates/balance/src/balancer/mod.rs
+++ b/crates/balance/src/balancer/mod.rs
@@ -27,24 +27,24 @@
 /// Without news, pressure fades by e in this many aims.
 const RELIEF: f64 = 3.0;
 
-struct Node {
-    server: Server,
-    size: f64,
-    out: u32,
-    load: f64,
-    silent_since: Nanos,
-    lag: f64,
-    lag_at: Nanos,
-    queued: f64,
-    report_at: Nanos,
-    sent_since: f64,
-    score: f64,
-    blocked_until: Nanos,
-    strikes: u32,
-    failures: f64,
-    failures_at: Nanos,
-    cold_next: Nanos,
-    left_at: Nanos,
+pub(crate) struct Node {
+    pub(crate) server: Server,
+    pub(crate) size: f64,
+    pub(crate) out: u32,
+    pub(crate) load: f64,
+    pub(crate) silent_since: Nanos,
+    pub(crate) lag: f64,
+    pub(crate) lag_at: Nanos,
+    pub(crate) queued: f64,
+    pub(crate) report_at: Nanos,
+    pub(crate) sent_since: f64,
+    pub(crate) score: f64,
+    pub(crate) blocked_until: Nanos,
+    pub(crate) strikes: u32,
+    pub(crate) failures: f64,
+    pub(crate) failures_at: Nanos,
+    pub(crate) cold_next: Nanos,
+    pub(crate) left_at: Nanos,
 }
 
 struct Attempt {
@@ -79,19 +79,19 @@
 
 /// The decisions of one node. Equal settings, seed and events give equal actions.
 pub struct Balancer {
-    settings: Settings,
+    pub(crate) settings: Settings,
     rng: Pcg64Mcg,
-    nodes: Vec<Node>,
-    by_id: BTreeMap<ServerId, usize>,
+    pub(crate) nodes: Vec<Node>,
+    pub(crate) by_id: BTreeMap<ServerId, usize>,
     ready: Vec<Vec<usize>>,
     ranks: Vec<Order>,
     epoch: Nanos,
     pending: BTreeMap<RequestId, Pending>,
-    typical: Vec<f64>,
-    hints: Vec<[f64; 3]>,
-    places: Vec<retune::Place>,
-    pressure: f64,
-    pressure_at: Nanos,
+    pub(crate) typical: Vec<f64>,
+    pub(crate) hints: Vec<[f64; 3]>,
+    pub(crate) places: Vec<retune::Place>,
+    pub(crate) pressure: f64,
+    pub(crate) pressure_at: Nanos,
     arrivals: Rate,
     tenants: Vec<Rate>,
     budget: f64,
@@ -101,7 +101,7 @@
     list_failures: u32,
     memory: f64,
     relief: f64,
-    longest: Nanos,
+    pub(crate) longest: Nanos,
 }
 
 /// A rate a second, averaged over the memory it is read with.
--- a/crates/balance/src/balancer/ranking.rs
+++ b/crates/balance/src/balancer/ranking.rs
@@ -7,7 +7,7 @@
 const FADE_RAMPS: f64 = 1.0;
 
 impl Balancer {
-    pub(super) fn increment(&mut self, now: Nanos) -> f64 {
+    pub(crate) fn increment(&mut self, now: Nanos) -> f64 {
         let fade = FADE_RAMPS * self.settings.ramp as f64;
         let mut grown = (now.saturating_sub(self.epoch) as f64 / fade).exp();
         if grown > 1e100 {
@@ -20,7 +20,7 @@
         grown
     }
 
-    pub(super) fn credit(&mut self, i: usize, by: f64) {
+    pub(crate) fn credit(&mut self, i: usize, by: f64) {
         let node = &mut self.nodes[i];
         let from = node.score;
         node.score += by;
--- a/crates/balance/src/balancer/retune.rs
+++ b/crates/balance/src/balancer/retune.rs
@@ -9,11 +9,11 @@
 
 /// A place in the table of classes.
 #[derive(Default)]
-pub(super) struct Place {
+pub(crate) struct Place {
     /// Since when no settings name it; none while they do.
     pub(super) retired: Option<Nanos>,
     /// How many answers its yardstick rests on, and when a request of the class was last sent.
-    pub(super) answers: f64,
+    pub(crate) answers: f64,
     pub(super) tried_at: Nanos,
 }
 
--- a/crates/balance/src/interface.rs
+++ b/crates/balance/src/interface.rs
@@ -12,7 +12,7 @@
 
 /// A server's identity, the same for as long as lists name it. Nodes that share a list should agree on the order of
 /// their servers' identities, for each ranks a window of that order; the value means nothing else.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, serde::Serialize, serde::Deserialize)]
 pub struct ServerId(pub u64);
 
 impl std::fmt::Display for ServerId {
--- /dev/null
+++ b/crates/balance/src/knowledge.rs
@@ -0,0 +1,144 @@
+//! What a balancer has learnt of its classes and servers, for one that takes its place.
+//!
+//! Rates of arrivals and requests in flight are left out: while two balancers serve side by side each counts its own
+//! part, so that what both send to a cold server adds up to what one would.
+
+use crate::interface::{Nanos, Phase, ServerId};
+use crate::Balancer;
+use serde::{Deserialize, Serialize};
+
+/// Knowledge is as of now for this long, in nanoseconds.
+const FRESH: Nanos = 5_000_000_000;
+/// The most strikes and the longest ejection that are believed, the latter in the longest give-up times.
+const MOST_STRIKES: u32 = 4;
+const LONGEST_EJECTION: Nanos = 16;
+/// Rank and lag beyond this are no figures of a balancer that works.
+const MOST: f64 = 1e9;
+
+/// What is known of one class.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+pub struct ClassKnown {
+    /// Its yardstick of answer times, in nanoseconds; above 0.
+    pub typical: f64,
+    /// How many answers that rests on; 0 or more.
+    pub answers: f64,
+}
+
+/// What is known of one server.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+pub struct ServerKnown {
+    /// Which one.
+    pub id: ServerId,
+    /// The start of which all this is known, as the list told it.
+    pub started_at: Nanos,
+    /// Its answer times as a multiple of the fleet's, as of `lag_at`; 0 or more.
+    pub lag: f64,
+    /// When it last answered.
+    pub lag_at: Nanos,
+    /// Accomplishment, in units of one request sent now; 0 or more.
+    pub score: f64,
+    /// Failures in a row that count towards ejection.
+    pub strikes: u32,
+    /// Ejected until then.
+    pub blocked_until: Nanos,
+    /// Its share of failures as of `failures_at`, from 0 to 1.
+    pub failures: f64,
+    /// When that was last told.
+    pub failures_at: Nanos,
+}
+
+/// All that goes from one balancer to its successor. Times are those of a clock that both share.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Knowledge {
+    /// When it was written down.
+    pub at: Nanos,
+    /// The pressure on the fleet then; 0 or more.
+    pub pressure: f64,
+    /// By class, in the order asked for.
+    pub classes: Vec<ClassKnown>,
+    /// The servers that take work.
+    pub servers: Vec<ServerKnown>,
+}
+
+impl Knowledge {
+    /// Whether this can be what a balancer knew shortly before `now`.
+    pub fn is_sound(&self, now: Nanos) -> bool {
+        let within = |value: f64, most: f64| (0.0..=most).contains(&value);
+        let class = |c: &ClassKnown| c.typical > 0.0 && c.typical.is_finite() && within(c.answers, f64::MAX);
+        let server = |s: &ServerKnown| {
+            within(s.lag, MOST)
+                && within(s.score, MOST)
+                && within(s.failures, 1.0)
+                && s.strikes <= MOST_STRIKES
+                && s.lag_at <= now
+                && s.failures_at <= now
+        };
+        self.at <= now
+            && now - self.at <= FRESH
+            && within(self.pressure, MOST)
+            && self.classes.iter().all(class)
+            && self.servers.iter().all(server)
+    }
+}
+
+impl Balancer {
+    /// What is known now; of classes, those at these places (see [`Balancer::retune`]).
+    pub fn knowledge(&mut self, now: Nanos, places: &[u16]) -> Knowledge {
+        let unit = self.increment(now);
+        let class = |place: &u16| {
+            let at = usize::from(*place);
+            ClassKnown { typical: self.typical[at], answers: self.places[at].answers }
+        };
+        let ready = self.nodes.iter().filter(|n| n.server.phase == Phase::Ready);
+        Knowledge {
+            at: now,
+            pressure: self.pressure_now(now),
+            classes: places.iter().filter(|p| usize::from(**p) < self.typical.len()).map(class).collect(),
+            servers: ready
+                .map(|n| ServerKnown {
+                    id: n.server.id,
+                    started_at: n.server.started_at,
+                    lag: n.lag,
+                    lag_at: n.lag_at,
+                    score: (n.score / unit).max(0.0),
+                    strikes: n.strikes,
+                    blocked_until: n.blocked_until,
+                    failures: n.failures,
+                    failures_at: n.failures_at,
+                })
+                .collect(),
+        }
+    }
+
+    /// Takes over what another balancer knew, before the first request. `heirs` says for each class that it knew
+    /// whose place has that name here. Servers that the list has not, or has with another start, stay blank.
+    /// Returns how many servers it knows now; none, with nothing taken, where the knowledge is not sound.
+    pub fn recall(&mut self, now: Nanos, known: &Knowledge, heirs: &[Option<u16>]) -> Option<usize> {
+        if !known.is_sound(now) {
+            return None;
+        }
+        (self.pressure, self.pressure_at) = (known.pressure, now);
+        for (class, heir) in known.classes.iter().zip(heirs) {
+            let Some(at) = heir.map(usize::from).filter(|at| *at < self.typical.len()) else { continue };
+            self.typical[at] = class.typical.min(self.settings.classes[at].give_up as f64);
+            self.places[at].answers = class.answers;
+        }
+        let unit = self.increment(now);
+        let mut taken = 0;
+        for server in &known.servers {
+            let Some(&i) = self.by_id.get(&server.id) else { continue };
+            let node = &mut self.nodes[i];
+            if node.server.phase != Phase::Ready || node.server.started_at != server.started_at {
+                continue;
+            }
+            (node.lag, node.lag_at) = (server.lag, server.lag_at);
+            (node.failures, node.failures_at) = (server.failures, server.failures_at);
+            node.strikes = server.strikes;
+            node.blocked_until = server.blocked_until.min(now + LONGEST_EJECTION * self.longest);
+            let more = server.score * unit - node.score;
+            self.credit(i, more);
+            taken += 1;
+        }
+        Some(taken)
+    }
+}
--- a/crates/balance/src/lib.rs
+++ b/crates/balance/src/lib.rs
@@ -20,6 +20,8 @@
 
 mod balancer;
 pub mod interface;
+mod knowledge;
 pub mod settings;
 
 pub use balancer::Balancer;
+pub use knowledge::{ClassKnown, Knowledge, ServerKnown};
--- /dev/null
+++ b/crates/balance/tests/knowledge.rs
@@ -0,0 +1,155 @@
+//! A balancer that takes another's place begins with what that one has learnt, and with nothing that can't be so.
+
+mod common;
+
+use common::*;
+use corkhollow_balance::interface::*;
+use corkhollow_balance::{Balancer, ClassKnown, Knowledge, ServerKnown};
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+
+/// A fleet of ten under load: server 1 is five times as slow as the others, server 0 refuses connections in the end.
+fn taught() -> Bed {
+    let mut bed = Bed::new(settings(Effect::Safe), servers(10), 3);
+    for round in 0..5_000 {
+        if bed.balancer.census(bed.now) == (10, 1) {
+            return bed;
+        }
+        bed.now += 10 * MS;
+        let (id, actions) = bed.request();
+        let Some(to) = sent(&actions, id) else { continue };
+        match to.0 {
+            0 if round >= 600 => drop(bed.outcome(id, to, 0, MS, Ending::ConnectFailed)),
+            1 => drop(bed.outcome(id, to, 0, 200 * MS, Ending::Ok)),
+            _ => drop(bed.outcome(id, to, 0, 40 * MS, Ending::Ok)),
+        }
+    }
+    panic!("server 0 is never ejected");
+}
+
+/// How many of a hundred first requests go to each server.
+fn first_hundred(bed: &mut Bed) -> [u32; 10] {
+    let mut went = [0; 10];
+    for _ in 0..100 {
+        bed.now += MS / 10;
+        let (id, actions) = bed.request();
+        if let Some(to) = sent(&actions, id) {
+            went[to.0 as usize] += 1;
+            bed.outcome(id, to, 0, if to.0 == 1 { 200 * MS } else { 40 * MS }, Ending::Ok);
+        }
+    }
+    went
+}
+
+fn successor(old: &Bed, list: Vec<Server>) -> Bed {
+    let mut bed = Bed::new(settings(Effect::Safe), list.clone(), 11);
+    bed.now = old.now;
+    bed.list(ListKind::Full, list);
+    bed
+}
+
+#[test]
+fn what_is_ejected_slow_or_usual_is_known_from_the_start() {
+    let mut old = taught();
+    let known = old.balancer.knowledge(old.now, &[0]);
+    assert_eq!(known.servers.len(), 10);
+    let blocked = |k: &Knowledge| k.servers.iter().find(|s| s.id == server(0)).unwrap().blocked_until;
+    assert!(blocked(&known) > old.now, "the dead server is ejected");
+    let (mut warm, mut blank) = (successor(&old, servers(10)), successor(&old, servers(10)));
+    assert_eq!(warm.balancer.recall(warm.now, &known, &[Some(0)]), Some(10));
+    assert_eq!(warm.balancer.census(warm.now), old.balancer.census(old.now));
+    // Said again at once it is the same, but for rounding.
+    let again = warm.balancer.knowledge(warm.now, &[0]);
+    assert_eq!(again.classes, known.classes);
+    for (mine, theirs) in again.servers.iter().zip(&known.servers) {
+        assert!((mine.score - theirs.score).abs() <= 1e-9 * theirs.score.max(1.0), "{mine:?} {theirs:?}");
+        assert_eq!(ServerKnown { score: 0.0, ..*mine }, ServerKnown { score: 0.0, ..*theirs });
+    }
+    let (warm, blank) = (first_hundred(&mut warm), first_hundred(&mut blank));
+    assert_eq!(warm[0], 0, "{warm:?}");
+    assert!(blank[0] > 0 && blank[1] > 2 * warm[1], "blank {blank:?}, with knowledge {warm:?}");
+}
+
+#[test]
+fn a_server_with_another_start_or_none_in_the_list_begins_blank() {
+    let mut old = taught();
+    let known = old.balancer.knowledge(old.now, &[0]);
+    let mut list = servers(10);
+    list[0].started_at = old.now - 60_000 * MS;
+    list.remove(5);
+    let mut new = successor(&old, list);
+    assert_eq!(new.balancer.recall(new.now, &known, &[Some(0)]), Some(8));
+    assert_eq!(new.balancer.census(new.now), (9, 0), "the one that was ejected has started again");
+}
+
+/// Old knowledge would eject servers for what is long over.
+#[test]
+fn old_knowledge_and_that_of_the_future_is_passed_over() {
+    let mut old = taught();
+    let known = old.balancer.knowledge(old.now, &[0]);
+    for at in [old.now + 5_001 * MS, known.at - MS] {
+        let mut new = successor(&old, servers(10));
+        new.now = at;
+        assert_eq!(new.balancer.recall(at, &known, &[Some(0)]), None);
+        assert_eq!(new.balancer.census(at), (10, 0));
+    }
+    let mut new = successor(&old, servers(10));
+    // A class that is not there any longer, or has no such place, is no fault.
+    for heirs in [vec![], vec![None], vec![Some(7)]] {
+        assert_eq!(new.balancer.recall(new.now, &known, &heirs), Some(10));
+    }
+}
+
+fn figure() -> impl Strategy<Value = f64> {
+    prop_oneof![0.0..4.0, any::<f64>(), Just(f64::NAN), Just(f64::INFINITY), Just(-1.0)]
+}
+
+fn moment() -> impl Strategy<Value = Nanos> {
+    prop_oneof![Just(1_000_000 * MS), 0..1_000_001 * MS, any::<u64>()]
+}
+
+proptest! {
+    // The same cases every time.
+    #![proptest_config(ProptestConfig { rng_seed: RngSeed::Fixed(11), failure_persistence: None, ..ProptestConfig::default() })]
+
+    /// Whatever another process says: it is taken whole or not at all, and the balancer goes on serving.
+    #[test]
+    fn no_knowledge_makes_a_balancer_stop(
+        pressure in figure(), typical in figure(), answers in figure(),
+        told in proptest::collection::vec(
+            (0..12u64, figure(), figure(), figure(), any::<u32>(), moment(), moment(), moment()), 0..12),
+    ) {
+        let now = 1_000_000 * MS;
+        let one = |(id, lag, score, failures, strikes, lag_at, blocked_until, failures_at)| ServerKnown {
+            id: ServerId(id), started_at: 0, lag, lag_at, score, strikes: strikes % 6, blocked_until, failures, failures_at,
+        };
+        let known = Knowledge {
+            at: now,
+            pressure,
+            classes: vec![ClassKnown { typical, answers }],
+            servers: told.into_iter().map(one).collect(),
+        };
+        let mut balancer = Balancer::new(settings(Effect::Safe), 5).unwrap();
+        let mut sink = Vec::new();
+        balancer.handle(now, Event::List { kind: ListKind::Full, servers: servers(10) }, &mut sink);
+        let taken = balancer.recall(now, &known, &[Some(0)]);
+        prop_assert_eq!(taken.is_some(), known.is_sound(now));
+        prop_assert!(taken.is_some() || balancer.census(now) == (10, 0));
+        // Nothing that was said keeps the fleet out for longer than an ejection lasts, and answers correct the rest.
+        let mut at = now + 16 * 800 * MS;
+        let mut served = 0;
+        for id in 1..=600 {
+            at += 20 * MS;
+            sink.clear();
+            balancer.handle(at, Event::Request(Request::new(id, at + 800 * MS)), &mut sink);
+            if let Some(server) = sent(&sink, id) {
+                served += u32::from(id > 500);
+                let outcome = Event::Outcome {
+                    request: id, server, attempt: 0, finished: true, took: 30 * MS, ending: Ending::Ok, spent: false, report: None,
+                };
+                balancer.handle(at, outcome, &mut sink);
+            }
+        }
+        prop_assert!(served > 90, "{} of the last 100 sent", served);
+    }
+}
--- a/crates/corkhollow/src/commands/run.rs
+++ b/crates/corkhollow/src/commands/run.rs
@@ -30,6 +30,12 @@
 const WATCH: Duration = Duration::from_millis(50);
 /// How often the share of the limits is settled anew.
 const SHARE: Duration = Duration::from_millis(100);
+/// How often a process that is about to be replaced writes down what it has learnt.
+const TELL: Duration = Duration::from_millis(250);
+/// How long a process that comes to another's place waits for what that one has learnt.
+const LEARN_WITHIN: Duration = Duration::from_millis(500);
+/// How often it looks.
+const LOOK: Duration = Duration::from_millis(10);
 /// How often a draining node looks for connections without a request.
 const EMPTY: Duration = Duration::from_millis(20);
 
@@ -208,9 +214,16 @@
         let (control, figures, changed) = (control.clone(), figures.clone(), changed.clone());
         Operator { control, figures, clock, changed }.start(calls)?;
     }
-    spawn_local(watch(current.clone(), control.clone(), figures.clone()));
     if let Some(neighbours) = &neighbours {
         budget.keep_to(neighbours.now().share());
+        tokio::select! {
+            // Nothing has been taken yet.
+            _ = terminate.recv() => return Ok(()),
+            () = learn(neighbours, &site, clock) => {}
+        }
+    }
+    spawn_local(watch(current.clone(), control.clone(), figures.clone()));
+    if let Some(neighbours) = &neighbours {
         while !neighbours.now().accepts(control.lock().up()) {
             tokio::select! {
                 // Nothing has been taken yet.
@@ -219,6 +232,7 @@
             }
         }
         spawn_local(share(neighbours.clone(), budget.clone()));
+        spawn_local(teach(neighbours.clone(), current.clone()));
     }
     listeners.start(&site.plan, bound, &clients)?;
     drop(site);
@@ -318,6 +332,41 @@
     }
 }
 
+/// Writes down what this process has learnt while there is one that comes to its place, for good.
+async fn teach(neighbours: Rc<Neighbours>, current: Rc<Current>) {
+    let mut failed = false;
+    loop {
+        let newer = neighbours.now().newer;
+        if newer {
+            let told = neighbours.tell(&current.get().handover());
+            if let (Err(why), false) = (&told, failed) {
+                log(format_args!("the process that comes to this one's place begins cold: {why}"));
+            }
+            failed = told.is_err();
+        }
+        tokio::time::sleep(if newer { TELL } else { SHARE }).await;
+    }
+}
+
+/// Waits until the pools know their servers, and takes over what the older process has learnt of them, if there is one and
+/// it tells in time.
+async fn learn(neighbours: &Neighbours, site: &Site, clock: Clock) {
+    if !neighbours.now().older {
+        return;
+    }
+    loop {
+        let told = neighbours.told(clock.now()).filter(|_| site.ready());
+        if let Some(told) = told {
+            return log(format_args!("begins with what is known of {} servers", site.recall(&told)));
+        }
+        // One that has gone leaves its clients to this one, ready or not.
+        if !neighbours.now().older || (site.ready() && neighbours.age() > LEARN_WITHIN) {
+            return log(format_args!("begins cold: the other process has not told what it knows"));
+        }
+        tokio::time::sleep(LOOK).await;
+    }
+}
+
 /// Closes connections that have no request, as far as the node's life wants that; the number of those that are left.
 fn close_idle(clients: &Clients, control: &Control, clock: Clock) -> usize {
     let before = control.lock().closes_idle_before(clock.now());
--- a/crates/corkhollow/src/succession.rs
+++ b/crates/corkhollow/src/succession.rs
@@ -1,18 +1,22 @@
 //! Processes that serve the same clients find one another by files under locks, in a folder that they share. The
 //! kernel lets go of a lock when its holder ends, however that comes about.
 
+use corkhollow_balance::interface::Nanos;
 use corkhollow_engine::log;
-use corkhollow_operate::Succession;
+use corkhollow_operate::{Handover, Succession, LONGEST_HANDOVER};
 use std::fs::{File, OpenOptions, TryLockError};
-use std::io;
+use std::io::{self, Read, Write};
 use std::net::{SocketAddr, TcpListener};
-use std::os::unix::fs::MetadataExt;
+use std::os::unix::fs::{MetadataExt, OpenOptionsExt};
 use std::path::{Path, PathBuf};
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
+use std::time::{Duration, Instant};
 
 /// Held by the process that serves, and by each that has come to its place.
 const SERVING: &str = "corkhollow-serving";
+/// What the process that serves has learnt, for the one that comes to its place.
+const KNOWLEDGE: &str = "corkhollow-knowledge";
 /// Held by the newest process that came up beside another one.
 const SUCCESSOR: &str = "corkhollow-successor";
 
@@ -41,6 +45,8 @@
 /// What this process knows of the others.
 pub struct Neighbours {
     mark_path: PathBuf,
+    knowledge_path: PathBuf,
+    joined: Instant,
     /// An older process holds the lock.
     older: Arc<AtomicBool>,
     /// This one's mark, as the file system numbers it.
@@ -55,7 +61,13 @@
         let open =
             |path: &Path| OpenOptions::new().read(true).write(true).create(true).truncate(false).open(path);
         let serving = open(&path(SERVING))?;
-        let mut neighbours = Neighbours { mark_path: path(SUCCESSOR), older: Arc::default(), mark: None };
+        let mut neighbours = Neighbours {
+            mark_path: path(SUCCESSOR),
+            knowledge_path: path(KNOWLEDGE),
+            joined: Instant::now(),
+            older: Arc::default(),
+            mark: None,
+        };
         match serving.try_lock() {
             Ok(()) => {
                 // Held until the process ends.
@@ -89,6 +101,32 @@
         Succession { older: self.older.load(Ordering::SeqCst), newer: self.newer().unwrap_or(false) }
     }
 
+    /// Writes down what this process has learnt, whole or not at all, for its owner alone.
+    pub fn tell(&self, handover: &Handover) -> io::Result<()> {
+        let bytes = handover.encode().map_err(io::Error::other)?;
+        let draft = self.knowledge_path.with_extension(std::process::id().to_string());
+        let open = OpenOptions::new().write(true).create(true).truncate(true).mode(0o600).open(&draft);
+        let written = open.and_then(|mut file| file.write_all(&bytes));
+        written.and_then(|()| std::fs::rename(&draft, &self.knowledge_path)).inspect_err(|_| {
+            let _ = std::fs::remove_file(&draft);
+        })
+    }
+
+    /// What the older process has learnt, as written since this one joined, `now` on the clock of both. Whatever else is
+    /// found there is passed over.
+    pub fn told(&self, now: Nanos) -> Option<Handover> {
+        let joined = now.saturating_sub(self.joined.elapsed().as_nanos() as Nanos);
+        let file = File::open(&self.knowledge_path).ok()?;
+        let mut bytes = Vec::new();
+        file.take(LONGEST_HANDOVER as u64 + 1).read_to_end(&mut bytes).ok()?;
+        Handover::decode(&bytes).ok().filter(|told| told.written_at().is_some_and(|at| at >= joined))
+    }
+
+    /// How long this process has been there.
+    pub fn age(&self) -> Duration {
+        self.joined.elapsed()
+    }
+
     fn newer(&self) -> io::Result<bool> {
         let file = match File::open(&self.mark_path) {
             Ok(file) => file,
@@ -124,7 +162,13 @@
         let stranger = Neighbours::join(&folder, other).unwrap();
         assert_eq!(stranger.now(), Succession::default(), "one that serves another address is no neighbour");
         assert_eq!(second.now(), Succession { older: true, newer: false });
-        let first = Neighbours { mark_path: second.mark_path.clone(), older: Arc::default(), mark: None };
+        let first = Neighbours {
+            mark_path: second.mark_path.clone(),
+            knowledge_path: second.knowledge_path.clone(),
+            joined: Instant::now(),
+            older: Arc::default(),
+            mark: None,
+        };
         assert_eq!(first.now(), Succession { older: false, newer: true });
         drop(held);
         let start = std::time::Instant::now();
--- a/crates/corkhollow/tests/upgrade.rs
+++ b/crates/corkhollow/tests/upgrade.rs
@@ -123,3 +123,47 @@
         assert!(!output.status.success() && said.contains(&format!("GW_LISTEN_FD is `{number}`")), "{said}");
     }
 }
+
+/// A successor avoids from its first request on what the old process has found dead; where there is nothing that can be
+/// read it begins blank, and serves all the same.
+#[test]
+fn a_successor_begins_with_what_the_old_process_has_learnt() {
+    let servers = Servers::new(2, |_, _| ok("fine"));
+    let hosts = [servers.dials[0], servers.dials[1], nobody()];
+    let hosts: Vec<_> =
+        hosts.iter().enumerate().map(|(k, d)| host(&format!("s-{k}"), *d, "active")).collect();
+    let discovery = Discovery::new(vec![list(1, true, &hosts)], true);
+    let folder = Folder::new("handover");
+    let socket = TcpListener::bind("127.0.0.1:0").unwrap();
+    let start = || Node::handed(&socket, &folder.0, discovery.address, &Options::default());
+    let old = start();
+    until("the first process is ready", || is_ready(&old));
+    // Ejections end and are made again; the last one here lasts for seconds.
+    let ejected = |node: &Node| node.figure("gw_ejected") == Some(1.0);
+    let eject = |node: &Node| {
+        until("the dead server is ejected", || {
+            node.get("/safe/1", "");
+            ejected(node)
+        })
+    };
+    eject(&old);
+    eject(&old);
+    let mut known = 0;
+    for _ in 0..3 {
+        eject(&old);
+        let new = start();
+        until("the second process is ready", || is_ready(&new));
+        until("its figures are there", || new.figure("gw_discovered") == Some(3.0));
+        assert_eq!(new.figure("gw_forwards"), Some(0.0), "it has asked no server");
+        known += u32::from(ejected(&new));
+    }
+    assert!(known > 0, "no successor knew of the dead server");
+    // The folder holds what another version may have left, and nobody who would tell.
+    let address = socket.local_addr().unwrap();
+    drop(old);
+    std::fs::write(folder.0.join(format!("corkhollow-knowledge-{address}")), b"corkhollow-handover 9\n....")
+        .unwrap();
+    let alone = start();
+    until("it is ready", || is_ready(&alone));
+    until("it serves", || alone.get("/safe/1", "").is_some_and(|m| m.status() == 200));
+}
--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -8,7 +8,7 @@
 use corkhollow_balance::interface::{
     Action, Ending, Event, ListKind, Nanos, Request, RequestId, Server, ServerId, Settings, SettingsError,
 };
-use corkhollow_balance::Balancer;
+use corkhollow_balance::{Balancer, Knowledge};
 use http::header::{HeaderMap, HeaderValue};
 use http::StatusCode;
 use std::cell::{Cell, RefCell};
@@ -263,6 +263,16 @@
         Ok(places)
     }
 
+    /// What the module has learnt; of classes, those at these places.
+    pub fn knowledge(&self, places: &[u16]) -> Knowledge {
+        self.state.borrow_mut().balancer.knowledge(self.clock.now(), places)
+    }
+
+    /// Takes over what another process's module has learnt: see [`Balancer::recall`].
+    pub fn recall(&self, known: &Knowledge, heirs: &[Option<u16>]) -> Option<usize> {
+        self.state.borrow_mut().balancer.recall(self.clock.now(), known, heirs)
+    }
+
     /// Servers in the list, and how many of them the module has ejected for now.
     pub fn census(&self) -> (usize, usize) {
         self.state.borrow().balancer.census(self.clock.now())
--- a/crates/operate/src/lib.rs
+++ b/crates/operate/src/lib.rs
@@ -2,11 +2,13 @@
 //! holds sockets asks them.
 
 mod figures;
+mod handover;
 mod lifecycle;
 mod succession;
 
 pub use figures::{ClassFigures, Figures, Tally};
 pub use prometheus::{Error as FiguresError, IntCounter};
 
+pub use handover::{Handover, HandoverError, PoolHandover, LONGEST as LONGEST_HANDOVER};
 pub use lifecycle::{Control, Lifecycle, Stage};
 pub use succession::Succession;
--- a/crates/proxy/src/site.rs
+++ b/crates/proxy/src/site.rs
@@ -2,7 +2,7 @@
 
 use crate::upstream::{Pool, Shared};
 use corkhollow_balance::interface::SettingsError;
-use corkhollow_operate::ClassFigures;
+use corkhollow_operate::{ClassFigures, Handover, PoolHandover};
 use corkhollow_plan::plan::Plan;
 use std::cell::RefCell;
 use std::rc::Rc;
@@ -83,6 +83,30 @@
         counts.fold((0, 0), |sum, (listed, ejected)| (sum.0 + listed, sum.1 + ejected))
     }
 
+    /// What the pools have learnt, for a process that takes this one's place.
+    pub fn handover(&self) -> Handover {
+        let pool = |(at, pool): (usize, &Rc<Pool>)| PoolHandover {
+            name: self.plan.pools[at].name.clone(),
+            classes: self.plan.classes.iter().map(|class| class.name.clone()).collect(),
+            knowledge: pool.engine.knowledge(&self.places[at]),
+        };
+        Handover { pools: self.pools.iter().enumerate().map(pool).collect() }
+    }
+
+    /// Takes over what another process's pools have learnt, by their names; how many servers are known now.
+    pub fn recall(&self, handover: &Handover) -> usize {
+        let mut known = 0;
+        for (at, pool) in self.pools.iter().enumerate() {
+            let (told, places) = (&self.plan.pools[at], &self.places[at]);
+            let Some(from) = handover.pools.iter().find(|p| p.name == told.name) else { continue };
+            let names = &self.plan.classes;
+            let heir = |name: &String| names.iter().position(|c| c.name == *name).map(|at| places[at]);
+            let heirs: Vec<_> = from.classes.iter().map(heir).collect();
+            known += pool.engine.recall(&from.knowledge, &heirs).unwrap_or(0);
+        }
+        known
+    }
+
     /// Whether all pools have been told who their servers are.
     pub fn ready(&self) -> bool {
         self.pools.iter().all(|p| p.ready.get())
