Keep long bodies from taking the memory that short requests need

A kept body can be sent again. Room for them went to whoever asked first, so that a few long bodies left none to the short ones behind them.

A quarter of the room is for bodies that say they have 64 KiB or less; a longer one holds no more than it leaves of the rest (dynamic thresholds). What has no room is passed on as before. With it go property tests of this room and of the drain machine, and tests of the operator's address: 431, and 300 silent callers beside full load.

Measured: 200 uploads of 3 MB on a node of 48 MB leave room for 500 short requests (limits.rs).

--- a/crates/corkhollow/tests/operator.rs
+++ b/crates/corkhollow/tests/operator.rs
@@ -3,6 +3,7 @@
 use corkhollow_standin::*;
 use std::io::{Read, Write};
 use std::net::TcpStream;
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering::SeqCst};
 use std::time::{Duration, Instant};
 
 fn shows(node: &Node, figure: &str, value: f64) {
@@ -112,6 +113,54 @@
     assert_eq!(node.call("GET", "/-/ready").unwrap().status(), 200);
 }
 
+/// A head that does not end is told so once it is too long, and costs no more than that.
+#[test]
+fn a_head_that_is_too_long_is_told_so() {
+    let servers = Servers::new(1, |_, _| ok("fine"));
+    let (node, _discovery) = Node::with(&servers);
+    let mut caller = TcpStream::connect(node.operator.unwrap()).unwrap();
+    caller.set_read_timeout(Some(Duration::from_secs(20))).unwrap();
+    let head = format!("GET /-/ready HTTP/1.1\r\nHost: a\r\nX-Long: {}\r\n\r\n", "a".repeat(20_000));
+    let _ = caller.write_all(head.as_bytes());
+    assert_eq!(read(&mut caller).unwrap().status(), 431);
+    assert_eq!(node.call("GET", "/-/ready").unwrap().status(), 200);
+}
+
+/// Operators get their answers beside clients that take all that the node can give, and beside 300 callers that say
+/// nothing.
+#[test]
+fn answers_come_beside_full_load_and_silent_callers() {
+    let servers = Servers::new(4, |_, _| ok("fine"));
+    let (node, _discovery) = Node::with(&servers);
+    let silent: Vec<_> = (0..300).map(|_| TcpStream::connect(node.operator.unwrap())).collect();
+    let over = AtomicBool::new(false);
+    let served = AtomicUsize::new(0);
+    std::thread::scope(|scope| {
+        for _ in 0..8 {
+            scope.spawn(|| {
+                let mut client = node.connect();
+                while !over.load(SeqCst) {
+                    client.write_all(&get("/safe/1", "")).unwrap();
+                    read(&mut client).expect("a client loses an answer");
+                    served.fetch_add(1, SeqCst);
+                }
+            });
+        }
+        until("the load is on", || served.load(SeqCst) > 200);
+        let mut slowest = Duration::ZERO;
+        for k in 0..60 {
+            let start = Instant::now();
+            let answer = node.call("GET", if k % 2 == 0 { "/-/ready" } else { "/-/metrics" });
+            slowest = slowest.max(start.elapsed());
+            assert_eq!(answer.map(|m| m.status()), Some(200), "call {k}");
+        }
+        over.store(true, SeqCst);
+        // The operators' bound is a second; a busy machine that runs many tests is given more.
+        assert!(slowest < Duration::from_secs(5), "{slowest:?}");
+    });
+    drop(silent);
+}
+
 /// An installation with a file of its own has the same address, and a server's 404 is service there.
 #[test]
 fn an_operators_file_has_the_address_too() {
--- a/crates/operate/src/lifecycle.rs
+++ b/crates/operate/src/lifecycle.rs
@@ -120,6 +120,8 @@
 #[cfg(test)]
 mod tests {
     use super::*;
+    use proptest::prelude::*;
+    use proptest::test_runner::RngSeed;
 
     const MS: Nanos = 1_000_000;
 
@@ -164,4 +166,68 @@
         assert!(!life.accepts(2000 * MS));
         assert_eq!(life.closes_idle_before(2600 * MS), Some(2450 * MS));
     }
+
+    #[derive(Clone, Copy, Debug)]
+    enum Step {
+        Tell(bool),
+        Drain,
+        Resume,
+        Leave(bool),
+        Wait(u64),
+    }
+
+    fn step() -> impl Strategy<Value = Step> {
+        prop_oneof![
+            any::<bool>().prop_map(Step::Tell),
+            Just(Step::Drain),
+            Just(Step::Resume),
+            any::<bool>().prop_map(Step::Leave),
+            (0..2_000u64).prop_map(Step::Wait),
+        ]
+    }
+
+    proptest! {
+        // The same cases every time.
+        #![proptest_config(ProptestConfig { rng_seed: RngSeed::Fixed(3), failure_persistence: None, ..ProptestConfig::default() })]
+
+        /// Whatever operators and signals do, in whatever order.
+        #[test]
+        fn a_life_keeps_its_word(steps in proptest::collection::vec(step(), 0..60)) {
+            let (mut life, mut now, mut left, mut drained) = (Lifecycle::default(), 1_000 * MS, None, None);
+            for step in steps {
+                match step {
+                    Step::Tell(told) => life.tell(told),
+                    Step::Drain => {
+                        life.drain(now);
+                        drained = drained.or(Some(now));
+                    }
+                    Step::Resume => {
+                        let serves = life.resume();
+                        prop_assert_eq!(serves, left.is_none());
+                        drained = None;
+                    }
+                    Step::Leave(succeeded) => {
+                        life.leave(now, succeeded);
+                        left = left.or(Some(now));
+                    }
+                    Step::Wait(ms) => now += ms * MS,
+                }
+                let empties = left.or(drained);
+                prop_assert_eq!(life.keeps(), empties.is_none());
+                prop_assert!(!life.up() || life.keeps(), "clients are called to a node that empties");
+                // Idle connections go only while it empties, and never at once.
+                match (life.closes_idle_before(now), empties) {
+                    (Some(before), Some(since)) => prop_assert!(before < now && now >= since + STILL_COME),
+                    (Some(_), None) => prop_assert!(false, "a serving node lets go of its clients"),
+                    (None, Some(since)) => prop_assert!(now < since + STILL_COME, "it never empties"),
+                    (None, None) => {}
+                }
+                // One that leaves never takes connections for good, any other always.
+                match left {
+                    Some(since) => prop_assert!(!life.accepts(now) || now < since + STILL_COME),
+                    None => prop_assert!(life.accepts(now)),
+                }
+            }
+        }
+    }
 }
--- a/crates/plan/src/limits.rs
+++ b/crates/plan/src/limits.rs
@@ -15,6 +15,11 @@
 /// Bookkeeping for one piece of a body: without it a body of one-byte chunks would cost far more than counted.
 const PIECE: usize = 64;
 
+/// Part of the bytes that bodies beyond `SMALL` may fill: short requests keep the rest.
+const LARGE_PART: f64 = 0.75;
+/// A body that says that it has no more than this is small; with its bookkeeping it may come to twice that.
+const SMALL: u64 = 64 << 10;
+
 /// How much of each may be held.
 #[derive(Clone, Copy, Debug)]
 struct Most {
@@ -90,9 +95,14 @@
         (self.servers.get() < self.most.get().servers).then(|| Slot::take(self, |b| &b.servers))
     }
 
-    /// Nothing held yet; it grows with `Lease::grow`.
+    /// Nothing held yet, for a body of at most 64 KiB; it grows with `Lease::grow`.
     pub fn lease(self: &Rc<Self>) -> Lease {
-        Lease { budget: self.clone(), held: 0 }
+        self.lease_for(Some(0))
+    }
+
+    /// Nothing held yet, for a body of this length; one that tells none has to share with the long ones.
+    pub fn lease_for(self: &Rc<Self>, length: Option<u64>) -> Lease {
+        Lease { budget: self.clone(), held: 0, small: length.is_some_and(|l| l <= SMALL) }
     }
 }
 
@@ -122,18 +132,24 @@
 pub struct Lease {
     budget: Rc<Budget>,
     held: usize,
+    /// Of a small body.
+    small: bool,
 }
 
 impl Lease {
-    /// Takes one more piece into account; false where the budget has no room for it.
+    /// Takes one more piece into account; false where there is no room for it. A small body may take all that is free.
+    /// A larger one may hold as much as it leaves of what is there for its kind: the more come, the less each may keep.
     pub fn grow(&mut self, bytes: usize) -> bool {
         let cost = bytes + PIECE;
-        let sum = self.budget.bytes.get() + cost;
-        if sum > self.budget.most.get().bytes {
+        let (sum, held) = (self.budget.bytes.get() + cost, self.held + cost);
+        let most = self.budget.most.get().bytes;
+        let large = (most as f64 * LARGE_PART) as usize;
+        let small = self.small && held as u64 <= 2 * SMALL;
+        if sum > most || (!small && held > large.saturating_sub(sum)) {
             return false;
         }
         self.budget.bytes.set(sum);
-        self.held += cost;
+        self.held = held;
         true
     }
 }
@@ -143,3 +159,67 @@
         self.budget.bytes.set(self.budget.bytes.get() - self.held);
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use proptest::prelude::*;
+    use proptest::test_runner::RngSeed;
+
+    /// A body that grows by pieces until there is no room for it or it is whole; how much of it is held.
+    fn keep(lease: &mut Lease, bytes: usize) -> usize {
+        (0..bytes / 16_384).take_while(|_| lease.grow(16_384)).count() * 16_384
+    }
+
+    #[test]
+    fn two_hundred_uploads_leave_room_for_short_requests() {
+        let budget = Budget::new(1024, 48 << 20);
+        let mut uploads: Vec<_> = (0..200).map(|_| budget.lease_for(Some(3 << 20))).collect();
+        // One alone may hold all that the platform keeps of a body, a sixteenth of the memory.
+        assert_eq!(keep(&mut uploads[0], 3 << 20), 3 << 20);
+        for upload in &mut uploads[1..] {
+            keep(upload, 3 << 20);
+        }
+        let mut short: Vec<_> = (0..500).map(|_| budget.lease()).collect();
+        assert!(short.iter_mut().all(|lease| lease.grow(2048)), "short requests find no room");
+    }
+
+    #[test]
+    fn what_is_given_back_is_there_again() {
+        let budget = Budget::new(1024, 48 << 20);
+        for _ in 0..100 {
+            let mut uploads: Vec<_> = (0..3).map(|_| budget.lease_for(Some(2 << 20))).collect();
+            assert!(uploads.iter_mut().all(|upload| keep(upload, 2 << 20) == 2 << 20));
+        }
+    }
+
+    proptest! {
+        // The same cases every time.
+        #![proptest_config(ProptestConfig { rng_seed: RngSeed::Fixed(5), failure_persistence: None, ..ProptestConfig::default() })]
+
+        /// Whatever comes and goes: never over the room, and none is lost.
+        #[test]
+        fn the_room_is_kept(steps in proptest::collection::vec((0..30usize, 0..400_000usize, any::<bool>()), 1..300)) {
+            let budget = Budget::new(1024, 32 << 20);
+            let most = budget.most.get().bytes;
+            let mut leases: Vec<Lease> = Vec::new();
+            for (at, bytes, end) in steps {
+                match leases.get_mut(at) {
+                    Some(_) if end => drop(leases.swap_remove(at)),
+                    Some(lease) => {
+                        let (held, taken) = (lease.held, lease.grow(bytes));
+                        prop_assert_eq!(lease.held, held + if taken { bytes + PIECE } else { 0 });
+                    }
+                    None => leases.push(budget.lease_for([None, Some(0), Some(bytes as u64)][at % 3])),
+                }
+                let sum: usize = leases.iter().map(|lease| lease.held).sum();
+                prop_assert_eq!(budget.bytes.get(), sum);
+                prop_assert!(sum <= most);
+                let large: usize = leases.iter().filter(|l| !l.small).map(|l| l.held).sum();
+                prop_assert!(large as f64 <= most as f64 * LARGE_PART);
+            }
+            leases.clear();
+            prop_assert_eq!(budget.bytes.get(), 0);
+        }
+    }
+}
--- a/crates/proxy/src/http1/upload.rs
+++ b/crates/proxy/src/http1/upload.rs
@@ -80,7 +80,7 @@
     let mut first = VecDeque::new();
     let (mut got, mut held) = (0, None);
     if !rules.wait && body.size_hint().lower() <= rules.most_kept {
-        let mut pieces = Pieces::new(budget.lease());
+        let mut pieces = Pieces::new(budget.lease_for(body.size_hint().exact()));
         loop {
             let next = timeout_at(due(rules, begun, got), body.frame()).await;
             let next = next.map_err(|_| UploadError::Late)?;
