Leave the fleet's pressure out of the handover, and bound its yardsticks

The pressure is a reading of the moment that the successor takes for itself within a few answers; it goes along no longer.

--- a/crates/balance/src/balancer/queue.rs
+++ b/crates/balance/src/balancer/queue.rs
@@ -57,7 +57,7 @@
         queue * self.typical[class] / self.settings.slots
     }
 
-    pub(crate) fn pressure_now(&self, now: Nanos) -> f64 {
+    pub(super) fn pressure_now(&self, now: Nanos) -> f64 {
         let faded = (-(now.saturating_sub(self.pressure_at) as f64) / self.relief).exp();
         1.0 + (self.pressure - 1.0) * faded
     }
--- a/crates/balance/src/knowledge.rs
+++ b/crates/balance/src/knowledge.rs
@@ -1,7 +1,8 @@
 //! What a balancer has learnt of its classes and servers, for one that takes its place.
 //!
 //! Rates of arrivals and requests in flight are left out: while two balancers serve side by side each counts its own
-//! part, so that what both send to a cold server adds up to what one would.
+//! part, so that what both send to a cold server adds up to what one would. So is the pressure on the fleet: it is a
+//! reading of the moment, which the other one takes for itself within a few answers.
 
 use crate::interface::{Nanos, Phase, ServerId};
 use crate::Balancer;
@@ -12,6 +13,8 @@
 /// The most strikes and the longest ejection that are believed, the latter in the longest give-up times.
 const MOST_STRIKES: u32 = 4;
 const LONGEST_EJECTION: Nanos = 16;
+/// A yardstick below this part of the aim would make any answer look like a jam.
+const LEAST_TYPICAL: f64 = 1e-3;
 /// Rank and lag beyond this are no figures of a balancer that works.
 const MOST: f64 = 1e9;
 
@@ -52,8 +55,6 @@
 pub struct Knowledge {
     /// When it was written down.
     pub at: Nanos,
-    /// The pressure on the fleet then; 0 or more.
-    pub pressure: f64,
     /// By class, in the order asked for.
     pub classes: Vec<ClassKnown>,
     /// The servers that take work.
@@ -75,7 +76,6 @@
         };
         self.at <= now
             && now - self.at <= FRESH
-            && within(self.pressure, MOST)
             && self.classes.iter().all(class)
             && self.servers.iter().all(server)
     }
@@ -92,7 +92,6 @@
         let ready = self.nodes.iter().filter(|n| n.server.phase == Phase::Ready);
         Knowledge {
             at: now,
-            pressure: self.pressure_now(now),
             classes: places.iter().filter(|p| usize::from(**p) < self.typical.len()).map(class).collect(),
             servers: ready
                 .map(|n| ServerKnown {
@@ -117,10 +116,11 @@
         if !known.is_sound(now) {
             return None;
         }
-        (self.pressure, self.pressure_at) = (known.pressure, now);
         for (class, heir) in known.classes.iter().zip(heirs) {
             let Some(at) = heir.map(usize::from).filter(|at| *at < self.typical.len()) else { continue };
-            self.typical[at] = class.typical.min(self.settings.classes[at].give_up as f64);
+            let (aim, give_up) =
+                (self.settings.classes[at].aim as f64, self.settings.classes[at].give_up as f64);
+            self.typical[at] = class.typical.clamp((aim * LEAST_TYPICAL).min(give_up), give_up);
             self.places[at].answers = class.answers;
         }
         let unit = self.increment(now);
--- a/crates/balance/tests/knowledge.rs
+++ b/crates/balance/tests/knowledge.rs
@@ -110,12 +110,12 @@
 
 proptest! {
     // The same cases every time.
-    #![proptest_config(ProptestConfig { rng_seed: RngSeed::Fixed(11), failure_persistence: None, ..ProptestConfig::default() })]
+    #![proptest_config(ProptestConfig { rng_seed: RngSeed::Fixed(11), failure_persistence: None, cases: 1000, ..ProptestConfig::default() })]
 
     /// Whatever another process says: it is taken whole or not at all, and the balancer goes on serving.
     #[test]
     fn no_knowledge_makes_a_balancer_stop(
-        pressure in figure(), typical in figure(), answers in figure(),
+        typical in figure(), answers in figure(),
         told in proptest::collection::vec(
             (0..12u64, figure(), figure(), figure(), any::<u32>(), moment(), moment(), moment()), 0..12),
     ) {
@@ -125,7 +125,6 @@
         };
         let known = Knowledge {
             at: now,
-            pressure,
             classes: vec![ClassKnown { typical, answers }],
             servers: told.into_iter().map(one).collect(),
         };
--- a/crates/operate/src/handover.rs
+++ b/crates/operate/src/handover.rs
@@ -108,8 +108,7 @@
             failures_at: 9,
         };
         let classes = vec![ClassKnown { typical: 1.5e6, answers: 12.0 }];
-        let knowledge =
-            Knowledge { at: 5, pressure: 1.25, classes, servers: (0..servers).map(server).collect() };
+        let knowledge = Knowledge { at: 5, classes, servers: (0..servers).map(server).collect() };
         Handover {
             pools: vec![PoolHandover {
                 name: "pool \"ä\"".into(),
