--- a/crates/corkhollow/src/commands/run.rs
+++ b/crates/corkhollow/src/commands/run.rs
@@ -356,8 +356,12 @@
     }
     loop {
         let told = neighbours.told(clock.now()).filter(|_| site.ready());
-        if let Some(told) = told {
-            return log(format_args!("begins with what is known of {} servers", site.recall(&told)));
+        match told.map(|told| site.recall(&told)) {
+            None => {}
+            Some(0) => {
+                return log(format_args!("begins cold: nothing that the other process knows holds here"))
+            }
+            Some(known) => return log(format_args!("begins with what is known of {known} servers")),
         }
         // One that has gone leaves its clients to this one, ready or not.
         if !neighbours.now().older || (site.ready() && neighbours.age() > LEARN_WITHIN) {
