Tell why requests fail: reasons, endings, answer times, what is held against its limits

Need: the nine figures of the page tell that requests fail, not why. Change: Tally (now a module of its own, with a given clock) counts a request's end, reason and time at the one place where it is dropped. The engine counts attempts by the module's ending, repeats and hedges. Connections and bytes stand beside their limits, and the age of each list. Tests: over random histories all that begins is open or counted once, and the reasons come to declined and aborted; a test with the program plays every way that a request ends, through a reload and a drain.

--- a/crates/corkhollow/src/commands/run.rs
+++ b/crates/corkhollow/src/commands/run.rs
@@ -222,7 +222,7 @@
             () = learn(neighbours, &site, clock) => {}
         }
     }
-    spawn_local(watch(current.clone(), control.clone(), figures.clone()));
+    spawn_local(watch(current.clone(), control.clone(), figures.clone(), budget.clone()));
     if let Some(neighbours) = &neighbours {
         while !neighbours.now().accepts(control.lock().up()) {
             tokio::select! {
@@ -313,13 +313,20 @@
 }
 
 /// Keeps the figures of the servers and the node's readiness up to date, for good.
-async fn watch(current: Rc<Current>, control: Control, figures: Figures) {
+async fn watch(current: Rc<Current>, control: Control, figures: Figures, budget: Rc<Budget>) {
     loop {
         let site = current.get();
         control.lock().tell(site.ready());
         let (listed, ejected) = site.census();
         figures.discovered.set(listed as i64);
         figures.ejected.set(ejected as i64);
+        for (held, (now, most)) in [
+            (&figures.clients, budget.clients()),
+            (&figures.servers, budget.servers()),
+            (&figures.bodies, budget.bytes()),
+        ] {
+            held.set(now, most);
+        }
         tokio::time::sleep(WATCH).await;
     }
 }
--- a/crates/corkhollow/tests/operator.rs
+++ b/crates/corkhollow/tests/operator.rs
@@ -43,6 +43,57 @@
     assert_eq!(node.figure("gw_ejected"), Some(0.0));
 }
 
+/// One request on each way that a request can go, through a reload and a drain: each is counted once, with its reason.
+#[test]
+fn every_way_that_a_request_ends_has_its_reason() {
+    let servers = Servers::new(2, |_, m| match &m.body[..] {
+        b"bad" => Reply::Reset,
+        b"wait" => Reply::Silence,
+        b"cut" => Reply::Last(
+            b"HTTP/1.1 200 OK\r\nContent-Length: 400000\r\n\r\n"
+                .iter()
+                .copied()
+                .chain([b'x'; 200_000])
+                .collect(),
+        ),
+        b"error" => Reply::Say(b"HTTP/1.1 500 E\r\nContent-Length: 0\r\n\r\n".to_vec()),
+        _ => ok("fine"),
+    });
+    let (node, _discovery) = Node::with(&servers);
+    shows(&node, "gw_discovered", 2.0);
+    let counted = |reason: &str| node.figure(&format!("gw_unserved{{reason=\"{reason}\",service=\"once\"}}"));
+    assert_eq!(node.post("/once/1", b"fine").unwrap().status(), 200);
+    assert_eq!(node.post("/once/1", b"bad").unwrap().status(), 502);
+    let late = b"POST /once/1 HTTP/1.1\r\nHost: x\r\nX-Request-ID: late\r\nX-Timeout-Ms: 200\r\nContent-Length: 4\r\n\r\nwait";
+    assert_eq!(node.raw(late).unwrap().status(), 504);
+    assert!(node.post("/once/1", b"error").unwrap().status() >= 500);
+    let mut gone = node.connect();
+    gone.write_all(&post("/once/1", b"wait")).unwrap();
+    shows(&node, "gw_outstanding", 1.0);
+    drop(gone);
+    let _ = node.post("/once/1", b"cut");
+    node.signal("-HUP");
+    shows(&node, "gw_sighup_applied", 1.0);
+    let no_id = b"POST /once/1 HTTP/1.1\r\nHost: x\r\nContent-Length: 2\r\n\r\nhi";
+    assert_eq!(node.raw(no_id).unwrap().status(), 400);
+    node.call("POST", "/-/drain");
+    assert_eq!(node.post("/once/1", b"fine").unwrap().status(), 200);
+    until("all are counted", || {
+        let ended = ["succeeded", "declined", "aborted"];
+        let ended = ended.map(|f| node.figure(&format!("gw_{f}{{service=\"once\"}}")).unwrap_or(0.0));
+        ended.iter().sum::<f64>() == 8.0 && node.figure("gw_outstanding") == Some(0.0)
+    });
+    for reason in ["late", "gone", "cut", "turned-down"] {
+        assert_eq!(counted(reason), Some(1.0), "{reason}");
+    }
+    assert_eq!(counted("failed").zip(counted("server-error")).map(|(a, b)| a + b), Some(2.0));
+    let ended = |ending: &str| node.figure(&format!("gw_attempts{{ending=\"{ending}\",pool=\"platform\"}}"));
+    assert_eq!(ended("timed-out"), Some(1.0));
+    assert!(ended("ok") >= Some(3.0) && ended("reset") >= Some(1.0) && ended("cancelled") >= Some(1.0));
+    assert_eq!(node.figure("gw_answer_seconds_count{service=\"once\"}"), Some(3.0));
+    assert!(node.figure("gw_client_connections_most") > Some(100.0));
+}
+
 /// A drained node says no, ends each connection behind its answer, lets go of the idle ones, and comes back.
 #[test]
 fn a_drain_empties_the_node_and_ends() {
--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -9,6 +9,7 @@
     Action, Ending, Event, ListKind, Nanos, Request, RequestId, Server, ServerId, Settings, SettingsError,
 };
 use corkhollow_balance::{Balancer, Knowledge};
+use corkhollow_operate::PoolFigures;
 use http::header::{HeaderMap, HeaderValue};
 use http::StatusCode;
 use std::cell::{Cell, RefCell};
@@ -94,12 +95,15 @@
     /// Empty between events: its memory serves the next one.
     actions: Vec<Action>,
     next_id: RequestId,
+    /// When discovery last told of servers.
+    listed_at: Nanos,
 }
 
 /// See the module's documentation.
 pub struct Engine {
     clock: Clock,
     carrier: Rc<dyn Carrier>,
+    figures: PoolFigures,
     state: RefCell<State>,
     timer: Notify,
 }
@@ -111,6 +115,7 @@
         seed: u64,
         clock: Clock,
         carrier: Rc<dyn Carrier>,
+        figures: PoolFigures,
     ) -> Result<Rc<Self>, SettingsError> {
         let state = State {
             most_attempts: settings.max_attempts as usize,
@@ -121,8 +126,9 @@
             armed: Nanos::MAX,
             actions: Vec::new(),
             next_id: 0,
+            listed_at: clock.now(),
         };
-        Ok(Rc::new(Engine { clock, carrier, state: RefCell::new(state), timer: Notify::new() }))
+        Ok(Rc::new(Engine { clock, carrier, figures, state: RefCell::new(state), timer: Notify::new() }))
     }
 
     /// The engine's clock.
@@ -247,6 +253,9 @@
     /// Discovery has spoken. The carrier must have been told before: what the module then sends must find it.
     pub fn list(self: &Rc<Self>, kind: ListKind, servers: Vec<Server>) {
         let mut state = self.state.borrow_mut();
+        if matches!(kind, ListKind::Changes | ListKind::Full) {
+            state.listed_at = self.clock.now();
+        }
         self.handle(&mut state, Event::List { kind, servers });
     }
 
@@ -273,9 +282,11 @@
         self.state.borrow_mut().balancer.recall(self.clock.now(), known, heirs)
     }
 
-    /// Servers in the list, and how many of them the module has ejected for now.
+    /// Servers in the list, and how many of them the module has ejected for now; brings the list's age up to date.
     pub fn census(&self) -> (usize, usize) {
-        self.state.borrow().balancer.census(self.clock.now())
+        let (state, now) = (self.state.borrow(), self.clock.now());
+        self.figures.list_age.set(now.saturating_sub(state.listed_at) as f64 / 1e9);
+        state.balancer.census(now)
     }
 
     /// Waits for timers and tells the module of them, until the engine is retired and its last request is over.
@@ -338,6 +349,7 @@
         let Some(live) = state.live.get_mut(&id.request) else { return };
         let Some(attempt) = live.attempts.get_mut(usize::from(id.number)).filter(|a| a.open) else { return };
         attempt.open = false;
+        self.figures.ended(ending);
         let now = self.clock.now();
         let event = Event::Outcome {
             request: id.request,
@@ -410,6 +422,11 @@
         let id = AttemptId { request, number: live.attempts.len() as u8 };
         let wanted = live.reply.is_some() && live.attempts.len() < live.most_attempts;
         live.fallback = None;
+        match live.attempts.last() {
+            Some(_) if live.attempts.iter().any(|a| a.open) => self.figures.hedges.inc(),
+            Some(_) => self.figures.repeats.inc(),
+            None => {}
+        }
         let running = wanted.then(|| self.carrier.send(self, id, server, live.message.clone()));
         live.attempts.push(Attempt { server, sent_at: self.clock.now(), took: None, open: true, running });
         if !wanted {
--- a/crates/operate/src/figures.rs
+++ b/crates/operate/src/figures.rs
@@ -1,9 +1,31 @@
 //! What the node has done and has in hand, in the words of the text format of Prometheus (version 0.0.4).
 
-use prometheus::{Encoder, IntCounter, IntCounterVec, IntGauge, Opts, Registry, TextEncoder};
+use crate::tally::{ClassFigures, Reason};
+use corkhollow_balance::interface::Ending;
+use prometheus::core::Collector;
+use prometheus::{
+    Encoder, Gauge, GaugeVec, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, Opts,
+    Registry, TextEncoder,
+};
 
 /// The label that tells the class of requests.
 const CLASS: &str = "service";
+/// The label that tells the pool.
+const POOL: &str = "pool";
+/// Upper ends of the histogram's parts, in seconds: from a server next door to the longest that clients wait.
+const TIMES: [f64; 11] = [0.001, 0.003, 0.01, 0.03, 0.1, 0.3, 1.0, 3.0, 10.0, 30.0, 100.0];
+/// How an attempt may end, as the page names it.
+const ENDINGS: [(Ending, &str); 9] = [
+    (Ending::Ok, "ok"),
+    (Ending::Error, "error"),
+    (Ending::Rejected, "rejected"),
+    (Ending::Full, "full"),
+    (Ending::TimedOut, "timed-out"),
+    (Ending::ConnectFailed, "connect-failed"),
+    (Ending::Reset, "reset"),
+    (Ending::Cancelled, "cancelled"),
+    (Ending::NotSent, "not-sent"),
+];
 
 /// All figures. Cheap to clone; written by the serving thread, read by any.
 #[derive(Clone, Debug)]
@@ -12,6 +34,18 @@
     succeeded: IntCounterVec,
     declined: IntCounterVec,
     aborted: IntCounterVec,
+    unserved: IntCounterVec,
+    answered: HistogramVec,
+    attempts: IntCounterVec,
+    repeats: IntCounterVec,
+    hedges: IntCounterVec,
+    list_age: GaugeVec,
+    /// Connections of clients.
+    pub clients: Held,
+    /// Connections to servers.
+    pub servers: Held,
+    /// Bytes of bodies.
+    pub bodies: Held,
     /// Attempts of which a server's connection has the last byte.
     pub forwards: IntCounter,
     /// Requests taken and not ended.
@@ -26,13 +60,41 @@
     pub rejected: IntCounter,
 }
 
-/// Where the requests of one class are counted.
+/// Where the attempts of one pool are counted.
 #[derive(Clone, Debug)]
-pub struct ClassFigures {
-    succeeded: IntCounter,
-    declined: IntCounter,
-    aborted: IntCounter,
-    outstanding: IntGauge,
+pub struct PoolFigures {
+    /// By the ending's place in [`ENDINGS`].
+    attempts: [IntCounter; ENDINGS.len()],
+    /// Attempts that follow one that has ended.
+    pub repeats: IntCounter,
+    /// Attempts beside one that is still out.
+    pub hedges: IntCounter,
+    /// How long ago discovery has last told of servers, in seconds.
+    pub list_age: Gauge,
+}
+
+impl PoolFigures {
+    /// An attempt has ended so.
+    pub fn ended(&self, ending: Ending) {
+        if let Some(at) = ENDINGS.iter().position(|(e, _)| *e == ending) {
+            self.attempts[at].inc();
+        }
+    }
+}
+
+/// Something that is held against a limit.
+#[derive(Clone, Debug)]
+pub struct Held {
+    now: IntGauge,
+    most: IntGauge,
+}
+
+impl Held {
+    /// So much is held, of so much.
+    pub fn set(&self, now: usize, most: usize) {
+        self.now.set(now as i64);
+        self.most.set(most as i64);
+    }
 }
 
 impl Figures {
@@ -42,25 +104,33 @@
     /// Where two figures have one name.
     pub fn new() -> Result<Self, prometheus::Error> {
         let registry = Registry::new_custom(Some("gw".to_owned()), None)?;
-        let by_class = |name: &str, help: &str| -> Result<_, prometheus::Error> {
-            let counter = IntCounterVec::new(Opts::new(name, help), &[CLASS])?;
-            registry.register(Box::new(counter.clone()))?;
-            Ok(counter)
+        let counters = |name: &str, help: &str, labels: &[&str]| {
+            listed(&registry, IntCounterVec::new(Opts::new(name, help), labels)?)
         };
-        let counter = |name: &str, help: &str| -> Result<_, prometheus::Error> {
-            let counter = IntCounter::new(name, help)?;
-            registry.register(Box::new(counter.clone()))?;
-            Ok(counter)
-        };
-        let gauge = |name: &str, help: &str| -> Result<_, prometheus::Error> {
-            let gauge = IntGauge::new(name, help)?;
-            registry.register(Box::new(gauge.clone()))?;
-            Ok(gauge)
+        let counter = |name: &str, help: &str| listed(&registry, IntCounter::new(name, help)?);
+        let gauge = |name: &str, help: &str| listed(&registry, IntGauge::new(name, help)?);
+        let held = |name: &str, help: &str| -> Result<_, prometheus::Error> {
+            let most = gauge(&format!("{name}_most"), &format!("{help}, at most, of this process."))?;
+            Ok(Held { now: gauge(name, &format!("{help}, now."))?, most })
         };
+        let times = HistogramOpts::new(
+            "answer_seconds",
+            "From a request's last byte to its answer's first, if served.",
+        );
+        let age = Opts::new("list_age_seconds", "Time since discovery last told of servers.");
         Ok(Figures {
-            succeeded: by_class("succeeded", "Requests served.")?,
-            declined: by_class("declined", "Requests refused; trying again is harmless.")?,
-            aborted: by_class("aborted", "Requests failed.")?,
+            succeeded: counters("succeeded", "Requests served.", &[CLASS])?,
+            declined: counters("declined", "Requests refused; trying again is harmless.", &[CLASS])?,
+            aborted: counters("aborted", "Requests failed.", &[CLASS])?,
+            unserved: counters("unserved", "Requests refused and failed, by reason.", &[CLASS, "reason"])?,
+            answered: listed(&registry, HistogramVec::new(times.buckets(TIMES.to_vec()), &[CLASS])?)?,
+            attempts: counters("attempts", "Attempts, by how they ended.", &[POOL, "ending"])?,
+            repeats: counters("repeats", "Attempts that follow one that has ended.", &[POOL])?,
+            hedges: counters("hedges", "Attempts beside one that is still out.", &[POOL])?,
+            list_age: listed(&registry, GaugeVec::new(age, &[POOL])?)?,
+            clients: held("client_connections", "Connections of clients")?,
+            servers: held("server_connections", "Connections to servers")?,
+            bodies: held("body_bytes", "Bytes of bodies")?,
             forwards: counter("forwards", "Attempts written whole to servers.")?,
             outstanding: gauge("outstanding", "Requests taken and not ended.")?,
             discovered: gauge("discovered", "Servers in the list.")?,
@@ -77,10 +147,22 @@
             succeeded: self.succeeded.with_label_values(&[name]),
             declined: self.declined.with_label_values(&[name]),
             aborted: self.aborted.with_label_values(&[name]),
+            unserved: Reason::ALL.map(|reason| self.unserved.with_label_values(&[name, reason.name()])),
+            answered: self.answered.with_label_values(&[name]),
             outstanding: self.outstanding.clone(),
         }
     }
 
+    /// Where attempts of a pool are counted; from here on the pool is shown.
+    pub fn pool(&self, name: &str) -> PoolFigures {
+        PoolFigures {
+            attempts: ENDINGS.map(|(_, ending)| self.attempts.with_label_values(&[name, ending])),
+            repeats: self.repeats.with_label_values(&[name]),
+            hedges: self.hedges.with_label_values(&[name]),
+            list_age: self.list_age.with_label_values(&[name]),
+        }
+    }
+
     /// The page, and its content type.
     ///
     /// # Errors
@@ -92,50 +174,10 @@
     }
 }
 
-/// One request under way. It is counted when this is dropped: as failed unless something better was said.
-#[derive(Debug)]
-pub struct Tally {
-    class: ClassFigures,
-    taken: bool,
-    status: u16,
-}
-
-impl Tally {
-    /// A request whose class is known.
-    pub fn new(class: ClassFigures) -> Self {
-        Tally { class, taken: false, status: 0 }
-    }
-
-    /// Its last byte has come.
-    pub fn take(&mut self) {
-        if !std::mem::replace(&mut self.taken, true) {
-            self.class.outstanding.inc();
-        }
-    }
-
-    /// It is answered with this status: a server's, or the program's own.
-    pub fn answer(&mut self, status: u16, by_server: bool) {
-        // A server that says that there is no such thing has served the request; the program that says so has not.
-        self.status = if by_server && (400..=499).contains(&status) { 200 } else { status };
-    }
-
-    /// The answer has broken off.
-    pub fn cut(&mut self) {
-        self.status = 0;
-    }
-}
-
-impl Drop for Tally {
-    fn drop(&mut self) {
-        if self.taken {
-            self.class.outstanding.dec();
-        }
-        match self.status {
-            429 | 503 => self.class.declined.inc(),
-            200..=399 => self.class.succeeded.inc(),
-            _ => self.class.aborted.inc(),
-        }
-    }
+/// Puts a figure on the page.
+fn listed<C: Collector + Clone + 'static>(registry: &Registry, figure: C) -> Result<C, prometheus::Error> {
+    registry.register(Box::new(figure.clone()))?;
+    Ok(figure)
 }
 
 #[cfg(test)]
@@ -146,42 +188,14 @@
         String::from_utf8(figures.page().unwrap().0).unwrap()
     }
 
-    #[test]
-    fn each_request_is_counted_once_by_how_it_ended() {
-        let figures = Figures::new().unwrap();
-        let class = figures.class("status");
-        let mut open = Tally::new(class.clone());
-        open.take();
-        open.take();
-        assert!(page(&figures).contains("\ngw_outstanding 1\n"));
-        for status in [200, 200, 503, 429, 502, 404] {
-            let mut tally = Tally::new(class.clone());
-            tally.take();
-            tally.answer(status, false);
-        }
-        let mut cut = Tally::new(class);
-        cut.answer(200, true);
-        cut.cut();
-        drop(cut);
-        Tally::new(figures.class("general")).answer(404, true);
-        drop(open);
-        let page = page(&figures);
-        for line in [
-            "gw_succeeded{service=\"status\"} 2",
-            "gw_declined{service=\"status\"} 2",
-            "gw_aborted{service=\"status\"} 4",
-            "gw_succeeded{service=\"general\"} 1",
-            "gw_outstanding 0",
-        ] {
-            assert!(page.lines().any(|l| l == line), "{line} is not in\n{page}");
-        }
-    }
-
     /// A scraper must be able to tell 0 from a figure that is not there.
     #[test]
     fn all_figures_stand_there_from_the_start() {
         let figures = Figures::new().unwrap();
         figures.class("a \"b\"\\");
+        let pool = figures.pool("main");
+        ENDINGS.iter().for_each(|(ending, _)| pool.ended(*ending));
+        figures.bodies.set(0, 7);
         let page = page(&figures);
         for name in [
             "succeeded{service=\"a \\\"b\\\"\\\\\"}",
@@ -193,8 +207,16 @@
             "ejected",
             "sighup_applied",
             "sighup_rejected",
+            "repeats{pool=\"main\"}",
+            "list_age_seconds{pool=\"main\"}",
+            "client_connections",
+            "server_connections_most",
+            "body_bytes",
         ] {
             assert!(page.lines().any(|l| l == format!("gw_{name} 0")), "{name} is not in\n{page}");
         }
+        assert!(page.contains("\ngw_body_bytes_most 7\n"));
+        // Each ending has a place of its own.
+        assert_eq!(page.lines().filter(|l| l.starts_with("gw_attempts{") && l.ends_with(" 1")).count(), 9);
     }
 }
--- a/crates/operate/src/lib.rs
+++ b/crates/operate/src/lib.rs
@@ -5,10 +5,12 @@
 mod handover;
 mod lifecycle;
 mod succession;
+mod tally;
 
-pub use figures::{ClassFigures, Figures, Tally};
+pub use figures::{Figures, Held, PoolFigures};
 pub use prometheus::{Error as FiguresError, IntCounter};
 
 pub use handover::{Handover, HandoverError, PoolHandover, LONGEST as LONGEST_HANDOVER};
 pub use lifecycle::{Control, Lifecycle, Stage};
 pub use succession::Succession;
+pub use tally::{ClassFigures, Reason, Tally};
--- /dev/null
+++ b/crates/operate/src/tally.rs
@@ -0,0 +1,265 @@
+//! One request under way, and the one place where its end is counted.
+
+use corkhollow_balance::interface::Nanos;
+use prometheus::{Histogram, IntCounter, IntGauge};
+
+/// Why a request was not served.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Reason {
+    /// No server could take it in time (declined).
+    Busy,
+    /// Its client's connection had no place (declined).
+    NoPlace,
+    /// A server would not have it: 429 or 503 (declined).
+    ServerBusy,
+    /// No answer in time (aborted).
+    Late,
+    /// Attempts failed, or none could be made (aborted).
+    Failed,
+    /// A server told of an error of its own (aborted).
+    ServerError,
+    /// The answer broke off on its way (aborted).
+    Cut,
+    /// The client left before there was an answer (aborted).
+    Gone,
+    /// The program turned it down as it was: unreadable, too long, too slow (aborted).
+    Turned,
+}
+
+impl Reason {
+    /// All there are, in the order of their numbers.
+    pub const ALL: [Reason; 9] = [
+        Reason::Busy,
+        Reason::NoPlace,
+        Reason::ServerBusy,
+        Reason::Late,
+        Reason::Failed,
+        Reason::ServerError,
+        Reason::Cut,
+        Reason::Gone,
+        Reason::Turned,
+    ];
+
+    /// Its name on the page.
+    pub fn name(self) -> &'static str {
+        match self {
+            Reason::Busy => "busy",
+            Reason::NoPlace => "no-place",
+            Reason::ServerBusy => "server-busy",
+            Reason::Late => "late",
+            Reason::Failed => "failed",
+            Reason::ServerError => "server-error",
+            Reason::Cut => "cut",
+            Reason::Gone => "gone",
+            Reason::Turned => "turned-down",
+        }
+    }
+
+    fn declines(self) -> bool {
+        matches!(self, Reason::Busy | Reason::NoPlace | Reason::ServerBusy)
+    }
+}
+
+/// Where the requests of one class are counted.
+#[derive(Clone, Debug)]
+pub struct ClassFigures {
+    pub(crate) succeeded: IntCounter,
+    pub(crate) declined: IntCounter,
+    pub(crate) aborted: IntCounter,
+    /// By the reason's number.
+    pub(crate) unserved: [IntCounter; Reason::ALL.len()],
+    pub(crate) answered: Histogram,
+    pub(crate) outstanding: IntGauge,
+}
+
+/// How a request stands.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Standing {
+    Open,
+    Served,
+    Unserved(Reason),
+}
+
+/// One request under way. It is counted when this is dropped, once: as left by its client unless something else was
+/// said.
+#[derive(Debug)]
+pub struct Tally {
+    class: ClassFigures,
+    taken_at: Option<Nanos>,
+    standing: Standing,
+}
+
+impl Tally {
+    /// A request whose class is known.
+    pub fn new(class: ClassFigures) -> Self {
+        Tally { class, taken_at: None, standing: Standing::Open }
+    }
+
+    /// Its last byte has come.
+    pub fn take(&mut self, now: Nanos) {
+        if self.taken_at.is_none() {
+            self.taken_at = Some(now);
+            self.class.outstanding.inc();
+        }
+    }
+
+    /// Its client is only told to come back.
+    pub fn no_place(&mut self) {
+        self.standing = Standing::Unserved(Reason::NoPlace);
+    }
+
+    /// It is answered with this status: a server's, or the program's own.
+    pub fn answer(&mut self, now: Nanos, status: u16, by_server: bool) {
+        // A server that says that there is no such thing has served the request; the program that says so has not.
+        let standing = match (status, by_server) {
+            (429 | 503, true) => Standing::Unserved(Reason::ServerBusy),
+            (429 | 503, false) => Standing::Unserved(Reason::Busy),
+            (200..=399, _) | (400..=499, true) => Standing::Served,
+            (400..=499, false) => Standing::Unserved(Reason::Turned),
+            (_, true) => Standing::Unserved(Reason::ServerError),
+            (504, false) => Standing::Unserved(Reason::Late),
+            (_, false) => Standing::Unserved(Reason::Failed),
+        };
+        if let (Standing::Served, Some(at)) = (standing, self.taken_at) {
+            self.class.answered.observe(now.saturating_sub(at) as f64 / 1e9);
+        }
+        if self.standing == Standing::Open {
+            self.standing = standing;
+        }
+    }
+
+    /// The answer has broken off.
+    pub fn cut(&mut self) {
+        self.standing = Standing::Unserved(Reason::Cut);
+    }
+}
+
+impl Drop for Tally {
+    fn drop(&mut self) {
+        if self.taken_at.is_some() {
+            self.class.outstanding.dec();
+        }
+        let reason = match self.standing {
+            Standing::Served => return self.class.succeeded.inc(),
+            Standing::Open => Reason::Gone,
+            Standing::Unserved(reason) => reason,
+        };
+        self.class.unserved[reason as usize].inc();
+        match reason.declines() {
+            true => self.class.declined.inc(),
+            false => self.class.aborted.inc(),
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::Figures;
+    use proptest::prelude::*;
+    use proptest::test_runner::RngSeed;
+
+    fn page(figures: &Figures) -> String {
+        String::from_utf8(figures.page().unwrap().0).unwrap()
+    }
+
+    #[test]
+    fn each_request_is_counted_once_by_how_it_ended() {
+        let figures = Figures::new().unwrap();
+        let class = figures.class("status");
+        let mut open = Tally::new(class.clone());
+        open.take(0);
+        open.take(0);
+        assert!(page(&figures).contains("\ngw_outstanding 1\n"));
+        for status in [200, 200, 503, 429, 502, 404] {
+            let mut tally = Tally::new(class.clone());
+            tally.take(1_000_000_000);
+            tally.answer(1_040_000_000, status, false);
+        }
+        let mut cut = Tally::new(class.clone());
+        cut.answer(0, 200, true);
+        cut.cut();
+        drop(cut);
+        let mut turned_away = Tally::new(class);
+        turned_away.no_place();
+        turned_away.answer(0, 503, false);
+        drop(turned_away);
+        Tally::new(figures.class("general")).answer(0, 404, true);
+        drop(open);
+        let page = page(&figures);
+        for line in [
+            "gw_succeeded{service=\"status\"} 2",
+            "gw_declined{service=\"status\"} 3",
+            "gw_aborted{service=\"status\"} 4",
+            "gw_unserved{reason=\"busy\",service=\"status\"} 2",
+            "gw_unserved{reason=\"no-place\",service=\"status\"} 1",
+            "gw_unserved{reason=\"failed\",service=\"status\"} 1",
+            "gw_unserved{reason=\"turned-down\",service=\"status\"} 1",
+            "gw_unserved{reason=\"cut\",service=\"status\"} 1",
+            "gw_unserved{reason=\"gone\",service=\"status\"} 1",
+            "gw_answer_seconds_count{service=\"status\"} 2",
+            "gw_answer_seconds_bucket{service=\"status\",le=\"0.03\"} 0",
+            "gw_answer_seconds_bucket{service=\"status\",le=\"0.1\"} 2",
+            "gw_succeeded{service=\"general\"} 1",
+            "gw_outstanding 0",
+        ] {
+            assert!(page.lines().any(|l| l == line), "{line} is not in\n{page}");
+        }
+    }
+
+    #[derive(Clone, Copy, Debug)]
+    enum Step {
+        Begin,
+        Take,
+        NoPlace,
+        Answer(u16, bool),
+        Cut,
+        End,
+    }
+
+    fn step() -> impl Strategy<Value = (usize, Step)> {
+        let step = prop_oneof![
+            3 => Just(Step::Begin),
+            3 => Just(Step::Take),
+            1 => Just(Step::NoPlace),
+            3 => (any::<u16>(), any::<bool>()).prop_map(|(s, by)| Step::Answer(200 + s % 400, by)),
+            1 => Just(Step::Cut),
+            2 => Just(Step::End),
+        ];
+        (0..8usize, step)
+    }
+
+    proptest! {
+        // The same cases every time.
+        #![proptest_config(ProptestConfig { rng_seed: RngSeed::Fixed(7), failure_persistence: None, ..ProptestConfig::default() })]
+
+        /// Whatever becomes of requests, in whatever order: none is lost, none counted twice, and the reasons come to
+        /// what was declined and aborted.
+        #[test]
+        fn all_that_begins_is_open_or_counted(steps in proptest::collection::vec(step(), 0..120)) {
+            let figures = Figures::new().unwrap();
+            let class = figures.class("one");
+            let (mut open, mut begun) = (Vec::<Tally>::new(), 0u64);
+            for (at, step) in steps {
+                match (step, open.get_mut(at)) {
+                    (Step::Begin, _) => {
+                        open.push(Tally::new(class.clone()));
+                        begun += 1;
+                    }
+                    (_, None) => {}
+                    (Step::Take, Some(tally)) => tally.take(begun),
+                    (Step::NoPlace, Some(tally)) => tally.no_place(),
+                    (Step::Answer(status, by_server), Some(tally)) => tally.answer(begun, status, by_server),
+                    (Step::Cut, Some(tally)) => tally.cut(),
+                    (Step::End, Some(_)) => drop(open.swap_remove(at)),
+                }
+                let ended = [&class.succeeded, &class.declined, &class.aborted].map(IntCounter::get);
+                prop_assert_eq!(begun, ended.iter().sum::<u64>() + open.len() as u64);
+                let taken = open.iter().filter(|t| t.taken_at.is_some()).count();
+                prop_assert_eq!(class.outstanding.get(), taken as i64);
+                let reasons: u64 = class.unserved.iter().map(IntCounter::get).sum();
+                prop_assert_eq!(reasons, ended[1] + ended[2]);
+            }
+        }
+    }
+}
--- a/crates/plan/src/limits.rs
+++ b/crates/plan/src/limits.rs
@@ -95,6 +95,21 @@
         (self.servers.get() < self.most.get().servers).then(|| Slot::take(self, |b| &b.servers))
     }
 
+    /// Connections of clients: how many there are, and how many there may be.
+    pub fn clients(&self) -> (usize, usize) {
+        (self.clients.get(), self.most.get().clients)
+    }
+
+    /// Connections to servers, likewise.
+    pub fn servers(&self) -> (usize, usize) {
+        (self.servers.get(), self.most.get().servers)
+    }
+
+    /// Bytes of bodies, likewise.
+    pub fn bytes(&self) -> (usize, usize) {
+        (self.bytes.get(), self.most.get().bytes)
+    }
+
     /// Nothing held yet, for a body of at most 64 KiB; it grows with `Lease::grow`.
     pub fn lease(self: &Rc<Self>) -> Lease {
         self.lease_for(Some(0))
--- a/crates/proxy/src/http1/clients.rs
+++ b/crates/proxy/src/http1/clients.rs
@@ -88,13 +88,17 @@
 
     /// A request of this class is being read.
     pub(super) fn count(&self, class: &ClassFigures) {
-        self.tally.replace(Some(Tally::new(class.clone())));
+        let mut tally = Tally::new(class.clone());
+        if self.surplus {
+            tally.no_place();
+        }
+        self.tally.replace(Some(tally));
     }
 
     /// The last byte of the request has come.
-    pub(super) fn taken(&self) {
+    pub(super) fn taken(&self, now: Nanos) {
         if let Some(tally) = &mut *self.tally.borrow_mut() {
-            tally.take();
+            tally.take(now);
         }
     }
 
@@ -363,7 +367,7 @@
     client.stage.set(Stage::Writing);
     if let Some(tally) = &mut *client.tally.borrow_mut() {
         let by_server = matches!(response.body(), AnswerBody::Whole(_) | AnswerBody::Stream { .. });
-        tally.answer(response.status().as_u16(), by_server);
+        tally.answer(service.clock.now(), response.status().as_u16(), by_server);
     }
     if !service.control.lock().keeps() || client.surplus || hides || listener.is_none() {
         response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
--- a/crates/proxy/src/http1/general.rs
+++ b/crates/proxy/src/http1/general.rs
@@ -197,7 +197,7 @@
                 Message { method: head.method, uri: Uri::from(sent), headers, payload, give_up_at, interims };
             client.stage.set(Stage::Waiting);
             if matches!(message.payload, Payload::Whole(_)) {
-                client.taken();
+                client.taken(service.clock.now());
             }
             let Some(mut ticket) = pool.engine.submit(None, request, message) else {
                 return Err(Problem::new(StatusCode::INTERNAL_SERVER_ERROR, "engine", "not taken"));
--- a/crates/proxy/src/http1/platform.rs
+++ b/crates/proxy/src/http1/platform.rs
@@ -95,7 +95,7 @@
     };
     client.stage.set(Stage::Waiting);
     if matches!(payload, Payload::Whole(_)) {
-        client.taken();
+        client.taken(service.clock.now());
     }
     let now = service.clock.now();
     let give_up_at = now + wait;
--- a/crates/proxy/src/http1/upload.rs
+++ b/crates/proxy/src/http1/upload.rs
@@ -146,7 +146,7 @@
     fn ended(&self, failed: bool) {
         if self.progress.ended_at.get().is_none() {
             self.progress.ended_at.set(Some(self.clock.now()));
-            self.client.taken();
+            self.client.taken(self.clock.now());
         }
         self.progress.failed.set(failed || self.progress.failed.get());
     }
--- a/crates/proxy/src/upstream/pool.rs
+++ b/crates/proxy/src/upstream/pool.rs
@@ -73,8 +73,8 @@
         let told = plan.pools[at].clone();
         let (list_calls, calls) = mpsc::unbounded_channel();
         let upstreams = Upstreams::new(&told, &plan.limits, shared, list_calls);
-        let engine =
-            Engine::new(told.settings.clone(), seed, shared.clock, Rc::new(Sender(upstreams.clone())))?;
+        let (sender, figures) = (Rc::new(Sender(upstreams.clone())), shared.figures.pool(&told.name));
+        let engine = Engine::new(told.settings.clone(), seed, shared.clock, sender, figures)?;
         let retired = Rc::new(Cell::new(false));
         spawn_local(engine.clone().run_timers(retired.clone()));
         let ready = Rc::new(Cell::new(false));
