Let one successor come at a time, and hand a drain on; sockets by systemd's protocol

Cause: two successors at once came to 4/3 of the limits, and one of the two could wait for its turn for good; a drain was lost with the process that heard it; the handover counted whoever owned it; a folder that cannot be written kept the program from starting. Change: a successor holds the successors' lock until it is the node; another one waits behind it, not ready. The handover says that the node drains. Only this user's handover counts. Without a folder it serves alone and says so. Tests: turns of three processes by locks and with the real program, four of it; a drained node replaced; two services on one socket with an operator's file; no folder; files left behind.

--- a/crates/corkhollow/src/cli.rs
+++ b/crates/corkhollow/src/cli.rs
@@ -1,6 +1,7 @@
 //! The command line.
 
 use clap::{Args, Parser, Subcommand};
+use std::net::SocketAddr;
 use std::path::PathBuf;
 
 /// Spreads HTTP requests over servers: the shortest queue among some that have done much and some others (JSQ-DAS).
@@ -43,6 +44,9 @@
     /// The operator's file; without it the file that GW_CONFIG names is the platform's configuration
     #[arg(long, value_name = "FILE")]
     pub config: Option<PathBuf>,
+    /// Where operators call, in place of what the file says: for a process that runs beside the one that it replaces
+    #[arg(long, value_name = "ADDRESS")]
+    pub operator: Option<SocketAddr>,
 }
 
 #[derive(Debug, Args)]
--- a/crates/corkhollow/src/commands/run.rs
+++ b/crates/corkhollow/src/commands/run.rs
@@ -15,7 +15,7 @@
 use std::cell::Cell;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
@@ -48,7 +48,7 @@
     Pool(#[from] PoolError),
     #[error("cannot listen on {address}: {error}")]
     Listen { address: SocketAddr, error: std::io::Error },
-    #[error("the socket that GW_LISTEN_FD names is bound to {address}, which is no listener's address")]
+    #[error("the socket that is handed down is bound to {address}, which is no listener's address")]
     Handed { address: SocketAddr },
     #[error("{0}")]
     System(#[from] std::io::Error),
@@ -58,7 +58,8 @@
 
 /// Where the plan comes from, now and at each reload.
 enum Told {
-    File(PathBuf),
+    /// An operator's file, and the operator's address where the command line gives another one.
+    File(PathBuf, Option<SocketAddr>),
     /// The platform's file; what it held when it was last taken.
     Platform(Shape),
 }
@@ -68,21 +69,40 @@
     let handed = succession::handed().map_err(StartError::from)?;
     let (told, plan) = match args.config {
         Some(path) => {
-            let plan = load(&path)?.plan;
-            (Told::File(path), plan)
+            let plan = read(&path, args.operator)?;
+            (Told::File(path, args.operator), plan)
         }
         None => {
-            let config = Config::load().map_err(StartError::from)?;
+            let mut config = Config::load().map_err(StartError::from)?;
+            config.operator = args.operator.or(config.operator);
             (Told::Platform(config.shape.clone()), config.plan())
         }
     };
-    let join = |socket: &std::net::TcpListener| Neighbours::join(&std::env::temp_dir(), socket.local_addr()?);
-    let neighbours = handed.as_ref().map(join).transpose().map_err(StartError::from)?;
+    let neighbours = neighbours(&handed);
     let runtime =
         tokio::runtime::Builder::new_current_thread().enable_all().build().map_err(StartError::from)?;
     Ok(LocalSet::new().block_on(&runtime, serve(told, plan, handed, neighbours))?)
 }
 
+/// Reads an operator's file.
+fn read(path: &Path, operator: Option<SocketAddr>) -> Result<Plan, Failure> {
+    let plan = load(path)?.plan;
+    Ok(Plan { operator: operator.or(plan.operator), ..plan })
+}
+
+/// Finds the other processes on the sockets that this one has been handed. Without a folder to meet in, it is alone.
+fn neighbours(handed: &[std::net::TcpListener]) -> Option<Neighbours> {
+    // The smallest address stands for all: a process's sockets may come in any order.
+    let address = handed.iter().filter_map(|socket| socket.local_addr().ok()).min()?;
+    let folder = std::env::temp_dir();
+    Neighbours::join(&folder, address)
+        .inspect_err(|why| {
+            let folder = folder.display();
+            log(format_args!("other processes cannot be met in {folder}: {why}; begins cold, as if alone"));
+        })
+        .ok()
+}
+
 fn listen(address: SocketAddr) -> Result<TcpListener, StartError> {
     let open = || {
         let socket = if address.is_ipv4() { TcpSocket::new_v4()? } else { TcpSocket::new_v6()? };
@@ -110,8 +130,8 @@
 #[derive(Default)]
 struct Listeners {
     open: BTreeMap<String, Open>,
-    /// The socket of a listener, where the platform holds it.
-    handed: Option<std::net::TcpListener>,
+    /// Sockets of listeners that somebody else holds.
+    handed: Vec<std::net::TcpListener>,
 }
 
 impl Listeners {
@@ -119,15 +139,18 @@
     fn bind(&mut self, plan: &Plan) -> Result<Vec<(String, SocketAddr, TcpListener)>, StartError> {
         let open = &self.open;
         let new = plan.listeners.iter().filter(|l| open.get(&l.name).is_none_or(|o| o.told != l.address));
-        let mut handed = self.handed.take();
-        if let Some(socket) = &handed {
+        let mut handed = std::mem::take(&mut self.handed);
+        for socket in &handed {
             let address = socket.local_addr()?;
             if !plan.listeners.iter().any(|l| l.address == address) {
                 return Err(StartError::Handed { address });
             }
         }
-        let mut listen = |address| match handed.take_if(|h| h.local_addr().is_ok_and(|a| a == address)) {
-            Some(listener) => Ok(TcpListener::from_std(listener)?),
+        let mut listen = |address| match handed
+            .iter()
+            .position(|socket| socket.local_addr().is_ok_and(|a| a == address))
+        {
+            Some(at) => Ok(TcpListener::from_std(handed.swap_remove(at))?),
             None => listen(address),
         };
         new.map(|l| Ok((l.name.clone(), l.address, listen(l.address)?))).collect()
@@ -182,7 +205,7 @@
 async fn serve(
     mut told: Told,
     plan: Plan,
-    handed: Option<std::net::TcpListener>,
+    handed: Vec<std::net::TcpListener>,
     neighbours: Option<Neighbours>,
 ) -> Result<(), StartError> {
     let mut terminate = signal(SignalKind::terminate())?;
@@ -219,7 +242,7 @@
         tokio::select! {
             // Nothing has been taken yet.
             _ = terminate.recv() => return Ok(()),
-            () = learn(neighbours, &site, clock) => {}
+            () = learn(neighbours, &site, clock, &control) => {}
         }
     }
     spawn_local(watch(current.clone(), control.clone(), figures.clone(), budget.clone()));
@@ -232,7 +255,7 @@
             }
         }
         spawn_local(share(neighbours.clone(), budget.clone()));
-        spawn_local(teach(neighbours.clone(), current.clone()));
+        spawn_local(teach(neighbours.clone(), current.clone(), control.clone()));
     }
     listeners.start(&site.plan, bound, &clients)?;
     drop(site);
@@ -281,7 +304,7 @@
 ) -> Result<(), Failure> {
     let old = current.get();
     let (plan, shape) = match told {
-        Told::File(path) => (load(path)?.plan, None),
+        Told::File(path, operator) => (read(path, *operator)?, None),
         Told::Platform(shape) => {
             let config = Config::reload(shape).map_err(StartError::from)?;
             (config.plan_beside(&old.plan).map_err(StartError::from)?, Some(config.shape))
@@ -340,12 +363,13 @@
 }
 
 /// Writes down what this process has learnt while there is one that comes to its place, for good.
-async fn teach(neighbours: Rc<Neighbours>, current: Rc<Current>) {
+async fn teach(neighbours: Rc<Neighbours>, current: Rc<Current>, control: Control) {
     let mut failed = false;
     loop {
         let newer = neighbours.now().newer;
         if newer {
-            let told = neighbours.tell(&current.get().handover());
+            let drains = control.lock().drains();
+            let told = neighbours.tell(&current.get().handover(drains));
             if let (Err(why), false) = (&told, failed) {
                 log(format_args!("the process that comes to this one's place begins cold: {why}"));
             }
@@ -357,12 +381,20 @@
 
 /// Waits until the pools know their servers, and takes over what the older process has learnt of them, if there is one and
 /// it tells in time.
-async fn learn(neighbours: &Neighbours, site: &Site, clock: Clock) {
+async fn learn(neighbours: &Neighbours, site: &Site, clock: Clock, control: &Control) {
     if !neighbours.now().older {
         return;
     }
+    while neighbours.now().waits {
+        tokio::time::sleep(LOOK).await;
+    }
+    neighbours.begin();
     loop {
         let told = neighbours.told(clock.now()).filter(|_| site.ready());
+        if told.as_ref().is_some_and(|told| told.drains) {
+            log(format_args!("begins drained, as the other process is; POST /-/resume ends that"));
+            control.lock().drain(clock.now());
+        }
         match told.map(|told| site.recall(&told)) {
             None => {}
             Some(0) => {
--- a/crates/corkhollow/src/succession.rs
+++ b/crates/corkhollow/src/succession.rs
@@ -4,6 +4,7 @@
 use corkhollow_balance::interface::Nanos;
 use corkhollow_engine::log;
 use corkhollow_operate::{Handover, Succession, LONGEST_HANDOVER};
+use std::cell::Cell;
 use std::fs::{File, OpenOptions, TryLockError};
 use std::io::{self, Read, Write};
 use std::net::{SocketAddr, TcpListener};
@@ -17,40 +18,60 @@
 const SERVING: &str = "corkhollow-serving";
 /// What the process that serves has learnt, for the one that comes to its place.
 const KNOWLEDGE: &str = "corkhollow-knowledge";
-/// Held by the newest process that came up beside another one.
+/// Held by the one that comes to its place, until that one has gone; another one waits for it.
 const SUCCESSOR: &str = "corkhollow-successor";
+/// The first descriptor that systemd hands down.
+const FIRST: u32 = 3;
 
-/// The clients' listening socket, where the platform holds it and hands it down as the descriptor that
-/// `GW_LISTEN_FD` names.
-pub fn handed() -> io::Result<Option<TcpListener>> {
-    let Ok(number) = std::env::var("GW_LISTEN_FD") else { return Ok(None) };
-    if !number.parse::<i32>().is_ok_and(|n| n > 2) {
-        let what =
-            format!("GW_LISTEN_FD is `{number}`; allowed: the number of an open descriptor, from 3 on");
-        return Err(io::Error::new(io::ErrorKind::InvalidInput, what));
+/// The listening sockets that somebody else holds and hands down: the platform the clients' one, as the descriptor that
+/// `GW_LISTEN_FD` names; a service manager any number of them, by systemd's protocol (sd_listen_fds(3)).
+pub fn handed() -> io::Result<Vec<TcpListener>> {
+    if let Ok(number) = std::env::var("GW_LISTEN_FD") {
+        if !number.parse::<i32>().is_ok_and(|n| n > 2) {
+            let what =
+                format!("GW_LISTEN_FD is `{number}`; allowed: the number of an open descriptor, from 3 on");
+            return Err(io::Error::new(io::ErrorKind::InvalidInput, what));
+        }
+        // In the words of systemd's protocol, which the crate speaks: it checks that this is a listening socket.
+        std::env::remove_var("LISTEN_PID");
+        std::env::set_var("LISTEN_FDS", "1");
+        std::env::set_var("LISTEN_FDS_FIRST_FD", &number);
+        return inherit(|_| format!("GW_LISTEN_FD is `{number}`"));
     }
-    // In the words of systemd's protocol, which the crate speaks: it checks that this is a listening socket.
-    std::env::remove_var("LISTEN_PID");
-    std::env::set_var("LISTEN_FDS", "1");
-    std::env::set_var("LISTEN_FDS_FIRST_FD", &number);
-    let listener = listenfd::ListenFd::from_env().take_tcp_listener(0);
-    let listener =
-        listener.map_err(|e| io::Error::new(e.kind(), format!("GW_LISTEN_FD is `{number}`: {e}")))?;
-    if let Some(listener) = &listener {
-        listener.set_nonblocking(true)?;
+    inherit(|at| format!("LISTEN_FDS: descriptor {}", FIRST + at as u32))
+}
+
+fn inherit(what: impl Fn(usize) -> String) -> io::Result<Vec<TcpListener>> {
+    let mut from = listenfd::ListenFd::from_env();
+    let mut all = Vec::with_capacity(from.len());
+    for at in 0..from.len() {
+        let taken = from.take_tcp_listener(at).and_then(|listener| {
+            listener.as_ref().map(|l| l.set_nonblocking(true)).transpose()?;
+            Ok(listener)
+        });
+        all.extend(taken.map_err(|e| io::Error::new(e.kind(), format!("{}: {e}", what(at))))?);
     }
-    Ok(listener)
+    Ok(all)
 }
 
 /// What this process knows of the others.
 pub struct Neighbours {
-    mark_path: PathBuf,
     knowledge_path: PathBuf,
-    joined: Instant,
-    /// An older process holds the lock.
-    older: Arc<AtomicBool>,
-    /// This one's mark, as the file system numbers it.
-    mark: Option<u64>,
+    successor_path: PathBuf,
+    /// When it joined, or its turn came.
+    joined: Cell<Instant>,
+    place: Arc<Place>,
+}
+
+/// Which locks this process holds, as the thread that waits for them tells it.
+#[derive(Default)]
+struct Place {
+    /// An older process holds the one of the process that serves.
+    older: AtomicBool,
+    /// An older process holds the successors'.
+    waits: AtomicBool,
+    /// This one holds the successors'.
+    succeeds: AtomicBool,
 }
 
 impl Neighbours {
@@ -58,15 +79,15 @@
     /// others may use the same folder.
     pub fn join(folder: &Path, address: SocketAddr) -> io::Result<Self> {
         let path = |name: &str| folder.join(format!("{name}-{address}"));
-        let open =
-            |path: &Path| OpenOptions::new().read(true).write(true).create(true).truncate(false).open(path);
-        let serving = open(&path(SERVING))?;
-        let mut neighbours = Neighbours {
-            mark_path: path(SUCCESSOR),
+        let mut options = OpenOptions::new();
+        options.read(true).write(true).create(true).truncate(false).mode(0o600);
+        let serving = options.open(path(SERVING))?;
+        let successor = options.open(path(SUCCESSOR))?;
+        let neighbours = Neighbours {
             knowledge_path: path(KNOWLEDGE),
-            joined: Instant::now(),
-            older: Arc::default(),
-            mark: None,
+            successor_path: path(SUCCESSOR),
+            joined: Cell::new(Instant::now()),
+            place: Arc::default(),
         };
         match serving.try_lock() {
             Ok(()) => {
@@ -74,31 +95,40 @@
                 std::mem::forget(serving);
                 return Ok(neighbours);
             }
-            Err(TryLockError::WouldBlock) => neighbours.older.store(true, Ordering::SeqCst),
+            Err(TryLockError::WouldBlock) => {}
             Err(TryLockError::Error(error)) => return Err(error),
         }
-        // It is under its lock before anybody can find it.
-        let own = path(&format!("{SUCCESSOR}-{}", std::process::id()));
-        let mark = open(&own)?;
-        mark.lock()?;
-        neighbours.mark = Some(mark.metadata()?.ino());
-        std::fs::rename(own, &neighbours.mark_path)?;
-        std::mem::forget(mark);
-        let older = neighbours.older.clone();
-        let wait = move || {
+        let place = neighbours.place.clone();
+        place.older.store(true, Ordering::SeqCst);
+        place.waits.store(true, Ordering::SeqCst);
+        // Only processes that look whether the lock is held keep it from this one, each for a moment.
+        if successor.try_lock_shared().is_err() {
+            log(format_args!("another process has come to its place; this one waits for its turn"));
+        }
+        let _ = successor.unlock();
+        std::thread::Builder::new().name("succession".to_owned()).spawn(move || {
+            // In this order: nobody passes by the one whose turn it is.
+            let first = successor.lock();
+            place.succeeds.store(first.is_ok(), Ordering::SeqCst);
+            place.waits.store(false, Ordering::SeqCst);
+            log(format_args!("another process serves; this one comes to its place"));
             if serving.lock().is_ok() {
                 std::mem::forget(serving);
             }
-            older.store(false, Ordering::SeqCst);
-        };
-        std::thread::Builder::new().name("succession".to_owned()).spawn(wait)?;
-        log(format_args!("another process serves; this one comes to its place"));
+            place.older.store(false, Ordering::SeqCst);
+            place.succeeds.store(false, Ordering::SeqCst);
+            drop(successor);
+        })?;
         Ok(neighbours)
     }
 
     /// Who is there now.
     pub fn now(&self) -> Succession {
-        Succession { older: self.older.load(Ordering::SeqCst), newer: self.newer().unwrap_or(false) }
+        let Place { older, waits, succeeds } = &*self.place;
+        let [older, waits, succeeds] = [older, waits, succeeds].map(|b| b.load(Ordering::SeqCst));
+        // While an older one is there, the lock is this one's, or that of the one whose turn is before.
+        let newer = !older && !succeeds && self.newer().unwrap_or(false);
+        Succession { older, newer, waits }
     }
 
     /// Writes down what this process has learnt, whole or not at all, for its owner alone.
@@ -115,28 +145,34 @@
     /// What the older process has learnt, as written since this one joined, `now` on the clock of both. Whatever else is
     /// found there is passed over.
     pub fn told(&self, now: Nanos) -> Option<Handover> {
-        let joined = now.saturating_sub(self.joined.elapsed().as_nanos() as Nanos);
+        let joined = now.saturating_sub(self.joined.get().elapsed().as_nanos() as Nanos);
         let file = File::open(&self.knowledge_path).ok()?;
+        // In a folder that others may write to, only what this user has written counts.
+        if file.metadata().ok()?.uid() != std::fs::metadata("/proc/self").ok()?.uid() {
+            return None;
+        }
         let mut bytes = Vec::new();
         file.take(LONGEST_HANDOVER as u64 + 1).read_to_end(&mut bytes).ok()?;
         Handover::decode(&bytes).ok().filter(|told| told.written_at().is_some_and(|at| at >= joined))
     }
 
-    /// How long this process has been there.
+    /// Its turn has come: what has been told before is nobody's.
+    pub fn begin(&self) {
+        self.joined.set(Instant::now());
+    }
+
+    /// How long this process has been there, or has had its turn.
     pub fn age(&self) -> Duration {
-        self.joined.elapsed()
+        self.joined.get().elapsed()
     }
 
+    /// Whether a process holds the successors' lock.
     fn newer(&self) -> io::Result<bool> {
-        let file = match File::open(&self.mark_path) {
+        let file = match File::open(&self.successor_path) {
             Ok(file) => file,
             Err(error) if error.kind() == io::ErrorKind::NotFound => return Ok(false),
             Err(error) => return Err(error),
         };
-        if Some(file.metadata()?.ino()) == self.mark {
-            return Ok(false);
-        }
-        // A mark that nobody holds is that of a process that has gone.
         Ok(matches!(file.try_lock_shared(), Err(TryLockError::WouldBlock)))
     }
 }
@@ -146,39 +182,66 @@
     use super::*;
 
     fn folder() -> PathBuf {
-        let folder = std::env::temp_dir().join(format!("corkhollow-succession-{}", std::process::id()));
+        let name = std::thread::current().name().unwrap_or_default().replace("::", "-");
+        let folder = std::env::temp_dir().join(format!("corkhollow-{name}-{}", std::process::id()));
         std::fs::create_dir_all(&folder).unwrap();
         folder
     }
 
-    /// Locks go with the open file, so that one process can stand for two here.
+    fn wait(what: &str, condition: impl Fn() -> bool) {
+        let start = Instant::now();
+        while !condition() {
+            assert!(start.elapsed().as_secs() < 20, "{what}");
+            std::thread::yield_now();
+        }
+    }
+
+    const ALONE: Succession = Succession { older: false, newer: false, waits: false };
+
+    /// Locks go with the open file, so that one process can stand for several here.
     #[test]
-    fn each_finds_the_others_and_learns_of_their_end() {
+    fn each_finds_the_others_and_has_its_turn() {
         let folder = folder();
         let [address, other] = ["127.0.0.1:1", "127.0.0.1:2"].map(|a| a.parse::<SocketAddr>().unwrap());
-        let held = File::create(folder.join(format!("{SERVING}-{address}"))).unwrap();
+        let serving = |of: SocketAddr| File::create(folder.join(format!("{SERVING}-{of}"))).unwrap();
+        let held = serving(address);
         held.lock().unwrap();
-        let second = Neighbours::join(&folder, address).unwrap();
-        let stranger = Neighbours::join(&folder, other).unwrap();
-        assert_eq!(stranger.now(), Succession::default(), "one that serves another address is no neighbour");
-        assert_eq!(second.now(), Succession { older: true, newer: false });
         let first = Neighbours {
-            mark_path: second.mark_path.clone(),
-            knowledge_path: second.knowledge_path.clone(),
-            joined: Instant::now(),
-            older: Arc::default(),
-            mark: None,
+            knowledge_path: folder.join("none"),
+            successor_path: folder.join(format!("{SUCCESSOR}-{address}")),
+            joined: Cell::new(Instant::now()),
+            place: Arc::default(),
         };
-        assert_eq!(first.now(), Succession { older: false, newer: true });
+        assert_eq!(first.now(), ALONE);
+        let second = Neighbours::join(&folder, address).unwrap();
+        let stranger = Neighbours::join(&folder, other).unwrap();
+        assert_eq!(stranger.now(), ALONE, "one that serves another address is no neighbour");
+        wait("the second's turn", || second.now() == Succession { older: true, ..ALONE });
+        wait("the first hears of it", || first.now() == Succession { newer: true, ..ALONE });
+        let third = Neighbours::join(&folder, address).unwrap();
+        assert_eq!(third.now(), Succession { older: true, waits: true, ..ALONE });
+        assert_eq!(second.now(), Succession { older: true, ..ALONE });
+        assert_eq!([&first, &second, &third].map(|n| n.now().share()).iter().sum::<f64>(), 1.0);
         drop(held);
-        let start = std::time::Instant::now();
-        while second.now() != Succession::default() {
-            assert!(start.elapsed().as_secs() < 20, "the end of the older process goes unnoticed");
+        wait("the third's turn", || third.now() == Succession { older: true, ..ALONE });
+        wait("the second serves, and hears of the third", || {
+            second.now() == Succession { newer: true, ..ALONE }
+        });
+        let _ = std::fs::remove_dir_all(folder);
+    }
+
+    /// What processes that have gone have left says nothing.
+    #[test]
+    fn files_that_are_left_behind_mean_nothing() {
+        let folder = folder().join("left");
+        std::fs::create_dir_all(&folder).unwrap();
+        let address: SocketAddr = "127.0.0.1:3".parse().unwrap();
+        for name in [SERVING, SUCCESSOR, KNOWLEDGE] {
+            std::fs::write(folder.join(format!("{name}-{address}")), b"left").unwrap();
         }
-        // A mark that is left behind says nothing.
-        std::fs::write(folder.join("left"), b"").unwrap();
-        std::fs::rename(folder.join("left"), &first.mark_path).unwrap();
-        assert_eq!(first.now(), Succession::default());
+        let alone = Neighbours::join(&folder, address).unwrap();
+        assert_eq!(alone.now(), ALONE);
+        assert!(alone.told(u64::MAX).is_none());
         let _ = std::fs::remove_dir_all(folder);
     }
 }
--- a/crates/corkhollow/tests/upgrade.rs
+++ b/crates/corkhollow/tests/upgrade.rs
@@ -175,3 +175,93 @@
     until("it serves", || new.get("/safe/1", "").is_some_and(|m| m.status() == 200));
     new.says("begins cold", 1);
 }
+
+/// Started twice: the second successor takes nothing until the first is the node, and then comes to its place.
+#[test]
+fn two_successors_have_their_turns() {
+    let servers = Servers::new(2, |_, _| ok("fine"));
+    let discovery = Discovery::new(vec![servers.list(1)], true);
+    let folder = Folder::new("twice");
+    let socket = TcpListener::bind("127.0.0.1:0").unwrap();
+    let start = || Node::handed(&socket, &folder.0, discovery.address, &Options::default());
+    let mut old = start();
+    until("the first process is ready", || is_ready(&old));
+    let mut second = start();
+    until("the second process is ready", || is_ready(&second));
+    let third = start();
+    let mut fourth = start();
+    assert!(!is_ready(&third) && !is_ready(&fourth));
+    // One that waits may be told to end at any time.
+    fourth.signal("-TERM");
+    assert!(fourth.exit().success());
+    old.signal("-TERM");
+    assert!(old.exit().success());
+    until("the third process is ready", || is_ready(&third));
+    assert!(is_ready(&second), "the second is the node until it is told to end");
+    second.signal("-TERM");
+    for k in 0..30 {
+        assert_eq!(third.get("/safe/1", "").unwrap().status(), 200, "request {k}");
+    }
+    assert!(second.exit().success());
+}
+
+/// The operator's word holds for the node, not for one process.
+#[test]
+fn a_drained_node_stays_drained_when_its_process_is_replaced() {
+    let servers = Servers::new(2, |_, _| ok("fine"));
+    let discovery = Discovery::new(vec![servers.list(1)], true);
+    let folder = Folder::new("drained");
+    let socket = TcpListener::bind("127.0.0.1:0").unwrap();
+    let start = || Node::handed(&socket, &folder.0, discovery.address, &Options::default());
+    let mut old = start();
+    until("the first process is ready", || is_ready(&old));
+    assert_eq!(old.call("POST", "/-/drain").unwrap().status(), 200);
+    let new = start();
+    new.says("begins drained", 1);
+    assert!(!is_ready(&new));
+    old.signal("-TERM");
+    assert!(old.exit().success());
+    until("the new process says no", || new.get("/up", "").is_some_and(|m| m.status() == 503));
+    assert_eq!(new.call("POST", "/-/resume").unwrap().status(), 200);
+    until("the new process says yes", || new.get("/up", "").is_some_and(|m| m.status() == 200));
+    assert!(is_ready(&new));
+}
+
+/// With an operator's file, sockets come by systemd's protocol, and each process has its own operator's address.
+#[test]
+fn two_services_share_a_socket_unit() {
+    let servers = Servers::new(1, |_, _| ok("fine"));
+    let folder = Folder::new("units");
+    let socket = TcpListener::bind("127.0.0.1:0").unwrap();
+    let text = format!(
+        "[operator]\nlisten = \"127.0.0.1:1\"\n[[listener]]\nname = \"web\"\naddress = \"{}\"\n\
+         [[pool]]\nname = \"app\"\nservers = [{{ address = \"{}\" }}]\n[[route]]\nname = \"all\"\npool = \"app\"\n",
+        socket.local_addr().unwrap(),
+        servers.dials[0]
+    );
+    let start = || Node::activated(&socket, &folder.0, "127.0.0.1:0", &text);
+    let mut old = start();
+    until("the first process is ready", || is_ready(&old));
+    assert_eq!(old.get("/", "").unwrap().status(), 200);
+    let new = start();
+    until("the second process is ready", || is_ready(&new));
+    new.reload(&text);
+    until("its file is read anew", || new.figure("gw_sighup_applied") == Some(1.0));
+    old.signal("-TERM");
+    assert!(old.exit().success());
+    for _ in 0..5 {
+        assert_eq!(new.get("/", "").unwrap().status(), 200);
+    }
+}
+
+/// A folder where nothing can be written costs the meeting, not the service.
+#[test]
+fn without_a_folder_to_meet_in_it_serves_alone() {
+    let servers = Servers::new(1, |_, _| ok("fine"));
+    let discovery = Discovery::new(vec![servers.list(1)], true);
+    let socket = TcpListener::bind("127.0.0.1:0").unwrap();
+    let nowhere = std::env::temp_dir().join(format!("corkhollow-nowhere-{}", std::process::id()));
+    let node = Node::handed(&socket, &nowhere, discovery.address, &Options::default());
+    until("it is ready", || is_ready(&node));
+    assert_eq!(node.get("/safe/1", "").unwrap().status(), 200);
+}
--- a/crates/operate/src/handover.rs
+++ b/crates/operate/src/handover.rs
@@ -10,9 +10,12 @@
 /// The longest handover, in bytes.
 pub const LONGEST: usize = 4 << 20;
 
-/// What the pools of a process have learnt.
+/// What a process knows that the next one goes on with.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Handover {
+    /// Its operator empties the node.
+    #[serde(default)]
+    pub drains: bool,
     /// By pool.
     pub pools: Vec<PoolHandover>,
 }
@@ -110,6 +113,7 @@
         let classes = vec![ClassKnown { typical: 1.5e6, answers: 12.0 }];
         let knowledge = Knowledge { at: 5, classes, servers: (0..servers).map(server).collect() };
         Handover {
+            drains: servers % 2 == 1,
             pools: vec![PoolHandover {
                 name: "pool \"ä\"".into(),
                 classes: vec!["status".into()],
--- a/crates/operate/src/lifecycle.rs
+++ b/crates/operate/src/lifecycle.rs
@@ -60,6 +60,11 @@
         }
     }
 
+    /// Whether the operator empties the node.
+    pub fn drains(&self) -> bool {
+        matches!(self.stage, Stage::Draining { .. })
+    }
+
     /// The operator takes the node back into service; false where it leaves for good.
     pub fn resume(&mut self) -> bool {
         if let Stage::Draining { .. } = self.stage {
--- a/crates/operate/src/succession.rs
+++ b/crates/operate/src/succession.rs
@@ -7,18 +7,25 @@
     pub older: bool,
     /// One that has come since; it goes on when this one ends.
     pub newer: bool,
+    /// Another one has come to the older one's place first: this one's turn is when that one serves alone or has gone.
+    pub waits: bool,
 }
 
 impl Succession {
-    /// Part of the node's limits that this process may use: the limits are for all of its processes together.
+    /// Part of the node's limits that this process may use: the limits are for the two together that may serve at once.
+    /// One that waits holds next to nothing.
     pub fn share(&self) -> f64 {
-        1.0 / (1.0 + f64::from(u8::from(self.older)) + f64::from(u8::from(self.newer)))
+        match (self.older || self.newer, self.waits) {
+            (_, true) => 0.0,
+            (true, false) => 0.5,
+            (false, false) => 1.0,
+        }
     }
 
     /// Whether connections are taken from the socket that all share. While the older one is there, this one leaves
     /// them alone until it can serve them: they would only wait here.
     pub fn accepts(&self, ready: bool) -> bool {
-        ready || !self.older
+        !self.waits && (ready || !self.older)
     }
 }
 
@@ -28,16 +35,21 @@
 
     #[test]
     fn all_processes_together_keep_to_the_limits() {
-        let [first, second, third] = [(false, true), (true, true), (true, false)]
-            .map(|(older, newer)| Succession { older, newer }.share());
-        assert!(first + second <= 1.0 && second + third <= 1.0);
+        let shares = |all: &[(bool, bool, bool)]| -> f64 {
+            all.iter().map(|&(older, newer, waits)| Succession { older, newer, waits }.share()).sum()
+        };
+        let (old, next, third) = ((false, true, false), (true, false, false), (true, false, true));
+        assert_eq!(shares(&[old, next, third]), 1.0);
+        assert_eq!(shares(&[old, next]), 1.0);
         assert_eq!(Succession::default().share(), 1.0);
     }
 
     #[test]
     fn one_that_is_not_ready_leaves_clients_to_the_other() {
-        let beside = Succession { older: true, newer: false };
+        let beside = Succession { older: true, ..Succession::default() };
         assert!(!beside.accepts(false) && beside.accepts(true));
+        let third = Succession { waits: true, ..beside };
+        assert!(!third.accepts(true) && !third.accepts(false), "it is not its turn");
         assert!(Succession::default().accepts(false), "alone, it has to tell clients that it is not ready");
     }
 }
--- a/crates/proxy/src/site.rs
+++ b/crates/proxy/src/site.rs
@@ -83,14 +83,14 @@
         counts.fold((0, 0), |sum, (listed, ejected)| (sum.0 + listed, sum.1 + ejected))
     }
 
-    /// What the pools have learnt, for a process that takes this one's place.
-    pub fn handover(&self) -> Handover {
+    /// What the pools have learnt, for a process that takes this one's place, and whether the node is being emptied.
+    pub fn handover(&self, drains: bool) -> Handover {
         let pool = |(at, pool): (usize, &Rc<Pool>)| PoolHandover {
             name: self.plan.pools[at].name.clone(),
             classes: self.plan.classes.iter().map(|class| class.name.clone()).collect(),
             knowledge: pool.engine.knowledge(&self.places[at]),
         };
-        Handover { pools: self.pools.iter().enumerate().map(pool).collect() }
+        Handover { drains, pools: self.pools.iter().enumerate().map(pool).collect() }
     }
 
     /// Takes over what another process's pools have learnt, by their names; how many servers are known now.
--- a/crates/standin/src/program.rs
+++ b/crates/standin/src/program.rs
@@ -138,6 +138,25 @@
         Self::started(child, path, Some(address))
     }
 
+    /// The program on an operator's file and on a listening socket that it gets by systemd's protocol.
+    pub fn activated(
+        listener: &std::net::TcpListener,
+        folder: &std::path::Path,
+        operator: &str,
+        text: &str,
+    ) -> Self {
+        let path = path("toml");
+        std::fs::write(&path, text).unwrap();
+        let mut command = Command::new("sh");
+        let script =
+            "export LISTEN_FDS=1 LISTEN_PID=$$; exec \"$0\" run --config \"$1\" --operator \"$2\" 3<&0 </dev/null";
+        command.args(["-c", script]).arg(program()).arg(&path).arg(operator).env("TMPDIR", folder);
+        let socket = std::os::fd::OwnedFd::from(listener.try_clone().unwrap());
+        let child =
+            command.stdin(Stdio::from(socket)).stderr(Stdio::piped()).spawn().expect("the node starts");
+        Self::started(child, path, Some(listener.local_addr().unwrap()))
+    }
+
     fn started(mut child: Child, config: PathBuf, address: Option<SocketAddr>) -> Self {
         let mut lines = BufReader::new(child.stderr.take().unwrap()).lines();
         let mut operator = None;
