Keep tenants' rates by name and a pool under other connection times

Cause: a tenant's rate went by its index, so that a renamed one inherited and a moved one was mistaken for its neighbour; another connIdleNs or connect timeout started a blank pool. Change: Heirs tells the module whose name classes and tenants have; Upstreams takes other times for its connections as they are.

--- a/crates/balance/src/balancer/retune.rs
+++ b/crates/balance/src/balancer/retune.rs
@@ -1,7 +1,7 @@
 //! Other settings take over while requests are open: these keep the rules under which they were taken.
 
-use super::{Balancer, Rate, LAG_MEMORY, RELIEF};
-use crate::interface::{Class, Nanos, Settings, SettingsError};
+use super::{Balancer, LAG_MEMORY, RELIEF};
+use crate::interface::{Class, Heirs, Nanos, Settings, SettingsError};
 
 /// A class that has gone keeps its place for this many of the longest give-up times: requests whose
 /// body is still coming name it.
@@ -18,8 +18,8 @@
 }
 
 impl Balancer {
-    /// Goes by other settings from here on, with all that is known of servers. For each of their classes,
-    /// `heirs` says whose place had its name before, in the settings or as this returned it. Returns each
+    /// Goes by other settings from here on, with all that is known of servers. For each of their classes and
+    /// tenants, `heirs` says whose name it has, by place in the settings or as this returned it. Returns each
     /// class's place, by which [`Request::class`](crate::interface::Request::class) names it; open requests
     /// keep theirs, with its rules.
     ///
@@ -29,7 +29,7 @@
         &mut self,
         now: Nanos,
         mut settings: Settings,
-        heirs: &[Option<u16>],
+        heirs: &Heirs<'_>,
     ) -> Result<Vec<u16>, SettingsError> {
         settings.validate()?;
         self.places.iter_mut().for_each(|place| place.retired = place.retired.or(Some(now)));
@@ -39,7 +39,8 @@
             .iter()
             .enumerate()
             .map(|(k, class)| {
-                let heir = heirs.get(k).copied().flatten().map(usize::from).filter(|p| *p < table.len());
+                let heir = heirs.classes.get(k).copied().flatten().map(usize::from);
+                let heir = heir.filter(|p| *p < table.len());
                 // The same name with other rules is another class; it begins with what was learnt.
                 let at = heir
                     .filter(|p| table[*p] == *class)
@@ -56,9 +57,8 @@
         self.longest = named(|c| c.give_up);
         self.memory = LAG_MEMORY * self.longest as f64;
         self.relief = RELIEF * named(|c| c.aim) as f64;
-        if settings.tenant_quota.len() != self.tenants.len() {
-            self.tenants = vec![Rate::default(); settings.tenant_quota.len()];
-        }
+        let rate = |k: usize| self.tenants.get((*heirs.tenants.get(k)?)?).copied();
+        self.tenants = (0..settings.tenant_quota.len()).map(|k| rate(k).unwrap_or_default()).collect();
         self.settings = Settings { classes: table, ..settings };
         (0..self.ready.len()).for_each(|zone| self.regroup(now, zone));
         Ok(places)
--- a/crates/balance/src/interface.rs
+++ b/crates/balance/src/interface.rs
@@ -285,6 +285,15 @@
     OutOfRange(&'static str),
 }
 
+/// Who had a name before, where other settings take over: see [`retune`](crate::Balancer::retune).
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Heirs<'a> {
+    /// For each class of the new settings, the place of the class that had its name.
+    pub classes: &'a [Option<u16>],
+    /// For each tenant of the new settings, the index of the one that had its name.
+    pub tenants: &'a [Option<usize>],
+}
+
 /// A client's request.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Request {
--- a/crates/balance/tests/replay.rs
+++ b/crates/balance/tests/replay.rs
@@ -80,8 +80,9 @@
     }
 }
 
-/// A fleet of `servers` that answers, errs, resets, falls silent, drains and comes back cold, as the seed says.
-fn history(seed: u64, servers: u64, requests: u32) -> (u64, [u32; 4]) {
+/// A fleet of `servers` that answers, errs, resets, falls silent, drains and comes back cold, as the seed says. Every so
+/// many requests the settings are taken over anew, as they are.
+fn history(seed: u64, servers: u64, requests: u32, retuned: Option<u32>) -> (u64, [u32; 4]) {
     let mut rng = Pcg64Mcg::seed_from_u64(seed);
     let mut balancer = Balancer::new(settings(seed.is_multiple_of(2)), seed).unwrap();
     let mut digest = Digest(seed);
@@ -145,6 +146,11 @@
                 Event::Request(request)
             }
         };
+        if retuned.is_some_and(|every| matches!(event, Event::Request(_)) && left.is_multiple_of(every)) {
+            let heirs = Heirs { classes: &[Some(0), Some(1), Some(2)], tenants: &[Some(0), Some(1)] };
+            let places = balancer.retune(now, settings(seed.is_multiple_of(2)), &heirs).unwrap();
+            assert_eq!(places, [0, 1, 2]);
+        }
         let mut actions = Vec::new();
         balancer.handle(now, event, &mut actions);
         for action in &actions {
@@ -196,7 +202,7 @@
 #[test]
 fn the_same_events_give_the_same_actions() {
     let cases = [(1, 30, 4_000), (2, 90, 6_000), (3, 200, 4_000), (4, 400, 4_000)];
-    let seen = cases.map(|(seed, servers, requests)| history(seed, servers, requests));
+    let seen = cases.map(|(seed, servers, requests)| history(seed, servers, requests, None));
     for kind in 0..4 {
         assert!(
             seen.iter().map(|(_, counts)| counts[kind]).sum::<u32>() > 20,
@@ -206,5 +212,18 @@
     assert_eq!(seen.map(|(digest, _)| digest), DIGESTS, "{seen:?}");
 }
 
+/// Settings that change nothing, taken over in the middle of everything, change no decision.
+#[test]
+fn settings_that_stay_change_no_decision() {
+    for (seed, servers, requests, every) in [(1, 30, 4_000, 7), (2, 90, 6_000, 1), (3, 200, 4_000, 150)] {
+        let plain = history(seed, servers, requests, None);
+        assert_eq!(
+            history(seed, servers, requests, Some(every)),
+            plain,
+            "seed {seed}, each {every} requests"
+        );
+    }
+}
+
 const DIGESTS: [u64; 4] =
     [5151960247107379141, 10536237433905937578, 13812378882432448395, 8451675311651494947];
--- a/crates/balance/tests/retune.rs
+++ b/crates/balance/tests/retune.rs
@@ -4,6 +4,13 @@
 
 use common::*;
 use corkhollow_balance::interface::*;
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+use std::collections::BTreeMap;
+
+fn classes(heirs: &[Option<u16>]) -> Heirs<'_> {
+    Heirs { classes: heirs, tenants: &[] }
+}
 
 fn sent(actions: &[Action]) -> Vec<ServerId> {
     let server = |a: &Action| match a {
@@ -39,7 +46,7 @@
         let first = sent(&actions)[0];
         let few = Settings { max_attempts: 1, ..settings(new) };
         let now = bed.now;
-        let places = bed.balancer.retune(now, few, &[Some(0)]).unwrap();
+        let places = bed.balancer.retune(now, few, &classes(&[Some(0)])).unwrap();
         assert_eq!(places, [1], "other rules are another class");
         let actions = ends(&mut bed, id, first, 0, Ending::Reset);
         // What may have run goes again only where the request was taken as safe; the new limit of one attempt is not its.
@@ -64,7 +71,7 @@
     ends(&mut bed, id, bad, 0, Ending::Error);
     let now = bed.now;
     assert_eq!(bed.balancer.census(now), (3, 1));
-    let places = bed.balancer.retune(now, settings(Effect::Safe), &[Some(0)]).unwrap();
+    let places = bed.balancer.retune(now, settings(Effect::Safe), &classes(&[Some(0)])).unwrap();
     assert_eq!(places, [0], "the same class keeps its place");
     assert_eq!(bed.balancer.census(now), (3, 1));
     for _ in 0..20 {
@@ -81,7 +88,7 @@
         Settings { max_attempts: 0, ..settings(Effect::Safe) },
         Settings { classes: Vec::new(), ..settings(Effect::Safe) },
     ] {
-        assert!(bed.balancer.retune(now, broken, &[Some(0)]).is_err());
+        assert!(bed.balancer.retune(now, broken, &classes(&[Some(0)])).is_err());
         let (id, actions) = bed.request();
         let first = sent(&actions)[0];
         assert_eq!(sent(&ends(&mut bed, id, first, 0, Ending::ConnectFailed)).len(), 1);
@@ -103,7 +110,7 @@
     for k in 1..200 {
         bed.now += 20_000 * MS;
         let now = bed.now;
-        let place = bed.balancer.retune(now, class((100 + k) * MS), &[None]).unwrap()[0];
+        let place = bed.balancer.retune(now, class((100 + k) * MS), &classes(&[None])).unwrap()[0];
         assert_ne!(place, 0, "the place of an open request");
         most = most.max(place);
     }
@@ -111,5 +118,167 @@
     bed.now += 20_000 * MS;
     ends(&mut bed, open, server, 0, Ending::Ok);
     let now = bed.now;
-    assert_eq!(bed.balancer.retune(now, class(7 * MS), &[None]).unwrap(), [0]);
+    assert_eq!(bed.balancer.retune(now, class(7 * MS), &classes(&[None])).unwrap(), [0]);
+}
+
+/// A tenant keeps its rate under its name, wherever it stands in the new settings; one of another name begins anew.
+#[test]
+fn a_tenants_rate_goes_by_its_name() {
+    let shared = |quotas: &[f64]| Settings {
+        tenant_quota: quotas.to_vec(),
+        over_share_worth: 0.0,
+        ..settings(Effect::Safe)
+    };
+    // The third stands in the second's place under another name.
+    for (heirs, places) in [([Some(1), Some(0)], [1, 0]), ([Some(0), None], [0, 9])] {
+        let mut bed = Bed::new(shared(&[5.0, 5.0]), servers(8), 1);
+        let refused = |bed: &mut Bed, tenant: u32| {
+            let (id, request) = bed.draft();
+            let actions = bed.feed(Event::Request(Request { tenant, ..request }));
+            let server = sent(&actions).first().copied();
+            server.into_iter().for_each(|server| drop(ends(bed, id, server, 0, Ending::Ok)));
+            server.is_none()
+        };
+        // The second is far over its share, the first uses none of it.
+        let over = (0..200).filter(|_| refused(&mut bed, 1)).count();
+        assert!(over > 100, "{over}");
+        let now = bed.now;
+        let heirs = Heirs { classes: &[Some(0)], tenants: &heirs };
+        bed.balancer.retune(now, shared(&[5.0, 5.0]), &heirs).unwrap();
+        for tenant in 0..2u32 {
+            let was_second = places[tenant as usize] == 1;
+            assert_eq!(refused(&mut bed, tenant), was_second, "tenant {tenant} of {places:?}");
+        }
+    }
+}
+
+#[derive(Clone, Copy, Debug)]
+enum Step {
+    Ask { class: usize },
+    End { open: usize, ending: Ending },
+    Leave { open: usize },
+    Retune { effects: [Effect; 2], attempts: u32, swapped: bool, renamed: bool },
+    Wait { ms: u64 },
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    let effect = || prop_oneof![Just(Effect::Safe), Just(Effect::Keyed), Just(Effect::Unsafe)];
+    let ending = prop_oneof![
+        4 => Just(Ending::Ok),
+        1 => Just(Ending::Error),
+        1 => Just(Ending::Reset),
+        1 => Just(Ending::ConnectFailed),
+        1 => Just(Ending::TimedOut),
+        1 => Just(Ending::Rejected),
+    ];
+    prop_oneof![
+        6 => (0..2usize).prop_map(|class| Step::Ask { class }),
+        6 => (0..12usize, ending).prop_map(|(open, ending)| Step::End { open, ending }),
+        1 => (0..12usize).prop_map(|open| Step::Leave { open }),
+        2 => ([effect(), effect()], 1..5u32, any::<bool>(), any::<bool>())
+            .prop_map(|(effects, attempts, swapped, renamed)| Step::Retune { effects, attempts, swapped, renamed }),
+        2 => (0..300u64).prop_map(|ms| Step::Wait { ms }),
+    ]
+}
+
+/// What a request was promised when it was taken, and what it has had since.
+struct Promise {
+    effect: Effect,
+    most: u32,
+    attempts: u32,
+    may_have_run: bool,
+    /// The attempt that is out, and where.
+    out: Option<(u8, ServerId)>,
+    answers: u32,
+}
+
+proptest! {
+    // The same cases every time.
+    #![proptest_config(ProptestConfig { rng_seed: RngSeed::Fixed(11), failure_persistence: None, ..ProptestConfig::default() })]
+
+    /// Settings change at any moment, in any way: every request ends under the rules under which it was taken, with no
+    /// more than one answer.
+    #[test]
+    fn promises_outlive_settings(steps in proptest::collection::vec(step(), 1..150)) {
+        let two = |effects: [Effect; 2], attempts, swapped: bool| {
+            let one = |effect, aim: Nanos| Class { effect, aim: aim * MS, ..settings(effect).classes[0].clone() };
+            let mut classes = vec![one(effects[0], 300), one(effects[1], 400)];
+            if swapped {
+                classes.reverse();
+            }
+            Settings { classes, max_attempts: attempts, ..settings(Effect::Safe) }
+        };
+        let (mut effects, mut most) = ([Effect::Safe, Effect::Unsafe], 3);
+        let mut bed = Bed::new(two(effects, most, false), servers(6), 3);
+        // The place of each of the two names.
+        let mut places = [0u16, 1];
+        let mut promises: BTreeMap<RequestId, Promise> = BTreeMap::new();
+        for step in steps {
+            let open: Vec<_> =
+                promises.iter().filter_map(|(id, p)| Some((*id, p.out?))).collect();
+            let actions = match step {
+                Step::Ask { class } => {
+                    let (id, request) = bed.draft();
+                    let promise = Promise { effect: effects[class], most, attempts: 0, may_have_run: false, out: None, answers: 0 };
+                    promises.insert(id, promise);
+                    bed.feed(Event::Request(Request { class: places[class], ..request }))
+                }
+                Step::End { open: at, ending } => {
+                    let Some(&(id, (attempt, server))) = open.get(at) else { continue };
+                    let promise = promises.get_mut(&id).unwrap();
+                    promise.out = None;
+                    promise.may_have_run |= !ending.never_ran();
+                    promise.answers += u32::from(ending == Ending::Ok);
+                    ends(&mut bed, id, server, attempt, ending)
+                }
+                Step::Leave { open: at } => {
+                    let Some(&(id, _)) = open.get(at) else { continue };
+                    promises.get_mut(&id).unwrap().answers += 1;
+                    bed.feed(Event::ClientGone { request: id })
+                }
+                Step::Retune { effects: to, attempts, swapped, renamed } => {
+                    (effects, most) = (to, attempts);
+                    let mut heirs = places.map(|p| Some(p).filter(|_| !renamed));
+                    if swapped {
+                        heirs.reverse();
+                    }
+                    let now = bed.now;
+                    let told = bed.balancer.retune(now, two(to, attempts, swapped), &classes(&heirs)).unwrap();
+                    prop_assert_ne!(told[0], told[1]);
+                    places = if swapped { [told[1], told[0]] } else { [told[0], told[1]] };
+                    continue;
+                }
+                Step::Wait { ms } => {
+                    bed.now += ms * MS;
+                    continue;
+                }
+            };
+            for action in actions {
+                match action {
+                    Action::Send { request, server, .. } => {
+                        let promise = promises.get_mut(&request).unwrap();
+                        prop_assert!(promise.answers == 0, "sent after its end");
+                        prop_assert!(promise.effect != Effect::Unsafe || !promise.may_have_run, "run twice");
+                        prop_assert!(promise.attempts < promise.most, "attempt {} of {}", promise.attempts, promise.most);
+                        promise.out = Some((promise.attempts as u8, server));
+                        promise.attempts += 1;
+                    }
+                    Action::Refuse { request, .. } | Action::Fail { request } => {
+                        let promise = promises.get_mut(&request).unwrap();
+                        promise.answers += 1;
+                        prop_assert_eq!(promise.answers, 1);
+                    }
+                    Action::Cancel { request, attempt } => {
+                        let promise = promises.get_mut(&request).unwrap();
+                        let (number, server) = promise.out.take().expect("it is out");
+                        prop_assert_eq!(number, attempt);
+                        ends(&mut bed, request, server, attempt, Ending::Cancelled);
+                    }
+                    _ => {}
+                }
+            }
+            // Nothing stands without an attempt or an answer.
+            prop_assert!(promises.values().all(|p| p.answers == 1 || p.out.is_some()));
+        }
+    }
 }
--- a/crates/corkhollow/tests/retune.rs
+++ b/crates/corkhollow/tests/retune.rs
@@ -103,3 +103,17 @@
     applied(&node, 1.0);
     assert_eq!(node.get("/extra/1", "").unwrap().status(), 200);
 }
+
+/// Other times for connections to servers are taken over by the pool that is there, with its connections.
+#[test]
+fn a_pool_outlives_other_times_for_its_connections() {
+    let servers = Servers::new(1, |_, _| ok("fine"));
+    let (node, discovery) = Node::with(&servers);
+    assert_eq!(node.get("/safe/1", "").unwrap().status(), 200);
+    let connected = servers.connected();
+    let told = config(discovery.address, &Options { idle_ms: 60_000, ..Options::default() });
+    node.reload(&told.replace("\"connectTimeoutNs\":120000000", "\"connectTimeoutNs\":250000000"));
+    applied(&node, 1.0);
+    assert_eq!(node.get("/safe/1", "").unwrap().status(), 200);
+    assert_eq!((servers.connected(), discovery.watched()), (connected, 1), "the pool was begun anew");
+}
--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -6,7 +6,8 @@
 use crate::clock::Clock;
 use crate::message::{Answer, AttemptId, Message};
 use corkhollow_balance::interface::{
-    Action, Ending, Event, ListKind, Nanos, Request, RequestId, Server, ServerId, Settings, SettingsError,
+    Action, Ending, Event, Heirs, ListKind, Nanos, Request, RequestId, Server, ServerId, Settings,
+    SettingsError,
 };
 use corkhollow_balance::{Balancer, Knowledge};
 use corkhollow_operate::PoolFigures;
@@ -264,7 +265,7 @@
     ///
     /// # Errors
     /// Where no node could act on the settings; the old ones stay in force.
-    pub fn retune(&self, settings: Settings, heirs: &[Option<u16>]) -> Result<Vec<u16>, SettingsError> {
+    pub fn retune(&self, settings: Settings, heirs: &Heirs<'_>) -> Result<Vec<u16>, SettingsError> {
         let mut state = self.state.borrow_mut();
         let most_attempts = settings.max_attempts as usize;
         let places = state.balancer.retune(self.clock.now(), settings, heirs)?;
--- a/crates/plan/src/plan.rs
+++ b/crates/plan/src/plan.rs
@@ -199,7 +199,6 @@
     pub fn same_but_told(&self, other: &Pool) -> bool {
         self.name == other.name
             && self.dialect == other.dialect
-            && (self.connect_timeout, self.idle_timeout) == (other.connect_timeout, other.idle_timeout)
             && (self.max_connections, self.max_waiting) == (other.max_connections, other.max_waiting)
             && self.cold == other.cold
             && self.check == other.check
--- a/crates/proxy/src/site.rs
+++ b/crates/proxy/src/site.rs
@@ -1,7 +1,7 @@
 //! What a plan becomes at work, and how one plan takes over from another.
 
 use crate::upstream::{Pool, Shared};
-use corkhollow_balance::interface::SettingsError;
+use corkhollow_balance::interface::{Heirs, SettingsError};
 use corkhollow_operate::{ClassFigures, Handover, PoolHandover};
 use corkhollow_plan::plan::Plan;
 use std::cell::RefCell;
@@ -59,7 +59,8 @@
         // Nothing can fail from here on: the settings are sound.
         for (at, pool) in kept {
             let name = &plan.pools[at].name;
-            let heirs = old.map(|old| old.heirs(&plan, name)).unwrap_or_default();
+            let (classes, tenants) = old.map(|old| old.heirs(&plan, name)).unwrap_or_default();
+            let heirs = Heirs { classes: &classes, tenants: &tenants };
             places[at] =
                 pool.go_on(&plan, at, &heirs).map_err(|error| PoolError { pool: name.clone(), error })?;
         }
@@ -67,14 +68,17 @@
         Ok(Rc::new(Site { plan, pools, places, figures }))
     }
 
-    /// By class of another plan, the place that a pool of this site has for the class of that name.
-    fn heirs(&self, plan: &Plan, pool: &str) -> Vec<Option<u16>> {
+    /// By class of another plan, the place that a pool of this site has for the class of that name; by tenant, the
+    /// index of that name.
+    fn heirs(&self, plan: &Plan, pool: &str) -> (Vec<Option<u16>>, Vec<Option<usize>>) {
         let places = self.plan.pools.iter().position(|p| p.name == pool).map(|at| &self.places[at]);
         let place = |name: &str| {
             let at = self.plan.classes.iter().position(|c| c.name == name)?;
             places?.get(at).copied()
         };
-        plan.classes.iter().map(|class| place(&class.name)).collect()
+        let tenant = |name: &String| self.plan.tenants.shares.iter().position(|(n, _)| n == name);
+        let tenants = plan.tenants.shares.iter().map(|(name, _)| tenant(name)).collect();
+        (plan.classes.iter().map(|class| place(&class.name)).collect(), tenants)
     }
 
     /// Servers in the lists of all pools, and how many of them are ejected.
--- a/crates/proxy/src/upstream/fleet.rs
+++ b/crates/proxy/src/upstream/fleet.rs
@@ -47,8 +47,16 @@
 
 impl Fleet {
     pub fn new(conn_idle: Nanos) -> Self {
-        let most = (conn_idle as f64 * IDLE_PART) as Nanos;
-        Fleet { upstreams: BTreeMap::new(), lives: Lives::new(most) }
+        Fleet { upstreams: BTreeMap::new(), lives: Lives::new(Self::keep(conn_idle)) }
+    }
+
+    fn keep(conn_idle: Nanos) -> Nanos {
+        (conn_idle as f64 * IDLE_PART) as Nanos
+    }
+
+    /// Servers may close connections that have stood idle for this long, from here on.
+    pub(super) fn keep_idle(&mut self, conn_idle: Nanos) {
+        self.lives.keep_to(Self::keep(conn_idle));
     }
 
     fn id(&self, host: &str) -> ServerId {
--- a/crates/proxy/src/upstream/link.rs
+++ b/crates/proxy/src/upstream/link.rs
@@ -130,7 +130,7 @@
         // What was told to stop gives its descriptor back when the runtime gets to it.
         tokio::task::yield_now().await;
     };
-    let stream = match tokio::time::timeout(upstreams.connect_timeout, TcpStream::connect(dial)).await {
+    let stream = match tokio::time::timeout(upstreams.connect_timeout.get(), TcpStream::connect(dial)).await {
         Ok(Ok(stream)) => stream,
         Ok(Err(e)) if exhausted(&e) => return Err(NoLink::Exhausted),
         Ok(Err(_)) | Err(_) => return Err(NoLink::Failed),
--- a/crates/proxy/src/upstream/lives.rs
+++ b/crates/proxy/src/upstream/lives.rs
@@ -28,6 +28,12 @@
         Lives { seen: [(0.0, 0.0); 16], halved_at: 0, most, keep: most }
     }
 
+    /// From here on they are kept for `most`, or for less where that has been learnt.
+    pub(super) fn keep_to(&mut self, most: Nanos) {
+        self.keep = if self.keep == self.most { most } else { self.keep.min(most) };
+        self.most = most;
+    }
+
     fn edge(k: usize) -> Nanos {
         1_000_000 << (k - 1)
     }
--- a/crates/proxy/src/upstream/pool.rs
+++ b/crates/proxy/src/upstream/pool.rs
@@ -4,7 +4,9 @@
 use super::discovery::{Following, Watcher};
 use super::fleet::Entry;
 use super::upstreams::{Sender, Upstreams};
-use corkhollow_balance::interface::{ListKind, Phase, Server as Told, ServerId, Settings, SettingsError};
+use corkhollow_balance::interface::{
+    Heirs, ListKind, Phase, Server as Told, ServerId, Settings, SettingsError,
+};
 use corkhollow_engine::{log, Clock, Engine};
 use corkhollow_operate::Figures;
 use corkhollow_plan::file::read_servers;
@@ -127,8 +129,8 @@
         Ok(pool)
     }
 
-    /// Whether the pool can go on under a new plan, with another list of servers and with other settings for its
-    /// decision module at most.
+    /// Whether the pool can go on under a new plan: with another list of servers, with other settings for its decision
+    /// module, with other times for its connections, at most.
     pub fn fits(&self, plan: &Plan, at: usize) -> bool {
         let new = &plan.pools[at];
         let kind = |s: &Source| std::mem::discriminant(s);
@@ -143,8 +145,9 @@
     ///
     /// # Errors
     /// Where no node could act on the settings; all is as it was.
-    pub fn go_on(&self, plan: &Plan, at: usize, heirs: &[Option<u16>]) -> Result<Vec<u16>, SettingsError> {
+    pub fn go_on(&self, plan: &Plan, at: usize, heirs: &Heirs<'_>) -> Result<Vec<u16>, SettingsError> {
         let places = self.engine.retune(plan.pools[at].settings.clone(), heirs)?;
+        self.upstreams.keep_times(&plan.pools[at]);
         let source = &plan.pools[at].source;
         if let (Some(discovery), Source::Discovery(from)) = (&self.discovery, source) {
             self.move_discovery(discovery, from.address);
--- a/crates/proxy/src/upstream/upstreams.rs
+++ b/crates/proxy/src/upstream/upstreams.rs
@@ -30,7 +30,7 @@
     pub(super) clock: Clock,
     /// Attempts written whole.
     pub(super) forwards: IntCounter,
-    pub(super) connect_timeout: Duration,
+    pub(super) connect_timeout: Cell<Duration>,
     /// How long an answer's body may stand still.
     pub(super) stall: Duration,
     /// Read buffer of a connection, and the longest head.
@@ -99,7 +99,7 @@
             budget: shared.budget.clone(),
             clock: shared.clock,
             forwards: shared.figures.forwards.clone(),
-            connect_timeout: Duration::from_nanos(pool.connect_timeout),
+            connect_timeout: Cell::new(Duration::from_nanos(pool.connect_timeout)),
             stall: Duration::from_nanos(limits.stall_timeout),
             buffer: limits.header_bytes,
             places: Rc::new(Places {
@@ -114,6 +114,12 @@
         })
     }
 
+    /// Goes by these times from here on, for connections that are there already too.
+    pub fn keep_times(&self, pool: &Pool) {
+        self.connect_timeout.set(Duration::from_nanos(pool.connect_timeout));
+        self.fleet(|f| f.keep_idle(pool.idle_timeout));
+    }
+
     /// Runs `f` on the fleet's connections.
     pub(super) fn fleet<T>(&self, f: impl FnOnce(&mut Fleet) -> T) -> T {
         f(&mut self.fleet.borrow_mut())
