--- a/crates/corkhollow/src/commands/run.rs
+++ b/crates/corkhollow/src/commands/run.rs
@@ -245,19 +245,23 @@
             () = learn(neighbours, &site, clock, &control) => {}
         }
     }
-    spawn_local(watch(current.clone(), control.clone(), figures.clone(), budget.clone()));
+    let open = Rc::new(Cell::new(neighbours.is_none()));
+    spawn_local(watch(current.clone(), control.clone(), figures.clone(), budget.clone(), open.clone()));
     if let Some(neighbours) = &neighbours {
-        while !neighbours.now().accepts(control.lock().up()) {
+        while !neighbours.now().accepts(site.ready() && !control.lock().drains()) {
             tokio::select! {
                 // Nothing has been taken yet.
                 _ = terminate.recv() => return Ok(()),
-                () = tokio::time::sleep(WATCH) => {}
+                () = tokio::time::sleep(LOOK) => {}
             }
         }
         spawn_local(share(neighbours.clone(), budget.clone()));
         spawn_local(teach(neighbours.clone(), current.clone(), control.clone()));
     }
     listeners.start(&site.plan, bound, &clients)?;
+    // It says yes when it takes clients, not before: the other process may end on that word.
+    open.set(true);
+    control.lock().tell(site.ready());
     drop(site);
     spawn_local(sweep(current.clone(), clients.clone()));
     spawn_local(empty(clients.clone(), control.clone(), clock, changed));
@@ -335,11 +339,17 @@
     Ok(())
 }
 
-/// Keeps the figures of the servers and the node's readiness up to date, for good.
-async fn watch(current: Rc<Current>, control: Control, figures: Figures, budget: Rc<Budget>) {
+/// Keeps the figures and the node's readiness up to date, for good. It is not ready before its listeners are open.
+async fn watch(
+    current: Rc<Current>,
+    control: Control,
+    figures: Figures,
+    budget: Rc<Budget>,
+    open: Rc<Cell<bool>>,
+) {
     loop {
         let site = current.get();
-        control.lock().tell(site.ready());
+        control.lock().tell(open.get() && site.ready());
         let (listed, ejected) = site.census();
         figures.discovered.set(listed as i64);
         figures.ejected.set(ejected as i64);
--- a/crates/standin/src/program.rs
+++ b/crates/standin/src/program.rs
@@ -203,6 +203,11 @@
         Node { child, config, listeners, address, operator, log }
     }
 
+    /// Its process.
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
     /// Resident memory, in bytes.
     pub fn memory(&self) -> u64 {
         self.status("VmRSS:")
