Answer a long body that no server reads; name retries as the field does

Cause, found on reading all of it again: the deadline of a body that goes on as it comes counts from its end, which a server that reads nothing never lets come. Its client waited for good. Change: a body that has not moved for stall_timeout (or its class's deadline, if longer) has timed out; one without a server keeps to the deadline. gw_retries for gw_repeats. The test of two successors looks for longer than a successor waits that has only to hear; README up to date.

--- a/crates/corkhollow/tests/site.rs
+++ b/crates/corkhollow/tests/site.rs
@@ -123,6 +123,29 @@
     assert_eq!(servers.seen(), 4);
 }
 
+/// A server that takes a connection and reads nothing: the client's long body stands still, and has its answer when that has
+/// lasted too long.
+#[test]
+fn a_body_that_no_server_reads_is_answered() {
+    let deaf = raw(|stream| {
+        std::thread::sleep(Duration::from_secs(30));
+        drop(stream);
+    });
+    let pool =
+        "[limits]\nstall_timeout = \"1s\"\n[[class]]\nname = \"all\"\neffect = \"unsafe\"\nmethods = [\"POST\"]\naim = \"200ms\"\ndeadline = \"500ms\"";
+    let node = Node::site(&site(&[deaf], "", pool, ""));
+    let mut client = node.connect();
+    write!(client, "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 64000000\r\n\r\n").unwrap();
+    let mut sender = client.try_clone().unwrap();
+    let sending = std::thread::spawn(move || sender.write_all(&vec![b'x'; 64_000_000]));
+    let begun = Instant::now();
+    let answer = read(&mut client).expect("no answer");
+    assert_eq!((answer.status(), answer.header("connection")), (504, Some("close")));
+    assert!(begun.elapsed() < Duration::from_secs(15), "{:?}", begun.elapsed());
+    drop(client);
+    let _ = sending.join().unwrap();
+}
+
 /// A head over its limit is told so, also where a connection reads more than that at once, and reaches no server.
 #[test]
 fn a_head_over_its_limit_is_told_so() {
--- a/crates/corkhollow/tests/upgrade.rs
+++ b/crates/corkhollow/tests/upgrade.rs
@@ -190,7 +190,12 @@
     until("the second process is ready", || is_ready(&second));
     let third = start();
     let mut fourth = start();
-    assert!(!is_ready(&third) && !is_ready(&fourth));
+    // For longer than one waits that has only to hear what the other knows.
+    let begun = Instant::now();
+    while begun.elapsed() < Duration::from_millis(1200) {
+        assert!(!is_ready(&third) && !is_ready(&fourth), "it is not its turn");
+        std::thread::sleep(Duration::from_millis(50));
+    }
     // One that waits may be told to end at any time.
     fourth.signal("-TERM");
     assert!(fourth.exit().success());
--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -4,7 +4,7 @@
 
 use crate::body::Pieces;
 use crate::clock::Clock;
-use crate::message::{Answer, AttemptId, Message};
+use crate::message::{Answer, AttemptId, Message, Progress};
 use corkhollow_balance::interface::{
     Action, Ending, Event, Heirs, ListKind, Nanos, Request, RequestId, Server, ServerId, Settings,
     SettingsError,
@@ -331,7 +331,14 @@
         // Its time counts from the end of its body.
         if let Some(upload) = live.message.upload().filter(|_| live.reply.is_some()) {
             let now = self.clock.now();
-            let due = upload.progress.ended_at.get().unwrap_or(now).saturating_add(live.patience);
+            let Progress { ended_at, moved_at, still, .. } = &*upload.progress;
+            let due = match ended_at.get() {
+                Some(at) => at.saturating_add(live.patience),
+                // A server may take a connection and read nothing from it.
+                None if live.message.spent() => moved_at.get().saturating_add(live.patience.max(*still)),
+                // It still waits for a connection.
+                None => moved_at.get().saturating_add(live.patience),
+            };
             if due > now {
                 return self.start_timer(state, due, Wake::Deadline(request));
             }
@@ -425,7 +432,7 @@
         live.fallback = None;
         match live.attempts.last() {
             Some(_) if live.attempts.iter().any(|a| a.open) => self.figures.hedges.inc(),
-            Some(_) => self.figures.repeats.inc(),
+            Some(_) => self.figures.retries.inc(),
             None => {}
         }
         let running = wanted.then(|| self.carrier.send(self, id, server, live.message.clone()));
--- a/crates/engine/src/message.rs
+++ b/crates/engine/src/message.rs
@@ -83,14 +83,25 @@
 }
 
 /// How far a body has come.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Progress {
+    /// When a piece of it last went on towards a server; at first when it began.
+    pub moved_at: Cell<Nanos>,
+    /// How long it may stand still on its way, no less than whoever reads it gives the client for its next piece.
+    pub still: Nanos,
     /// When its last byte came, or it broke off.
     pub ended_at: Cell<Option<Nanos>>,
     /// The client's side has failed: what follows from that says nothing of the server.
     pub failed: Cell<bool>,
 }
 
+impl Progress {
+    /// Of a body that begins now.
+    pub fn new(now: Nanos, still: Nanos) -> Self {
+        Progress { moved_at: Cell::new(now), still, ended_at: Cell::new(None), failed: Cell::new(false) }
+    }
+}
+
 impl Upload {
     /// The body of one request; whoever reads it from the client notes its progress.
     pub fn new(body: ClientBody, progress: Rc<Progress>) -> Rc<Self> {
--- a/crates/operate/src/figures.rs
+++ b/crates/operate/src/figures.rs
@@ -37,7 +37,7 @@
     unserved: IntCounterVec,
     answered: HistogramVec,
     attempts: IntCounterVec,
-    repeats: IntCounterVec,
+    retries: IntCounterVec,
     hedges: IntCounterVec,
     list_age: GaugeVec,
     /// Connections of clients.
@@ -66,7 +66,7 @@
     /// By the ending's place in [`ENDINGS`].
     attempts: [IntCounter; ENDINGS.len()],
     /// Attempts that follow one that has ended.
-    pub repeats: IntCounter,
+    pub retries: IntCounter,
     /// Attempts beside one that is still out.
     pub hedges: IntCounter,
     /// How long ago discovery has last told of servers, in seconds.
@@ -125,7 +125,7 @@
             unserved: counters("unserved", "Requests refused and failed, by reason.", &[CLASS, "reason"])?,
             answered: listed(&registry, HistogramVec::new(times.buckets(TIMES.to_vec()), &[CLASS])?)?,
             attempts: counters("attempts", "Attempts, by how they ended.", &[POOL, "ending"])?,
-            repeats: counters("repeats", "Attempts that follow one that has ended.", &[POOL])?,
+            retries: counters("retries", "Attempts that follow one that has ended.", &[POOL])?,
             hedges: counters("hedges", "Attempts beside one that is still out.", &[POOL])?,
             list_age: listed(&registry, GaugeVec::new(age, &[POOL])?)?,
             clients: held("client_connections", "Connections of clients")?,
@@ -157,7 +157,7 @@
     pub fn pool(&self, name: &str) -> PoolFigures {
         PoolFigures {
             attempts: ENDINGS.map(|(_, ending)| self.attempts.with_label_values(&[name, ending])),
-            repeats: self.repeats.with_label_values(&[name]),
+            retries: self.retries.with_label_values(&[name]),
             hedges: self.hedges.with_label_values(&[name]),
             list_age: self.list_age.with_label_values(&[name]),
         }
@@ -207,7 +207,7 @@
             "ejected",
             "sighup_applied",
             "sighup_rejected",
-            "repeats{pool=\"main\"}",
+            "retries{pool=\"main\"}",
             "list_age_seconds{pool=\"main\"}",
             "client_connections",
             "server_connections_most",
--- a/crates/proxy/src/http1/general.rs
+++ b/crates/proxy/src/http1/general.rs
@@ -168,6 +168,7 @@
                 most: u64::MAX,
                 stall: Duration::from_nanos(limits.stall_timeout),
                 pace: None,
+                on_way: Duration::from_nanos(limits.stall_timeout),
                 hand_back: false,
                 wait: expects,
             };
--- a/crates/proxy/src/http1/platform.rs
+++ b/crates/proxy/src/http1/platform.rs
@@ -58,6 +58,7 @@
         most: MOST_BODY,
         stall: STILL_BODY,
         pace: Some(Pace { grace: GRACE, bytes_per_second: SLOWEST }),
+        on_way: Duration::from_nanos(site.plan.limits.stall_timeout),
         hand_back: true,
         wait: false,
     };
--- a/crates/proxy/src/http1/upload.rs
+++ b/crates/proxy/src/http1/upload.rs
@@ -38,6 +38,8 @@
     pub pace: Option<Pace>,
     /// What nobody wants of it any longer is kept for the front to read.
     pub hand_back: bool,
+    /// How long it may stand still on its way to a server; no less than `stall`.
+    pub on_way: Duration,
     /// It is not asked for before a server asks for it.
     pub wait: bool,
 }
@@ -106,7 +108,7 @@
         held = Some(lease);
         kept.into_iter().rev().for_each(|data| first.push_front(Frame::data(data)));
     }
-    let progress = Rc::new(Progress::default());
+    let progress = Rc::new(Progress::new(clock.now(), rules.on_way.as_nanos() as u64));
     let passing = Passing {
         first,
         held,
@@ -188,7 +190,15 @@
     if rest.size_hint().lower() > SHORT {
         return false;
     }
-    let rules = Rules { most_kept: 0, most: SHORT, stall: SOON, pace: None, hand_back: false, wait: false };
+    let rules = Rules {
+        most_kept: 0,
+        most: SHORT,
+        stall: SOON,
+        on_way: SOON,
+        pace: None,
+        hand_back: false,
+        wait: false,
+    };
     timeout(SOON, discard(rest, &rules)).await.unwrap_or(false)
 }
 
@@ -199,6 +209,7 @@
     fn poll_frame(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<Option<Piece>> {
         let this = self.get_mut();
         if let Some(frame) = this.first.pop_front() {
+            this.progress.moved_at.set(this.clock.now());
             return Poll::Ready(Some(Ok(frame)));
         }
         this.held = None;
@@ -207,6 +218,7 @@
             Poll::Ready(Some(Ok(frame))) => {
                 let over = body.is_end_stream();
                 this.waiting = false;
+                this.progress.moved_at.set(this.clock.now());
                 this.got += frame.data_ref().map_or(0, |d| d.len() as u64);
                 if this.got > this.rules.most {
                     this.ended(true);
