Count a retry's age against its aim

The module gave a retry a whole aim of its own, so that answers were made that came after the aim of the client's first try, while others waited.

At fault: Balancer::limit in admission.rs, which took the aim from the try's arrival.

Change: of a marked retry's aim, what has passed since the first try is over; none is let by as a trial.

--- a/crates/balance/src/balancer/admission.rs
+++ b/crates/balance/src/balancer/admission.rs
@@ -43,7 +43,7 @@
                 // What is always refused brings no answer that could show that it would be quick.
                 let place = &mut self.places[class];
                 let forgotten = now.saturating_sub(place.tried_at) > self.settings.classes[class].aim;
-                let trial = forgotten && place.refused >= REFUSED_A_TRIAL;
+                let trial = forgotten && place.refused >= REFUSED_A_TRIAL && !request.is_retry;
                 if wait <= 0.0 || (trial && self.nodes[i].out == 0) {
                     (place.tried_at, place.refused) = (now, 0);
                     if let Some(rate) = self.tenants.get_mut(request.tenant as usize) {
@@ -88,7 +88,9 @@
             value *= self.settings.over_share_worth;
         }
         let left = request.give_up_at.saturating_sub(now) as f64;
-        let wanted = (1.0 + class.late_worth) * class.aim as f64;
+        // A client's clock runs on over its retries: what is served past the aim makes others wait for nothing.
+        let age = if request.is_retry { (class.give_up as f64 - left).max(0.0) } else { 0.0 };
+        let wanted = (1.0 + class.late_worth) * class.aim as f64 - age;
         (ADMIT_AIMS * wanted).min(left) * value.clamp(0.0, 1.0).powf(WORTH_POWER)
     }
 
--- a/crates/balance/tests/incidents.rs
+++ b/crates/balance/tests/incidents.rs
@@ -393,3 +393,31 @@
     }
     assert!((5..=120).contains(&let_by), "{let_by} of 400 let by");
 }
+
+/// A client that asks again wants its answer as soon after its first try as ever: what is left of the give-up time tells
+/// how long ago that was.
+#[test]
+fn a_retry_is_as_old_as_its_first_try() {
+    let mut bed = Bed::new(settings(Effect::Safe), servers(4), 3);
+    for _ in 0..40 {
+        bed.now += 10 * MS;
+        bed.served(100 * MS);
+    }
+    // The aim is 400 ms of 800: asked first 100, 350 and 500 ms ago.
+    let mut taken = |is_retry: bool, age: Nanos| {
+        bed.now += 50 * MS;
+        let (id, request) = bed.draft();
+        let give_up_at = request.give_up_at - age * MS;
+        let actions = bed.feed(Event::Request(Request { is_retry, give_up_at, ..request }));
+        if let Some(server) = sent(&actions, id) {
+            bed.outcome(id, server, 0, 100 * MS, Ending::Ok);
+            return true;
+        }
+        assert!(refused(&actions, id), "refused at once");
+        false
+    };
+    assert!(taken(true, 100), "there is time");
+    assert!(!taken(true, 350) && !taken(true, 500), "its aim will be over, or is");
+    assert!(taken(false, 350) && taken(false, 500), "a first try that is less patient is new");
+    assert!((0..30).all(|_| !taken(true, 500)), "no trials of what nobody wants");
+}
