--- a/crates/balance/src/balancer/admission.rs
+++ b/crates/balance/src/balancer/admission.rs
@@ -88,7 +88,7 @@
             value *= self.settings.over_share_worth;
         }
         let left = request.give_up_at.saturating_sub(now) as f64;
-        // A client's clock runs on over its retries: what is served past the aim makes others wait for nothing.
+        // A client's clock runs on over its retries: what is served past the aim makes others wait in vain.
         let age = if request.is_retry { (class.give_up as f64 - left).max(0.0) } else { 0.0 };
         let wanted = (1.0 + class.late_worth) * class.aim as f64 - age;
         (ADMIT_AIMS * wanted).min(left) * value.clamp(0.0, 1.0).powf(WORTH_POWER)
