Pace cold servers by what is sent, known from the first send on

At fault: cold_interval in cold.rs. It read the rate of arrivals with a memory of a whole ramp (23 s) as if all of that had passed: after 10 s a third of the rate. And it held a cold server to 0.9 of a ramp share of the usual load, which is below what the cold server can do and a third of what pushes it over. Ruled out: the spread of first sends (2 s old and 8 s old were starved alike), ejection (no cold server failed).

--- a/crates/balance/src/balancer/admission.rs
+++ b/crates/balance/src/balancer/admission.rs
@@ -22,8 +22,7 @@
 impl Balancer {
     pub(super) fn admit(&mut self, now: Nanos, request: Request, sink: &mut Vec<Action>) {
         let ramp = self.settings.ramp as f64;
-        self.arrivals.count(now, ramp);
-        let most = 1.0 + RETRY_SHARE * self.arrivals.read(now, ramp) * ramp / 1e9;
+        let most = 1.0 + RETRY_SHARE * self.sent.read(now, ramp) * ramp / 1e9;
         // Copies into a jam make it worse: the budget dries up as answers take longer than usual.
         let calm = self.pressure_now(now).max(1.0).powi(-CALM_STEEP);
         self.budget = (self.budget + RETRY_SHARE * calm).min(most);
--- a/crates/balance/src/balancer/attempts.rs
+++ b/crates/balance/src/balancer/attempts.rs
@@ -6,6 +6,7 @@
 impl Balancer {
     pub(super) fn send(&mut self, now: Nanos, id: RequestId, i: usize, sink: &mut Vec<Action>) {
         let credit = self.increment(now);
+        self.sent.count(now, self.settings.ramp as f64);
         let weight = self.pending.get(&id).map_or(1.0, |p| self.weight(&p.request));
         if self.cold_share(now, i) < 1.0 {
             let wait = self.cold_interval(now, i) as Nanos;
@@ -68,11 +69,8 @@
             self.rests(i, weight);
         }
         self.judge(now, i, (class, weight, hint), took, ending, credit, sink);
-        if finished {
-            return self.close(id, sink);
-        }
         let Some(p) = self.pending.get(&id) else { return };
-        if p.answered {
+        if finished || p.answered {
             return self.close(id, sink);
         }
         if p.open() > 0 && now < p.request.give_up_at {
@@ -132,11 +130,9 @@
         let fits = !p.answered && p.open() == 1 && p.attempts.len() < p.most as usize;
         let class = usize::from(p.request.class);
         let left = (p.arrived + self.settings.classes[class].aim).saturating_sub(now) as f64;
-        let next = if fits && self.budget >= 1.0 && now < p.request.give_up_at {
-            self.choose(now, &p).filter(|&(_, q)| self.expected(class, q) < left)
-        } else {
-            None
-        };
+        let may = fits && self.budget >= 1.0 && now < p.request.give_up_at;
+        let next = may.then(|| self.choose(now, &p)).flatten();
+        let next = next.filter(|&(_, q)| self.expected(class, q) < left);
         self.pending.insert(id, p);
         if let Some((i, _)) = next {
             self.budget -= 1.0;
--- a/crates/balance/src/balancer/cold.rs
+++ b/crates/balance/src/balancer/cold.rs
@@ -3,27 +3,28 @@
 use super::Balancer;
 use crate::interface::Nanos;
 
-/// A cold server gets this part of its ramp share of what a like warm one gets.
-const COLD_SHARE: f64 = 0.9;
+/// A cold server may get this part of what pushes it over, while a like warm one gets what it can do.
+const TIP_PART: f64 = 2.0 / 3.0;
 
 impl Balancer {
     pub(super) fn cold_share(&self, now: Nanos, i: usize) -> f64 {
         let started = self.nodes[i].server.started_at;
-        let age = now.saturating_sub(started) as f64 / self.settings.ramp as f64;
-        if started == 0 {
-            return 1.0;
-        }
+        let age = if started == 0 { self.settings.ramp } else { now.saturating_sub(started) };
+        let age = age as f64 / self.settings.ramp as f64;
         (self.settings.cold_from + (1.0 - self.settings.cold_from) * age).min(1.0)
     }
 
-    /// Time between two sends to a cold server: its ramp share of what this node sends a like warm server.
+    /// Least time between two sends to a cold server, by what is sent: what is refused, and asked again, must
+    /// not raise the pace.
     pub(super) fn cold_interval(&self, now: Nanos, i: usize) -> f64 {
         let zone = usize::from(self.settings.zone);
         let size: f64 = self.ranks.get(zone).map_or(0.0, |r| r.iter().map(|j| self.nodes[j].size).sum());
-        let rate = self.arrivals.read(now, self.settings.ramp as f64) / size.max(self.nodes[i].size);
+        let sent = self.sent.known(now, self.settings.ramp as f64, self.settings.fall);
+        let rate = sent / size.max(self.nodes[i].size);
+        let share = TIP_PART * self.settings.tip_multiple;
         // Where little comes, one request in the time of a fall from each node pushes nobody over.
         let most = self.settings.fall as f64 * f64::from(self.settings.group_size);
-        let interval = 1e9 / (COLD_SHARE * self.cold_share(now, i) * rate * self.nodes[i].size).max(1e-6);
+        let interval = 1e9 / (share * self.cold_share(now, i) * rate * self.nodes[i].size).max(1e-6);
         interval.min(most)
     }
 }
--- a/crates/balance/src/balancer/mod.rs
+++ b/crates/balance/src/balancer/mod.rs
@@ -92,7 +92,7 @@
     pub(crate) places: Vec<retune::Place>,
     pressure: f64,
     pressure_at: Nanos,
-    arrivals: Rate,
+    sent: Rate,
     tenants: Vec<Rate>,
     budget: f64,
     usual_queue: f64,
@@ -109,13 +109,20 @@
 struct Rate {
     sum: f64,
     at: Nanos,
+    begun: Option<Nanos>,
 }
 
 impl Rate {
     fn read(&self, now: Nanos, memory: f64) -> f64 {
         self.sum * (-(now.saturating_sub(self.at) as f64) / memory).exp() / (memory / 1e9)
     }
+    /// The same where nothing could be counted for a part of that memory; over `least` all the same.
+    fn known(&self, now: Nanos, memory: f64, least: Nanos) -> f64 {
+        let since = now.saturating_sub(self.begun.unwrap_or(now)).max(least) as f64;
+        self.read(now, memory) / (1.0 - (-since / memory).exp())
+    }
     fn count(&mut self, now: Nanos, memory: f64) {
+        self.begun = self.begun.or(Some(now));
         self.sum = self.sum * (-(now.saturating_sub(self.at) as f64) / memory).exp() + 1.0;
         self.at = now;
     }
@@ -139,7 +146,7 @@
             places: settings.classes.iter().map(|_| retune::Place::default()).collect(),
             pressure: 1.0,
             pressure_at: 0,
-            arrivals: Rate::default(),
+            sent: Rate::default(),
             tenants: vec![Rate::default(); settings.tenant_quota.len()],
             budget: 1.0,
             usual_queue: 0.0,
@@ -173,10 +180,7 @@
             Event::Message { .. } => {}
             Event::Timer { .. } => {
                 self.armed = Nanos::MAX;
-                while let Some(&Reverse((at, job))) = self.jobs.peek() {
-                    if at > now {
-                        break;
-                    }
+                while let Some(&Reverse((_, job))) = self.jobs.peek().filter(|j| j.0 .0 <= now) {
                     self.jobs.pop();
                     match job {
                         Job::Hedge(id) => self.hedge(now, id, sink),
