Spread a cold server's first sends by the part and the rate that a node has by then

Seen in the new test of 25 balancers over one zone that comes back cold: 23 sends in a first window where its servers' ramp share of the usual load is 7 and 22 push one over; the same with a tenth of the pace, so that it was not the pace. At fault: list.rs set the time of a first send when a server was added, before regroup had settled the node's part (14 cold servers in place of 2 warm ones), and by the rate known then, which for a node that has just started is none (200 s at 100 nodes: such a server is never used again).

Change: what is kept is the time of the last send and a part of an interval to wait; the interval is that of the moment. Servers that come into a part by a list are spread too.

--- a/crates/balance/src/balancer/attempts.rs
+++ b/crates/balance/src/balancer/attempts.rs
@@ -8,12 +8,7 @@
         let credit = self.increment(now);
         self.sent.count(now, self.settings.ramp as f64);
         let weight = self.pending.get(&id).map_or(1.0, |p| self.weight(&p.request));
-        if self.cold_share(now, i) < 1.0 {
-            let wait = self.cold_interval(now, i) as Nanos;
-            self.nodes[i].cold_next = now.saturating_add(wait);
-        } else {
-            self.nodes[i].cold_next = 0;
-        }
+        (self.nodes[i].sent_at, self.nodes[i].wait) = (now, 1.0);
         self.credit(i, credit);
         let server = self.nodes[i].server.id;
         let working = self.pending.get(&id).is_some_and(|p| !p.request.streamed);
--- a/crates/balance/src/balancer/choice.rs
+++ b/crates/balance/src/balancer/choice.rs
@@ -23,8 +23,7 @@
         let node = &self.nodes[i];
         node.blocked_until <= now
             && (node.strikes == 0 || node.out == 0)
-            && (node.cold_next <= now || self.cold_share(now, i) >= 1.0)
-            && (self.ranked(i) || self.cold_share(now, i) >= 1.0)
+            && (self.cold_share(now, i) >= 1.0 || (self.ranked(i) && self.paced(now, i)))
             && !pending.attempts.iter().any(|a| a.node == i)
             && self.inside(now, i, pending)
     }
--- a/crates/balance/src/balancer/cold.rs
+++ b/crates/balance/src/balancer/cold.rs
@@ -14,9 +14,9 @@
         (self.settings.cold_from + (1.0 - self.settings.cold_from) * age).min(1.0)
     }
 
-    /// Least time between two sends to a cold server, by what is sent: what is refused, and asked again, must
-    /// not raise the pace.
-    pub(super) fn cold_interval(&self, now: Nanos, i: usize) -> f64 {
+    /// Whether a cold server's next send is due, by the rate of sends: refused clients that ask again must not
+    /// raise the pace. The rate is that of now: a node that knew none before must not be held to that.
+    pub(super) fn paced(&self, now: Nanos, i: usize) -> bool {
         let zone = usize::from(self.settings.zone);
         let size: f64 = self.ranks.get(zone).map_or(0.0, |r| r.iter().map(|j| self.nodes[j].size).sum());
         let sent = self.sent.known(now, self.settings.ramp as f64, self.settings.fall);
@@ -25,6 +25,6 @@
         // Where little comes, one request in the time of a fall from each node pushes nobody over.
         let most = self.settings.fall as f64 * f64::from(self.settings.group_size);
         let interval = 1e9 / (share * self.cold_share(now, i) * rate * self.nodes[i].size).max(1e-6);
-        interval.min(most)
+        now.saturating_sub(self.nodes[i].sent_at) as f64 >= self.nodes[i].wait * interval.min(most)
     }
 }
--- a/crates/balance/src/balancer/list.rs
+++ b/crates/balance/src/balancer/list.rs
@@ -64,7 +64,12 @@
             let inside = filled < part;
             filled += self.cold_share(now, i);
             match (self.ranks[zone].holds(i), inside) {
-                (false, true) => self.ranks[zone].insert(i, self.nodes[i].score),
+                // Every node hears of a cold server at about the same time: first sends are spread over an
+                // interval, or all of them together would spend its tipping budget at once.
+                (false, true) => {
+                    (self.nodes[i].sent_at, self.nodes[i].wait) = (now, self.chance());
+                    self.ranks[zone].insert(i, self.nodes[i].score);
+                }
                 (true, false) => self.ranks[zone].remove(i),
                 _ => {}
             }
@@ -94,7 +99,8 @@
             strikes: 0,
             failures: 0.0,
             failures_at: now,
-            cold_next: 0,
+            sent_at: now,
+            wait: 1.0,
             left_at: now,
         };
         // One that was free may be in use again by now.
@@ -131,12 +137,7 @@
                 let at = self.ready[zone].partition_point(|&j| self.nodes[j].server.id < server.id);
                 self.ready[zone].insert(at, i);
             }
-            // Every node hears of a cold server at about the same time: first sends are spread over an
-            // interval, or all of them together would spend its tipping budget at once.
-            if self.cold_share(now, i) < 1.0 {
-                let wait = self.cold_interval(now, i) * self.chance();
-                self.nodes[i].cold_next = now.saturating_add(wait as Nanos);
-            }
+            (self.nodes[i].sent_at, self.nodes[i].wait) = (now, self.chance());
         }
     }
 
--- a/crates/balance/src/balancer/mod.rs
+++ b/crates/balance/src/balancer/mod.rs
@@ -43,7 +43,8 @@
     pub(crate) strikes: u32,
     pub(crate) failures: f64,
     pub(crate) failures_at: Nanos,
-    cold_next: Nanos,
+    sent_at: Nanos,
+    wait: f64,
     left_at: Nanos,
 }
 
