--- a/crates/balance/src/balancer/cold.rs
+++ b/crates/balance/src/balancer/cold.rs
@@ -14,7 +14,7 @@
         (self.settings.cold_from + (1.0 - self.settings.cold_from) * age).min(1.0)
     }
 
-    /// Whether a cold server's next send is due, by the rate of sends: refused clients that ask again must not
+    /// Whether a cold server's next send is due, by the rate of sends: refused clients that ask again may not
     /// raise the pace. The rate is that of now: a node that knew none before must not be held to that.
     pub(super) fn paced(&self, now: Nanos, i: usize) -> bool {
         let zone = usize::from(self.settings.zone);
