Send no copies and paid repeats while others are refused for want of room

Nothing called off stops at a server, so each took a refused request's place. At fault: the budget in admission.rs, to which each arrival adds, also one that is refused and asks again: the more a node refused, the more copies it could pay. The pressure, which should dry it up, stays at 1.1 to 1.4 as refusals keep the queues short.

--- a/crates/balance/tests/incidents.rs
+++ b/crates/balance/tests/incidents.rs
@@ -421,3 +421,44 @@
     assert!(taken(false, 350) && taken(false, 500), "a first try that is less patient is new");
     assert!((0..30).all(|_| !taken(true, 500)), "no trials of what nobody wants");
 }
+
+/// Copies are for a fleet that has room: one that goes out while others are refused takes a place from one of these.
+#[test]
+fn no_copies_while_others_are_refused() {
+    let copied = |full: bool| {
+        let mut s = settings(Effect::Safe);
+        s.second_copies = true;
+        s.classes.push(Class { worth: 1e-6, ..s.classes[0].clone() });
+        let mut bed = Bed::new(s, servers(4), 3);
+        let (mut copies, mut refusals) = (0, 0);
+        for k in 0..200 {
+            bed.now += 50 * MS;
+            // Of the other class, whose worth is next to nothing, nearly all are refused.
+            if full {
+                let lesser = Request { class: 1, ..Request::new(100_000 + k, bed.now + 800 * MS) };
+                let actions = bed.feed(Event::Request(lesser));
+                refusals += u32::from(refused(&actions, lesser.id));
+                if let Some(server) = sent(&actions, lesser.id) {
+                    bed.outcome(lesser.id, server, 0, 40 * MS, Ending::Ok);
+                }
+            }
+            let (id, actions) = bed.request();
+            let Some(first) = sent(&actions, id) else { continue };
+            if k % 10 != 9 {
+                bed.outcome(id, first, 0, 40 * MS, Ending::Ok);
+                continue;
+            }
+            bed.now += 210 * MS;
+            let copy = sent(&bed.feed(Event::Timer { token: 0 }), id);
+            copies += u32::from(copy.is_some());
+            bed.outcome(id, first, 0, 210 * MS, Ending::Ok);
+            if let Some(second) = copy {
+                bed.outcome(id, second, 1, 1, Ending::Cancelled);
+            }
+        }
+        assert_eq!(refusals > 100, full, "{refusals} refusals");
+        copies
+    };
+    let (roomy, full) = (copied(false), copied(true));
+    assert!(roomy >= 10 && full <= 3, "{roomy} copies with room, {full} without");
+}
