Settle a cold server's pace once a decision, and test what the spread of first sends guards

At fault: paced in cold.rs added up the sizes of the ranked servers and took two exponentials for each server that was drawn.

And nodes that start beside cold servers sent some of them nothing in 10 s; that is a test of its own.

An ordinal beyond its group is turned down with its name.

--- a/crates/balance/src/balancer/attempts.rs
+++ b/crates/balance/src/balancer/attempts.rs
@@ -8,7 +8,7 @@
         let credit = self.increment(now);
         self.sent.count(now, self.settings.ramp as f64);
         let weight = self.pending.get(&id).map_or(1.0, |p| self.weight(&p.request));
-        (self.nodes[i].sent_at, self.nodes[i].wait) = (now, 1.0);
+        (self.nodes[i].sent_at, self.nodes[i].jitter) = (now, 1.0);
         self.credit(i, credit);
         let server = self.nodes[i].server.id;
         let working = self.pending.get(&id).is_some_and(|p| !p.request.streamed);
@@ -126,8 +126,7 @@
         let class = usize::from(p.request.class);
         let left = (p.arrived + self.settings.classes[class].aim).saturating_sub(now) as f64;
         let may = fits && self.budget >= 1.0 && now < p.request.give_up_at;
-        let next = may.then(|| self.choose(now, &p)).flatten();
-        let next = next.filter(|&(_, q)| self.expected(class, q) < left);
+        let next = may.then(|| self.choose(now, &p)).flatten().filter(|c| self.expected(class, c.1) < left);
         self.pending.insert(id, p);
         if let Some((i, _)) = next {
             self.budget -= 1.0;
--- a/crates/balance/src/balancer/cold.rs
+++ b/crates/balance/src/balancer/cold.rs
@@ -17,14 +17,10 @@
     /// Whether a cold server's next send is due, by the rate of sends: refused clients that ask again may not
     /// raise the pace. The rate is that of now: a node that knew none before must not be held to that.
     pub(super) fn paced(&self, now: Nanos, i: usize) -> bool {
-        let zone = usize::from(self.settings.zone);
-        let size: f64 = self.ranks.get(zone).map_or(0.0, |r| r.iter().map(|j| self.nodes[j].size).sum());
-        let sent = self.sent.known(now, self.settings.ramp as f64, self.settings.fall);
-        let rate = sent / size.max(self.nodes[i].size);
-        let share = TIP_PART * self.settings.tip_multiple;
+        let rate = TIP_PART * self.settings.tip_multiple * self.pace / self.home_size.max(self.nodes[i].size);
         // Where little comes, one request in the time of a fall from each node pushes nobody over.
         let most = self.settings.fall as f64 * f64::from(self.settings.group_size);
-        let interval = 1e9 / (share * self.cold_share(now, i) * rate * self.nodes[i].size).max(1e-6);
-        now.saturating_sub(self.nodes[i].sent_at) as f64 >= self.nodes[i].wait * interval.min(most)
+        let interval = 1e9 / (self.cold_share(now, i) * rate * self.nodes[i].size).max(1e-6);
+        now.saturating_sub(self.nodes[i].sent_at) as f64 >= self.nodes[i].jitter * interval.min(most)
     }
 }
--- a/crates/balance/src/balancer/list.rs
+++ b/crates/balance/src/balancer/list.rs
@@ -67,13 +67,16 @@
                 // Every node hears of a cold server at about the same time: first sends are spread over an
                 // interval, or all of them together would spend its tipping budget at once.
                 (false, true) => {
-                    (self.nodes[i].sent_at, self.nodes[i].wait) = (now, self.chance());
+                    (self.nodes[i].sent_at, self.nodes[i].jitter) = (now, self.chance());
                     self.ranks[zone].insert(i, self.nodes[i].score);
                 }
                 (true, false) => self.ranks[zone].remove(i),
                 _ => {}
             }
         }
+        if zone == usize::from(self.settings.zone) {
+            self.home_size = self.ranks[zone].iter().map(|i| self.nodes[i].size).sum();
+        }
     }
 
     fn over(&self, now: Nanos, i: usize) -> bool {
@@ -100,7 +103,7 @@
             failures: 0.0,
             failures_at: now,
             sent_at: now,
-            wait: 1.0,
+            jitter: 1.0,
             left_at: now,
         };
         // One that was free may be in use again by now.
@@ -137,7 +140,7 @@
                 let at = self.ready[zone].partition_point(|&j| self.nodes[j].server.id < server.id);
                 self.ready[zone].insert(at, i);
             }
-            (self.nodes[i].sent_at, self.nodes[i].wait) = (now, self.chance());
+            (self.nodes[i].sent_at, self.nodes[i].jitter) = (now, self.chance());
         }
     }
 
--- a/crates/balance/src/interface.rs
+++ b/crates/balance/src/interface.rs
@@ -131,7 +131,7 @@
     pub worth_by_work: bool,
     /// The node's own zone.
     pub zone: u8,
-    /// The node's number in its group, from 0.
+    /// The node's number in its group, from 0, below `group_size`.
     pub ordinal: u32,
     /// Number of nodes in the group; at least one.
     pub group_size: u32,
@@ -241,6 +241,9 @@
                 return Err(SettingsError::Zero(name));
             }
         }
+        if self.ordinal >= self.group_size {
+            return Err(SettingsError::OutOfRange("ordinal"));
+        }
         share("over_share_worth", self.over_share_worth)?;
         share("cold_from", self.cold_from)?;
         share("cross_price", self.cross_price)?;
--- a/crates/balance/tests/fleet.rs
+++ b/crates/balance/tests/fleet.rs
@@ -57,45 +57,62 @@
     }
 }
 
-/// So many servers of a zone are replaced by cold ones, as 25 nodes see it that have served for 5 s. Whatever a window of the
-/// fall time begins with, all nodes together must not push one over. Returns what the cold servers together got in the last
-/// 5 of 10 s, as a part of their ramp share of the usual load.
-fn replace(replaced: u8) -> f64 {
-    let start = 1_000_000 * MS;
-    let beds: Vec<_> = (0..NODES)
-        .map(|ordinal| {
-            let mut s = settings(Effect::Safe);
-            (s.ordinal, s.group_size) = (ordinal, NODES);
-            (s.ramp, s.cold_from, s.fall, s.tip_multiple) = (RAMP, COLD_FROM, FALL, 3.0);
-            Bed::new(s, servers(FLEET), u64::from(ordinal))
-        })
-        .collect();
-    let mut world = World { beds, free_at: BTreeMap::new(), started: BTreeMap::new() };
-    let warm = world.play(start, start + 5_000 * MS);
-    let usual = warm.values().map(Vec::len).sum::<usize>() as f64 / f64::from(FLEET) / 5.0;
+/// 25 nodes that know nothing yet, over warm servers.
+fn world(list: &[Server]) -> World {
+    let bed = |ordinal| {
+        let mut s = settings(Effect::Safe);
+        (s.ordinal, s.group_size) = (ordinal, NODES);
+        (s.ramp, s.cold_from, s.fall, s.tip_multiple) = (RAMP, COLD_FROM, FALL, 3.0);
+        Bed::new(s, list.to_vec(), u64::from(ordinal))
+    };
+    World { beds: (0..NODES).map(bed).collect(), free_at: BTreeMap::new(), started: BTreeMap::new() }
+}
 
-    let now = start + 5_000 * MS;
-    let cold: Vec<_> =
-        (100..100 + replaced).map(|k| Server { started_at: now, ..Server::warm(server(k)) }).collect();
-    let gone = servers(replaced).into_iter().map(|s| Server { phase: Phase::Gone, ..s });
+const START: Nanos = 1_000_000 * MS;
+/// What each of the servers gets in a second while all are warm.
+const USUAL: f64 = NODES as f64 / FLEET as f64 * 1e9 / EVERY as f64;
+
+/// Servers that start cold at this time.
+fn cold(servers: u8, at: Nanos) -> Vec<Server> {
+    (100..100 + servers).map(|k| Server { started_at: at, ..Server::warm(server(k)) }).collect()
+}
+
+/// Whatever a window of the fall time begins with, all nodes together must not push a server over; and the first tenth of
+/// that time after they heard of the servers brings these no more than a tenth of what would. Returns what the cold servers together got in the last 5 of
+/// 10 s, as a part of their ramp share of the usual load.
+fn check(world: &mut World, cold: &[Server], now: Nanos) -> f64 {
     world.started = cold.iter().map(|s| (s.id, now)).collect();
-    for bed in &mut world.beds {
-        bed.now = now;
-        bed.list(ListKind::Changes, gone.clone().chain(cold.clone()).collect());
-    }
     let sends = world.play(now, now + 10_000 * MS);
-    for server in &cold {
+    let budget = |at| 3.0 * world.share(cold[0].id, at + FALL / 2) * USUAL * FALL as f64 / 1e9;
+    let mut first_sends = 0;
+    for server in cold {
         let times = &sends[&server.id];
         for (k, first) in times.iter().enumerate() {
             let within = times[k..].iter().take_while(|t| **t < first + FALL).count() as f64;
-            // What the server can do rises evenly.
-            let most = 3.0 * world.share(server.id, first + FALL / 2) * usual * FALL as f64 / 1e9;
+            let most = budget(*first);
             assert!(within <= most, "{:?} gets {within} in a window from {first}, over {most}", server.id);
         }
+        first_sends += times.iter().filter(|t| **t < now + FALL / 10).count();
     }
+    let most = cold.len() as f64 * budget(now) / 10.0;
+    assert!(first_sends as f64 <= most, "they get {first_sends} at once, over {most}");
     let late = now + 5_000 * MS;
     let got: usize = cold.iter().map(|s| sends[&s.id].iter().filter(|t| **t >= late).count()).sum();
-    got as f64 / (cold.len() as f64 * usual * 5.0 * world.share(cold[0].id, late))
+    got as f64 / (cold.len() as f64 * USUAL * 5.0 * world.share(cold[0].id, late))
+}
+
+/// So many servers are replaced by cold ones, as nodes see it that have served for 5 s.
+fn replace(replaced: u8) -> f64 {
+    let mut world = world(&servers(FLEET));
+    let now = START + 5_000 * MS;
+    world.play(START, now);
+    let cold = cold(replaced, now);
+    let gone = servers(replaced).into_iter().map(|s| Server { phase: Phase::Gone, ..s });
+    for bed in &mut world.beds {
+        bed.now = now;
+        bed.list(ListKind::Changes, gone.clone().chain(cold.clone()).collect());
+    }
+    check(&mut world, &cold, now)
 }
 
 /// Paced by a rate that was averaged over a whole ramp, of which most had not passed, cold servers got a fifth of a warm one's
@@ -112,3 +129,13 @@
     let part = replace(FLEET);
     assert!(part > 0.8, "they get {part} of their share");
 }
+
+/// Nodes that start anew in the middle of a release know no rate yet: by that alone a cold server's first send would be due
+/// when its ramp is over.
+#[test]
+fn nodes_that_start_beside_cold_servers_use_them() {
+    let cold = cold(9, START);
+    let list: Vec<_> = servers(FLEET - 9).into_iter().chain(cold.clone()).collect();
+    let part = check(&mut world(&list), &cold, START);
+    assert!(part > 0.6, "they get {part} of their share");
+}
--- a/crates/balance/tests/rules.rs
+++ b/crates/balance/tests/rules.rs
@@ -267,6 +267,8 @@
         corkhollow_balance::Balancer::new(s, 1).err()
     };
     assert_eq!(refusal(|s| s.classes.clear()), Some(SettingsError::Empty("classes")));
+    assert_eq!(refusal(|s| s.group_size = 0), Some(SettingsError::Zero("group_size")));
+    assert_eq!(refusal(|s| (s.ordinal, s.group_size) = (5, 5)), Some(SettingsError::OutOfRange("ordinal")));
     assert_eq!(refusal(|s| s.classes[0].give_up = 0), Some(SettingsError::Zero("give_up")));
     assert_eq!(refusal(|s| s.cold_from = 1.5), Some(SettingsError::NotAShare("cold_from")));
     assert_eq!(refusal(|s| s.tip_multiple = f64::NAN), Some(SettingsError::OutOfRange("tip_multiple")));
