--- a/crates/bench/benches/cold.rs
+++ b/crates/bench/benches/cold.rs
@@ -9,7 +9,7 @@
 use std::time::{Duration, Instant};
 
 const FLEETS: [u64; 3] = [60, 200, 2_000];
-const DECISIONS: u64 = 20_000;
+const DECISIONS: u32 = 20_000;
 const PAIRS: usize = 5;
 const WORK: Nanos = 20_000_000;
 /// So long that no server gets warm while it is measured.
@@ -49,7 +49,7 @@
             balancer.handle(now, outcome, &mut actions);
         }
     }
-    start.elapsed() / DECISIONS as u32
+    start.elapsed() / DECISIONS
 }
 
 fn main() {
