--- a/crates/corkhollow/src/cli.rs
+++ b/crates/corkhollow/src/cli.rs
@@ -35,6 +35,8 @@
     Explain(ExplainArgs),
     /// Runs a small stand-in fleet with the program before it, and shows what happens; needs no file and no network
     Demo(DemoArgs),
+    /// Prints what running nodes hold of their fleet
+    Fleet(FleetArgs),
     /// Prints all keys of the operator's file, as Markdown
     Reference,
 }
@@ -72,6 +74,13 @@
     pub listener: Option<String>,
 }
 
+#[derive(Debug, Args)]
+pub struct FleetArgs {
+    /// A node's operator's address; with several, also whether they hold the same
+    #[arg(long, value_name = "ADDRESS", required = true)]
+    pub operator: Vec<SocketAddr>,
+}
+
 #[derive(Debug, Args)]
 pub struct DemoArgs {
     /// The port on 127.0.0.1; 0 takes a free one
--- a/crates/corkhollow/src/commands/check.rs
+++ b/crates/corkhollow/src/commands/check.rs
@@ -3,7 +3,7 @@
 use super::{load, Failure};
 use crate::cli::CheckArgs;
 use corkhollow_plan::file::read_servers;
-use corkhollow_plan::plan::Source;
+use corkhollow_plan::plan::{Fleet, Source};
 use std::io::Write;
 
 /// Checks the file and those that it names.
@@ -18,6 +18,11 @@
             return Err(Failure::Faulty { path: path.clone(), count: faults.len() });
         }
     }
+    if let Some(path) = plan.fleet.as_ref().and_then(|fleet| fleet.key_file.as_ref()) {
+        let text = std::fs::read_to_string(path)
+            .map_err(|error| Failure::Unreadable { path: path.clone(), error })?;
+        Fleet::key(&text).map_err(|why| Failure::Request(format!("{}: {why}", path.display())))?;
+    }
     let (routes, pools) = (plan.routes.routes().len(), plan.pools.len());
     writeln!(
         std::io::stdout(),
--- /dev/null
+++ b/crates/corkhollow/src/commands/membership.rs
@@ -0,0 +1,162 @@
+//! The running program's place in its fleet: joining, following the view, and handing the place on.
+
+use super::run::StartError;
+use corkhollow_engine::log;
+use corkhollow_fleet::{Additions, Config, Group, Timing};
+use corkhollow_operate::{Figures, FleetHandover};
+use corkhollow_plan::plan::{self, Plan};
+use corkhollow_proxy::fleet::{Fleet, Place};
+use corkhollow_proxy::site::Current;
+use std::cell::Cell;
+use std::net::{SocketAddr, UdpSocket};
+use std::rc::Rc;
+use std::time::Duration;
+
+/// Descriptors that the node of a fleet takes: its socket and what its thread waits with.
+pub const DESCRIPTORS: usize = 6;
+/// How often a process that comes to another's place looks whether that one has let go of the fleet's address.
+const LOOK: Duration = Duration::from_millis(20);
+
+/// What the program knows of its place.
+#[derive(Clone, Default)]
+pub struct Membership {
+    /// The node, once it runs.
+    pub place: Place,
+    /// What the pools go by; none where there is no fleet.
+    pub group: Rc<Cell<Option<Group>>>,
+}
+
+/// What the fleet's node is told by a plan.
+pub fn config(plan: &Plan, told: &plan::Fleet, address: SocketAddr) -> Result<Config, StartError> {
+    let fault = |path: &std::path::Path, why: String| StartError::Key { path: path.to_owned(), why };
+    let key = told.key_file.as_ref().map(|path| {
+        let text = std::fs::read_to_string(path).map_err(|error| fault(path, error.to_string()))?;
+        plan::Fleet::key(&text).map_err(|why| fault(path, why))
+    });
+    Ok(Config {
+        fleet: told.name.clone(),
+        name: told.node.clone(),
+        zone: plan.zones.get(usize::from(plan.zone)).cloned().unwrap_or_default(),
+        address,
+        seeds: told.seeds.clone(),
+        key: key.transpose()?,
+        timing: Timing {
+            probe_every: told.probe_every,
+            probe_timeout: told.probe_timeout,
+            suspect_for: told.suspect_for,
+        },
+        datagram: told.datagram,
+        additions: Additions::default(),
+        incarnation: 1,
+    })
+}
+
+/// Where others reach a node.
+fn reached(told: &plan::Fleet, socket: &UdpSocket) -> std::io::Result<SocketAddr> {
+    Ok(told.advertise.unwrap_or(socket.local_addr()?))
+}
+
+impl Membership {
+    /// Joins the fleet that the plan names, and counts by it from the first request on.
+    pub async fn join(&self, plan: &mut Plan, figures: &Figures, seed: u64) -> Result<(), StartError> {
+        let Some(told) = plan.fleet.clone() else { return Ok(()) };
+        let open = |error| StartError::Listen { address: told.listen, error };
+        let socket = UdpSocket::bind(told.listen).map_err(open)?;
+        let config = config(plan, &told, reached(&told, &socket).map_err(open)?)?;
+        let mut fleet = start(config, socket, seed, figures)?;
+        let name = told.node.clone();
+        fleet.joined().await.map_err(|by| StartError::Name { name, by })?;
+        let group = fleet.view().snapshot.group;
+        self.group.set(Some(group));
+        plan.group(group.ordinal, group.size);
+        self.place.put(fleet);
+        Ok(())
+    }
+
+    /// Takes another process's place in the fleet once that one has let go of it, and counts as that one did until then.
+    pub async fn succeed(self, plan: Rc<Plan>, from: Option<FleetHandover>, figures: Figures, seed: u64) {
+        let Some(told) = &plan.fleet else { return };
+        let socket = loop {
+            match UdpSocket::bind(told.listen) {
+                Ok(socket) => break socket,
+                Err(_) => tokio::time::sleep(LOOK).await,
+            }
+        };
+        let joined = async {
+            let address = reached(told, &socket)?;
+            let mut config = config(&plan, told, address)?;
+            if let Some(from) = from {
+                config.incarnation = from.incarnation + 1;
+                config.seeds.extend(from.members);
+            }
+            let mut fleet = start(config, socket, seed, &figures)?;
+            let name = told.node.clone();
+            fleet.joined().await.map_err(|by| StartError::Name { name, by })?;
+            Ok::<_, StartError>(fleet)
+        };
+        match joined.await {
+            Ok(fleet) => self.place.put(fleet),
+            Err(why) => log(format_args!("fleet: not a member: {why}")),
+        }
+    }
+
+    /// Lets the pools count by the view as it changes, for good.
+    pub async fn follow(self, current: Rc<Current>) {
+        let mut fleet = loop {
+            match self.place.get() {
+                Some(fleet) => break fleet.clone(),
+                None => tokio::time::sleep(LOOK).await,
+            }
+        };
+        loop {
+            let group = fleet.view().snapshot.group;
+            if self.group.get() != Some(group) {
+                self.regroup(&current, group);
+            }
+            if !fleet.changed().await {
+                return;
+            }
+        }
+    }
+
+    /// Lets the pools count so.
+    pub fn regroup(&self, current: &Current, group: Group) {
+        self.group.set(Some(group));
+        match current.get().regroup(group.ordinal, group.size) {
+            Ok(()) => log(format_args!("fleet: counts as number {} of {}", group.ordinal, group.size)),
+            Err(why) => log(format_args!("fleet: {why}")),
+        }
+    }
+
+    /// What a process that takes this one's place goes on with.
+    pub fn handover(&self) -> Option<FleetHandover> {
+        let view = self.place.get()?.view();
+        let Group { ordinal, size } = view.snapshot.group;
+        let (incarnation, members) = view.heritage;
+        Some(FleetHandover { ordinal, size, incarnation, members })
+    }
+
+    /// What a new file says of the fleet, if all of it can be taken over.
+    pub fn reload(&self, old: &Plan, new: &mut Plan) -> Result<Option<Config>, StartError> {
+        if let Some(group) = self.group.get() {
+            new.group(group.ordinal, group.size);
+        }
+        match (&old.fleet, &new.fleet) {
+            (None, None) => Ok(None),
+            (Some(was), Some(told)) => match was.fixed(told) {
+                Some(key) => Err(StartError::Fixed { key: format!("fleet.{key}") }),
+                // Its own address is for good, and not looked at again.
+                None => config(new, told, told.advertise.unwrap_or(told.listen)).map(Some),
+            },
+            _ => Err(StartError::Fixed { key: "fleet".to_owned() }),
+        }
+    }
+}
+
+fn start(config: Config, socket: UdpSocket, seed: u64, figures: &Figures) -> Result<Fleet, StartError> {
+    let local = socket.local_addr()?;
+    log(format_args!("fleet {}: {} hears datagrams at {local}", config.fleet, config.name));
+    // Another life of the same node draws other numbers.
+    let seed = seed ^ u64::from(std::process::id()).rotate_left(32);
+    Ok(Fleet::start(config, socket, seed, Some(figures.fleet()?))?)
+}
--- a/crates/corkhollow/src/commands/mod.rs
+++ b/crates/corkhollow/src/commands/mod.rs
@@ -3,6 +3,8 @@
 pub mod check;
 pub mod demo;
 pub mod explain;
+pub mod fleet;
+mod membership;
 pub mod run;
 
 use corkhollow_plan::file::{self, Checked, Fault};
--- a/crates/corkhollow/src/commands/run.rs
+++ b/crates/corkhollow/src/commands/run.rs
@@ -1,13 +1,16 @@
 //! `corkhollow run`: runtime, listeners, signals, reload.
 
+use super::membership::{self, Membership};
 use super::{load, Failure};
 use crate::cli::RunArgs;
 use crate::succession::{self, Neighbours};
 use corkhollow_engine::{log, Clock};
-use corkhollow_operate::{Control, Figures, FiguresError};
+use corkhollow_fleet::Group;
+use corkhollow_operate::{Control, Figures, FiguresError, FleetHandover, Handover};
 use corkhollow_plan::limits::Budget;
 use corkhollow_plan::plan::{Plan, Source};
 use corkhollow_plan::platform::{Config, ConfigError, Shape};
+use corkhollow_proxy::fleet::Place;
 use corkhollow_proxy::http1::{Clients, Service};
 use corkhollow_proxy::operator::Operator;
 use corkhollow_proxy::site::{Current, PoolError, Site};
@@ -50,6 +53,12 @@
     Listen { address: SocketAddr, error: std::io::Error },
     #[error("the socket that is handed down is bound to {address}, which is no listener's address")]
     Handed { address: SocketAddr },
+    #[error("fleet: the name {name} is taken: the process at {by} has it and is there")]
+    Name { name: String, by: SocketAddr },
+    #[error("{}: {why}", path.display())]
+    Key { path: PathBuf, why: String },
+    #[error("`{key}` changes with a restart only")]
+    Fixed { key: String },
     #[error("{0}")]
     System(#[from] std::io::Error),
     #[error("{0}")]
@@ -204,7 +213,7 @@
 
 async fn serve(
     mut told: Told,
-    plan: Plan,
+    mut plan: Plan,
     handed: Vec<std::net::TcpListener>,
     neighbours: Option<Neighbours>,
 ) -> Result<(), StartError> {
@@ -212,7 +221,8 @@
     let mut hang_up = signal(SignalKind::hangup())?;
     let clock = Clock::start();
     let neighbours = neighbours.map(Rc::new);
-    let budget = Budget::new(plan.limits.descriptors, plan.limits.memory);
+    let own = if plan.fleet.is_some() { membership::DESCRIPTORS } else { 0 };
+    let budget = Budget::new(plan.limits.descriptors.saturating_sub(own), plan.limits.memory);
     let figures = Figures::new()?;
     let shared = Shared { clock, budget: budget.clone(), figures: figures.clone() };
     let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
@@ -221,6 +231,15 @@
     let bound = listeners.bind(&plan)?;
     let calls = plan.operator.map(listen_for_calls).transpose()?;
     let control = Control::default();
+    let member = Membership::default();
+    let succeeds = neighbours.as_ref().is_some_and(|n| n.now().older);
+    if !succeeds {
+        tokio::select! {
+            // Nothing has been taken yet.
+            _ = terminate.recv() => return Ok(()),
+            joined = member.join(&mut plan, &figures, seed) => joined?,
+        }
+    }
     let site = Site::start(plan, None, &shared, seed)?;
     let current = Current::new(site.clone());
     let service = Rc::new(Service {
@@ -235,18 +254,32 @@
     if let Some(calls) = calls {
         log(format_args!("operators call at {}", calls.local_addr()?));
         let (control, figures, changed) = (control.clone(), figures.clone(), changed.clone());
-        Operator { control, figures, clock, changed }.start(calls)?;
+        let fleet = member.place.clone();
+        Operator { control, figures, clock, changed, fleet }.start(calls)?;
     }
     if let Some(neighbours) = &neighbours {
         budget.keep_to(neighbours.now().share());
         tokio::select! {
             // Nothing has been taken yet.
             _ = terminate.recv() => return Ok(()),
-            () = learn(neighbours, &site, clock, &control) => {}
+            from = learn(neighbours, &site, clock, &control) => {
+                if let Some(from) = &from {
+                    let group = Group { ordinal: from.ordinal, size: from.size };
+                    member.regroup(&current, group);
+                }
+                if succeeds {
+                    let (plan, figures) = (Rc::new(site.plan.clone()), figures.clone());
+                    spawn_local(member.clone().succeed(plan, from, figures, seed));
+                }
+            }
         }
     }
+    if site.plan.fleet.is_some() {
+        spawn_local(member.clone().follow(current.clone()));
+    }
     let open = Rc::new(Cell::new(neighbours.is_none()));
     spawn_local(watch(current.clone(), control.clone(), figures.clone(), budget.clone(), open.clone()));
+    spawn_local(tell_of_drains(member.place.clone(), control.clone()));
     if let Some(neighbours) = &neighbours {
         while !neighbours.now().accepts(site.ready() && !control.lock().drains()) {
             tokio::select! {
@@ -256,7 +289,7 @@
             }
         }
         spawn_local(share(neighbours.clone(), budget.clone()));
-        spawn_local(teach(neighbours.clone(), current.clone(), control.clone()));
+        spawn_local(teach(neighbours.clone(), current.clone(), control.clone(), member.clone()));
     }
     listeners.start(&site.plan, bound, &clients)?;
     // It says yes when it takes clients, not before: the other process may end on that word.
@@ -270,7 +303,7 @@
         tokio::select! {
             _ = terminate.recv() => break,
             _ = hang_up.recv() => {
-                match reload(&mut told, &current, &mut listeners, &clients, &shared, seed) {
+                match reload(&mut told, &current, &mut listeners, &clients, &shared, seed, &member) {
                     Ok(()) => figures.applied.inc(),
                     Err(why) => {
                         figures.rejected.inc();
@@ -283,6 +316,9 @@
     let told = Instant::now();
     let succeeded = neighbours.is_some_and(|n| n.now().newer);
     control.lock().leave(clock.now(), succeeded);
+    if let (Some(fleet), true) = (member.place.get(), succeeded) {
+        fleet.hand_over();
+    }
     while control.lock().accepts(clock.now()) {
         tokio::time::sleep(Duration::from_millis(10)).await;
     }
@@ -290,6 +326,10 @@
         true => listeners.leave(),
         false => listeners.close().await,
     }
+    if let (Some(fleet), false) = (member.place.get(), succeeded) {
+        // No new requests come: from here on the others may take its part.
+        fleet.leave().await;
+    }
     let leave_within = Duration::from_nanos(current.get().plan.drain_timeout);
     while close_idle(&clients, &control, clock) > 0 && told.elapsed() < leave_within {
         tokio::time::sleep(Duration::from_millis(10)).await;
@@ -305,15 +345,17 @@
     clients: &Rc<Clients>,
     shared: &Shared,
     seed: u64,
+    member: &Membership,
 ) -> Result<(), Failure> {
     let old = current.get();
-    let (plan, shape) = match told {
+    let (mut plan, shape) = match told {
         Told::File(path, operator) => (read(path, *operator)?, None),
         Told::Platform(shape) => {
             let config = Config::reload(shape).map_err(StartError::from)?;
             (config.plan_beside(&old.plan).map_err(StartError::from)?, Some(config.shape))
         }
     };
+    let fleet = member.reload(&old.plan, &mut plan)?;
     let bound = listeners.bind(&plan)?;
     let site = Site::start(plan, Some(&old), shared, seed).map_err(StartError::from)?;
     let (now, then) = (&site.plan.limits, &old.plan.limits);
@@ -324,6 +366,9 @@
         log(format_args!("the operator's address changes with a restart only"));
     }
     current.put(site.clone());
+    if let (Some(node), Some(told)) = (member.place.get(), fleet) {
+        node.retune(told);
+    }
     if let (Told::Platform(old), Some(new)) = (told, shape) {
         *old = new;
     }
@@ -373,13 +418,14 @@
 }
 
 /// Writes down what this process has learnt while there is one that comes to its place, for good.
-async fn teach(neighbours: Rc<Neighbours>, current: Rc<Current>, control: Control) {
+async fn teach(neighbours: Rc<Neighbours>, current: Rc<Current>, control: Control, member: Membership) {
     let mut failed = false;
     loop {
         let newer = neighbours.now().newer;
         if newer {
             let drains = control.lock().drains();
-            let told = neighbours.tell(&current.get().handover(drains));
+            let handover = Handover { fleet: member.handover(), ..current.get().handover(drains) };
+            let told = neighbours.tell(&handover);
             if let (Err(why), false) = (&told, failed) {
                 log(format_args!("the process that comes to this one's place begins cold: {why}"));
             }
@@ -389,11 +435,29 @@
     }
 }
 
+/// Tells the fleet when the operator empties the node and when no longer, for good.
+async fn tell_of_drains(place: Place, control: Control) {
+    loop {
+        if let Some(fleet) = place.get() {
+            let drains = control.lock().drains();
+            if fleet.view().drains() != drains {
+                fleet.drain(drains);
+            }
+        }
+        tokio::time::sleep(WATCH).await;
+    }
+}
+
 /// Waits until the pools know their servers, and takes over what the older process has learnt of them, if there is one and
 /// it tells in time.
-async fn learn(neighbours: &Neighbours, site: &Site, clock: Clock, control: &Control) {
+async fn learn(
+    neighbours: &Neighbours,
+    site: &Site,
+    clock: Clock,
+    control: &Control,
+) -> Option<FleetHandover> {
     if !neighbours.now().older {
-        return;
+        return None;
     }
     while neighbours.now().waits {
         tokio::time::sleep(LOOK).await;
@@ -405,16 +469,17 @@
             log(format_args!("begins drained, as the other process is; POST /-/resume ends that"));
             control.lock().drain(clock.now());
         }
-        match told.map(|told| site.recall(&told)) {
-            None => {}
-            Some(0) => {
-                return log(format_args!("begins cold: nothing that the other process knows holds here"))
+        if let Some(told) = told {
+            match site.recall(&told) {
+                0 => log(format_args!("begins cold: nothing that the other process knows holds here")),
+                known => log(format_args!("begins with what is known of {known} servers")),
             }
-            Some(known) => return log(format_args!("begins with what is known of {known} servers")),
+            return told.fleet;
         }
         // One that has gone leaves its clients to this one, ready or not.
         if !neighbours.now().older || (site.ready() && neighbours.age() > LEARN_WITHIN) {
-            return log(format_args!("begins cold: the other process has not told what it knows"));
+            log(format_args!("begins cold: the other process has not told what it knows"));
+            return None;
         }
         tokio::time::sleep(LOOK).await;
     }
--- a/crates/corkhollow/src/main.rs
+++ b/crates/corkhollow/src/main.rs
@@ -14,6 +14,7 @@
         cli::Command::Check(args) => commands::check::check(&args),
         cli::Command::Explain(args) => commands::explain::explain(&args),
         cli::Command::Demo(args) => commands::demo::demo(&args),
+        cli::Command::Fleet(args) => commands::fleet::fleet(&args),
         cli::Command::Reference => commands::reference(),
     };
     match done {
--- /dev/null
+++ b/crates/corkhollow/tests/fleet.rs
@@ -0,0 +1,317 @@
+//! Several processes of the program that keep a view of each other, with faults between them.
+
+use corkhollow_faults::{Act, Script, Way};
+use corkhollow_standin::*;
+use std::collections::BTreeMap;
+use std::net::{SocketAddr, UdpSocket};
+use std::process::{Command, Stdio};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering::SeqCst};
+use std::sync::{Arc, Mutex};
+use std::thread;
+use std::time::Duration;
+
+/// Quicker than the defaults: 1.2 s to object where several accuse.
+const TIMES: &str = "probe_every = \"250ms\"\nprobe_timeout = \"100ms\"\nsuspect_for = \"1200ms\"";
+/// Far beyond what `docs/design/fleet-view.md` states for these times: a machine may be busy.
+const SOON: Duration = Duration::from_secs(15);
+
+fn site(dials: &[SocketAddr]) -> String {
+    let servers: String = dials.iter().map(|d| format!("{{ address = \"{d}\" }}, ")).collect();
+    format!(
+        "[[listener]]\nname = \"web\"\naddress = \"127.0.0.1:0\"\n\
+         [[class]]\nname = \"read\"\neffect = \"safe\"\nmethods = [\"GET\"]\ndeadline = \"8s\"\n\
+         [[class]]\nname = \"write\"\neffect = \"unsafe\"\nmethods = [\"POST\"]\ndeadline = \"8s\"\n\
+         [[pool]]\nname = \"boxes\"\nservers = [{servers}]\n[[route]]\nname = \"all\"\npool = \"boxes\"\n"
+    )
+}
+
+fn rig(count: usize, seeds: &[usize], more: &str) -> (Rig, Servers) {
+    let servers = Servers::new(3, |_, _| ok("fine"));
+    let text = site(&servers.dials);
+    (Rig::new(count, 7, seeds, &format!("{TIMES}\n{more}"), move |_| text.clone()), servers)
+}
+
+fn away(rig: &Rig, name: &str, state: &str) {
+    until(&format!("{name} is {state} everywhere"), || {
+        rig.views().iter().flatten().all(|fleet| fleet.member(name).is_some_and(|m| m.state == state))
+    });
+}
+
+/// Clients that go where a front would send them: to nodes that take clients.
+struct Clients {
+    open: Arc<Mutex<Vec<Option<SocketAddr>>>>,
+    over: Arc<AtomicBool>,
+    asked: Arc<AtomicU64>,
+    wrong: Arc<Mutex<Vec<String>>>,
+    threads: Vec<thread::JoinHandle<()>>,
+}
+
+impl Clients {
+    fn start(count: usize) -> Self {
+        let mut clients = Clients {
+            open: Arc::default(),
+            over: Arc::default(),
+            asked: Arc::default(),
+            wrong: Arc::default(),
+            threads: Vec::new(),
+        };
+        for client in 0..count {
+            let (open, over, asked, wrong) =
+                (clients.open.clone(), clients.over.clone(), clients.asked.clone(), clients.wrong.clone());
+            clients.threads.push(thread::spawn(move || {
+                let mut turn = client;
+                while !over.load(SeqCst) {
+                    thread::sleep(Duration::from_millis(10));
+                    turn += 1;
+                    let open: Vec<_> = open.lock().unwrap().iter().flatten().copied().collect();
+                    let Some(address) = open.get(turn % open.len().max(1)) else { continue };
+                    let request = if turn % 3 == 0 { post("/w", b"x") } else { get("/r", "") };
+                    asked.fetch_add(1, SeqCst);
+                    match ask(*address, &request) {
+                        Some(200) => {}
+                        other => wrong.lock().unwrap().push(format!("{address} answered {other:?}")),
+                    }
+                }
+            }));
+        }
+        clients
+    }
+
+    fn open(&self, rig: &Rig, but: Option<usize>) {
+        let address =
+            |(k, node): (usize, &Option<Node>)| node.as_ref().filter(|_| Some(k) != but).map(|n| n.address);
+        *self.open.lock().unwrap() = rig.nodes.iter().enumerate().map(address).collect();
+    }
+
+    fn end(self) -> (u64, Vec<String>) {
+        self.over.store(true, SeqCst);
+        self.threads.into_iter().for_each(|client| client.join().unwrap());
+        let wrong = self.wrong.lock().unwrap().clone();
+        (self.asked.load(SeqCst), wrong)
+    }
+}
+
+fn ask(address: SocketAddr, request: &[u8]) -> Option<u16> {
+    use std::io::Write;
+    let mut stream = std::net::TcpStream::connect(address).ok()?;
+    stream.set_read_timeout(Some(Duration::from_secs(20))).ok()?;
+    stream.write_all(request).ok()?;
+    read(&mut stream).filter(|m| m.whole).map(|m| m.status())
+}
+
+/// Joins, a crash, a process that stands still, a cut in two, its healing, and a restart of all one by one, under load: all have
+/// the same view after each, each request has one answer, and nothing unsafe runs twice.
+#[test]
+fn a_fleet_lives_through_what_befalls_it() {
+    let (mut rig, servers) = rig(7, &[0, 1], "");
+    rig.start_all(0..6);
+    rig.settles("joined", SOON);
+    let clients = Clients::start(6);
+    clients.open(&rig, Some(5));
+    rig.act(&Act::Kill(5));
+    away(&rig, "n5", "dead");
+    rig.settles("crashed", SOON);
+    // Under its name, with nothing.
+    rig.act(&Act::Start(5));
+    rig.settles("came back", SOON);
+    assert!(Fleet::of(rig.node(0)).unwrap().member("n5").unwrap().incarnation > 1);
+    rig.act(&Act::Start(6));
+    rig.settles("joined later", SOON);
+    clients.open(&rig, Some(4));
+    rig.play(&Script::new().at(0, Act::Stall(4, 5_000)));
+    rig.settles("went on", SOON);
+    let others = rig.said("n4: corkhollow: fleet: n");
+    let given_up = |name: &str| rig.said(&format!("n4: corkhollow: fleet: {name} is dead"));
+    assert!(
+        others > 0 && [0, 1, 2, 3, 6].iter().all(|k| given_up(&format!("n{k}")) == 0),
+        "{}",
+        rig.timeline().join("\n")
+    );
+    clients.open(&rig, None);
+    rig.act(&Act::Part(vec![vec![0, 2, 4, 6], vec![1, 3, 5]]));
+    until("each side counts its own", || {
+        let sizes: Vec<_> = rig.views().iter().flatten().map(|fleet| fleet.size).collect();
+        sizes == [4, 3, 4, 3, 4, 3, 4]
+    });
+    rig.act(&Act::Heal);
+    rig.settles("healed", SOON);
+    for number in 0..7 {
+        clients.open(&rig, Some(number));
+        rig.act(&Act::Leave(number));
+        away(&rig, &format!("n{number}"), "left");
+        rig.act(&Act::Start(number));
+    }
+    clients.open(&rig, None);
+    rig.settles("rolled", SOON);
+    assert_eq!(rig.said("counts as number"), rig.said("fleet: counts as number"));
+    let (asked, wrong) = clients.end();
+    assert!(asked > 500 && wrong.is_empty(), "{asked} asked: {wrong:#?}\n{}", rig.timeline().join("\n"));
+    let mut runs = BTreeMap::new();
+    for request in servers.requests.lock().unwrap().iter().filter(|m| m.head.starts_with("POST")) {
+        *runs.entry(request.header("x-request-id").unwrap_or_default().to_owned()).or_insert(0) += 1;
+    }
+    assert!(runs.len() > 100 && runs.values().all(|count| *count == 1));
+}
+
+/// One direction cut for good, and a tenth of all datagrams lost, doubled and late: nobody is given up, as others' probes and
+/// rumours get round it.
+#[test]
+fn a_one_way_cut_and_a_bad_network_take_nobody_out() {
+    let (mut rig, _servers) = rig(5, &[0], "datagram_bytes = 256");
+    rig.start_all(0..5);
+    rig.settles("joined", SOON);
+    let bad = Way { loss: 0.1, delay: 1, jitter: 60, doubled: 0.2, cut: false };
+    let script = Script::new().at(0, Act::All(bad)).at(0, Act::Cut(3, 1)).at(0, Act::Cut(0, 4));
+    rig.play(&script.at(8_000, Act::Heal));
+    rig.act(&Act::All(Way::default()));
+    rig.settles("healed", SOON);
+    assert_eq!(rig.said(" is dead"), 0, "{}", rig.timeline().join("\n"));
+}
+
+/// A process that leaves says so, one that is emptied says so too, and both are known at once.
+#[test]
+fn what_a_node_says_of_itself_is_known_everywhere() {
+    let (mut rig, _servers) = rig(3, &[0], "");
+    rig.start_all(0..3);
+    rig.settles("joined", SOON);
+    assert_eq!(rig.node(2).call("POST", "/-/drain").unwrap().status(), 200);
+    let drains = |told: bool| {
+        rig.views().iter().flatten().all(|fleet| fleet.member("n2").is_some_and(|m| m.drains == told))
+    };
+    until("all know that it drains", || drains(true));
+    assert_eq!(rig.node(2).call("POST", "/-/resume").unwrap().status(), 200);
+    until("all know that it resumes", || drains(false));
+    rig.act(&Act::Leave(2));
+    away(&rig, "n2", "left");
+    assert_eq!(rig.said("n2 is suspect"), 0);
+    rig.settles("left", SOON);
+    for figure in ["gw_fleet_members{state=\"alive\"}", "gw_fleet_size"] {
+        until(figure, || rig.node(0).figure(figure) == Some(2.0));
+    }
+    assert_eq!(rig.node(0).figure("gw_fleet_members{state=\"left\"}"), Some(1.0));
+    assert!(rig.node(0).figure("gw_fleet_datagrams{kind=\"ping\",way=\"out\"}").unwrap() > 0.0);
+    let calls = |node: &Node| format!("--operator={}", node.operator.unwrap());
+    let table =
+        Command::new(program()).arg("fleet").args(rig.nodes.iter().flatten().map(calls)).output().unwrap();
+    let table = String::from_utf8(table.stdout).unwrap();
+    assert!(table.contains("views are equal; nodes that did not answer: 0"), "{table}");
+    assert!(table.contains("fleet rig, seen by n0: number 0 of 2") && table.contains("left"), "{table}");
+}
+
+/// Of two processes under one name the later does not start, and says why; what holds of the first is not shaken.
+#[test]
+fn a_second_process_under_a_name_does_not_start() {
+    let (mut rig, _servers) = rig(3, &[0], "");
+    rig.start_all(0..2);
+    rig.settles("joined", SOON);
+    let before = Fleet::of(rig.node(0)).unwrap();
+    // At an address of its own, under the first's name.
+    let path = std::env::temp_dir().join(format!("corkhollow-double-{}.toml", std::process::id()));
+    let text = rig
+        .file(2, "n1")
+        .replace("127.0.0.1:0\"\nadvertise", "127.0.0.1:0\"\n#")
+        .replace(&format!("# = \"{}\"", rig.address(2)), "");
+    std::fs::write(&path, text).unwrap();
+    let mut double = Command::new(program());
+    double.args(["run", "--config"]).arg(&path).stdout(Stdio::null());
+    let output = double.output().unwrap();
+    std::fs::remove_file(&path).unwrap();
+    let said = String::from_utf8(output.stderr).unwrap();
+    assert!(!output.status.success(), "{said}");
+    let words = format!("the name n1 is taken: the process at {} has it", rig.address(1));
+    assert!(said.contains(&words), "{said}");
+    assert_eq!(Fleet::of(rig.node(0)).unwrap().view, before.view);
+    rig.settles("unshaken", SOON);
+}
+
+/// Garbage, cut and replayed datagrams by the thousand, and another fleet's: counted by their reason, and requests go on.
+#[test]
+fn a_flood_of_garbage_harms_nobody() {
+    let key = Folder::new("fleet-key");
+    let path = key.0.join("key");
+    std::fs::write(&path, "ab".repeat(32)).unwrap();
+    let (mut rig, _servers) = rig(3, &[0], &format!("key_file = \"{}\"", path.display()));
+    rig.start_all(0..3);
+    rig.settles("joined", SOON);
+    let flood = UdpSocket::bind("127.0.0.1:0").unwrap();
+    let target = rig.address(0);
+    let mut draw = Draw::new(3);
+    let served = (0..40).filter(|_| {
+        for _ in 0..500 {
+            let bytes: Vec<u8> = (0..draw.number() % 600).map(|_| draw.number() as u8).collect();
+            let _ = flood.send_to(&bytes, target);
+        }
+        rig.node(0).get("/r", "").is_some_and(|m| m.status() == 200)
+    });
+    assert_eq!(served.count(), 40);
+    until("it is counted", || rig.node(0).figure("gw_fleet_refused{reason=\"garbled\"}") > Some(100.0));
+    rig.settles("unharmed", SOON);
+    assert_eq!(rig.said(" is dead"), 0);
+}
+
+/// What can be taken over while it runs is; a file that changes more is turned down whole.
+#[test]
+fn a_new_file_is_taken_whole_or_not_at_all() {
+    let (mut rig, _servers) = rig(2, &[0], "");
+    rig.start_all(0..2);
+    rig.settles("joined", SOON);
+    let file = rig.file(0, "n0");
+    let node = rig.node(0);
+    let renamed =
+        file.replace("node = \"n0\"", "node = \"n9\"").replace("deadline = \"8s\"", "deadline = \"9s\"");
+    for (k, (text, key)) in [
+        (renamed, "`fleet.node` changes"),
+        (file.replace("name = \"rig\"", "name = \"other\""), "`fleet.name` changes"),
+        (file.replace("127.0.0.1:0\"\nadvertise", "127.0.0.1:9\"\nadvertise"), "`fleet.listen` changes"),
+        (file.replace(TIMES, &format!("{TIMES}\nkey_file = \"none\"")), "not reloaded"),
+    ]
+    .into_iter()
+    .enumerate()
+    {
+        assert_ne!(text, file);
+        node.reload(&text);
+        until(key, || node.figure("gw_sighup_rejected") == Some(k as f64 + 1.0));
+        node.says(key, 1);
+    }
+    node.reload(&file.replace("probe_every = \"250ms\"", "probe_every = \"300ms\""));
+    node.says("reloaded: listeners", 1);
+    rig.settles("goes on", SOON);
+    assert_eq!(Fleet::of(rig.node(0)).unwrap().size, 2);
+}
+
+/// A process that comes to another's place takes over its name and its address: nobody holds it for gone, or for a double.
+#[test]
+fn a_successor_keeps_its_place() {
+    let servers = Servers::new(2, |_, _| ok("fine"));
+    let text = site(&servers.dials);
+    let mut rig = Rig::new(1, 1, &[0], TIMES, {
+        let text = text.clone();
+        move |_| text.clone()
+    });
+    rig.start(0);
+    let folder = Folder::new("fleet-successor");
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    let free = UdpSocket::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
+    let file = text.replace("127.0.0.1:0", &listener.local_addr().unwrap().to_string());
+    let file = format!(
+        "[fleet]\nname = \"rig\"\nnode = \"x\"\nlisten = \"{free}\"\nseeds = [\"{}\"]\n{TIMES}\n{file}",
+        rig.address(0)
+    );
+    let run = || Node::activated(&listener, &folder.0, "127.0.0.1:0", &file);
+    let mut first = run();
+    let other = |seen: fn(&Member) -> bool| {
+        let fleet = Fleet::of(rig.node(0));
+        fleet.is_some_and(|fleet| fleet.size == 2 && fleet.member("x").is_some_and(seen))
+    };
+    until("the first is there", || other(|m| m.state == "alive"));
+    let second = run();
+    second.says("counts as number 1 of 2", 1);
+    assert_eq!(second.call("GET", "/-/fleet").unwrap().status(), 404, "the place is the first's");
+    until("it takes clients", || second.call("GET", "/-/ready").is_some_and(|m| m.status() == 200));
+    first.signal("-TERM");
+    assert!(first.exit().success());
+    until("the second has its place", || other(|m| m.state == "alive" && m.incarnation > 1));
+    until("it says so", || Fleet::of(&second).is_some_and(|fleet| fleet.size == 2 && fleet.settled));
+    let said = rig.timeline();
+    assert!(!said.iter().any(|line| line.contains("x is left") || line.contains("x is dead")), "{said:#?}");
+}
--- a/crates/fleet/src/node/mod.rs
+++ b/crates/fleet/src/node/mod.rs
@@ -173,8 +173,8 @@
     join_by: Nanos,
     /// What is held of its name while it joins, if another process has or had it.
     namesake: Option<Claim>,
-    /// Somebody has told who is there.
-    welcomed: bool,
+    /// It has heard from a member.
+    met: bool,
     /// Claims that cannot be true of living members are checked with these, a bounded number at a time.
     checks: u32,
     /// Numbers of datagrams that are answered.
@@ -224,7 +224,7 @@
             next_join: now,
             join_by: now + 2 * every,
             namesake: None,
-            welcomed: false,
+            met: false,
             checks: 0,
             seq,
             stats: Stats::default(),
@@ -326,7 +326,7 @@
         let names = self.table.present().map(|held| held.claim.record.name.as_str());
         let ordinal = names.filter(|name| *name < self.me.name.as_str()).count();
         let mut size = self.table.count_present() + 1;
-        if !self.welcomed {
+        if !self.met {
             size = size.max(self.other_seeds().count() + 1);
         }
         Group { ordinal: ordinal as u32, size: size as u32 }
@@ -347,7 +347,7 @@
         let every = self.config.timing.probe_every;
         let of_late = now.saturating_sub(8 * every);
         let mut heard = self.table.present().filter(|held| held.heard > of_late);
-        let alone = !self.welcomed && self.other_seeds().next().is_some();
+        let alone = !self.met && self.other_seeds().next().is_some();
         self.standing == Standing::Member
             && !alone
             && now >= self.changed + 2 * every
--- a/crates/fleet/src/node/receive.rs
+++ b/crates/fleet/src/node/receive.rs
@@ -116,6 +116,7 @@
         if let Some(held) = self.table.get_mut(&from.name) {
             (held.heard, held.view) = (now, Some(view));
         }
+        self.met = true;
         Ok(true)
     }
 
@@ -173,7 +174,6 @@
 
     /// Somebody has told who is there.
     fn welcomed(&mut self, now: Nanos) {
-        self.welcomed = true;
         if self.standing != Standing::Joining {
             return;
         }
--- a/crates/operate/src/figures.rs
+++ b/crates/operate/src/figures.rs
@@ -4,8 +4,8 @@
 use corkhollow_balance::interface::Ending;
 use prometheus::core::Collector;
 use prometheus::{
-    Encoder, Gauge, GaugeVec, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, Opts,
-    Registry, TextEncoder,
+    Encoder, Gauge, GaugeVec, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, IntGaugeVec,
+    Opts, Registry, TextEncoder,
 };
 
 /// The label that tells the class of requests.
@@ -82,6 +82,21 @@
     }
 }
 
+/// The node's view of its fleet.
+#[derive(Clone, Debug)]
+pub struct FleetFigures {
+    pub(crate) members: IntGaugeVec,
+    pub(crate) changes: IntCounter,
+    pub(crate) refuted: IntCounter,
+    pub(crate) datagrams: IntCounterVec,
+    pub(crate) bytes: IntCounterVec,
+    pub(crate) refused: IntCounterVec,
+    pub(crate) late: Gauge,
+    pub(crate) latest: Gauge,
+    pub(crate) settled: IntGauge,
+    pub(crate) size: IntGauge,
+}
+
 /// Something that is held against a limit.
 #[derive(Clone, Debug)]
 pub struct Held {
@@ -163,6 +178,32 @@
         }
     }
 
+    /// Where the node's view of its fleet is shown; from here on it is.
+    ///
+    /// # Errors
+    /// Where this was asked for before.
+    pub fn fleet(&self) -> Result<FleetFigures, prometheus::Error> {
+        let counters = |name: &str, help: &str, labels: &[&str]| {
+            listed(&self.registry, IntCounterVec::new(Opts::new(name, help), labels)?)
+        };
+        let counter = |name: &str, help: &str| listed(&self.registry, IntCounter::new(name, help)?);
+        let gauge = |name: &str, help: &str| listed(&self.registry, IntGauge::new(name, help)?);
+        let seconds = |name: &str, help: &str| listed(&self.registry, Gauge::new(name, help)?);
+        let members = Opts::new("fleet_members", "Members of the fleet, by what this node holds them for.");
+        Ok(FleetFigures {
+            members: listed(&self.registry, IntGaugeVec::new(members, &["state"])?)?,
+            changes: counter("fleet_changes", "Changes of a member's state, as this node saw them.")?,
+            refuted: counter("fleet_refuted", "Accusations of this node that it has refuted.")?,
+            datagrams: counters("fleet_datagrams", "Datagrams between nodes.", &["kind", "way"])?,
+            bytes: counters("fleet_bytes", "Bytes of datagrams between nodes.", &["kind", "way"])?,
+            refused: counters("fleet_refused", "Datagrams turned down, by reason.", &["reason"])?,
+            late: seconds("fleet_late_seconds", "How late the node last was to its own timers.")?,
+            latest: seconds("fleet_latest_seconds", "How late it was at the worst.")?,
+            settled: gauge("fleet_settled", "1 while the view stands still and others have the same.")?,
+            size: gauge("fleet_size", "Members that are there, itself included: what sums are divided by.")?,
+        })
+    }
+
     /// The page, and its content type.
     ///
     /// # Errors
--- a/crates/operate/src/handover.rs
+++ b/crates/operate/src/handover.rs
@@ -16,10 +16,26 @@
     /// Its operator empties the node.
     #[serde(default)]
     pub drains: bool,
+    /// The fleet as it holds it, if it is a member of one.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub fleet: Option<FleetHandover>,
     /// By pool.
     pub pools: Vec<PoolHandover>,
 }
 
+/// What a member of a fleet goes on with: until it is heard of itself, nothing else says how many there are.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct FleetHandover {
+    /// Its number among those that are there.
+    pub ordinal: u32,
+    /// How many are there.
+    pub size: u32,
+    /// Its incarnation.
+    pub incarnation: u64,
+    /// Where others are reached.
+    pub members: Vec<std::net::SocketAddr>,
+}
+
 /// What one pool has learnt.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct PoolHandover {
@@ -113,6 +129,7 @@
         let classes = vec![ClassKnown { typical: 1.5e6, answers: 12.0, least: 0.5e6 }];
         let knowledge = Knowledge { at: 5, classes, servers: (0..servers).map(server).collect() };
         Handover {
+            fleet: None,
             drains: servers % 2 == 1,
             pools: vec![PoolHandover {
                 name: "pool \"ä\"".into(),
--- a/crates/operate/src/lib.rs
+++ b/crates/operate/src/lib.rs
@@ -2,15 +2,17 @@
 //! holds sockets asks them.
 
 mod figures;
+mod fleet_page;
 mod handover;
 mod lifecycle;
 mod succession;
 mod tally;
 
-pub use figures::{Figures, Held, PoolFigures};
+pub use figures::{Figures, FleetFigures, Held, PoolFigures};
+pub use fleet_page::{FleetMember, FleetPage};
 pub use prometheus::{Error as FiguresError, IntCounter};
 
-pub use handover::{Handover, HandoverError, PoolHandover, LONGEST as LONGEST_HANDOVER};
+pub use handover::{FleetHandover, Handover, HandoverError, PoolHandover, LONGEST as LONGEST_HANDOVER};
 pub use lifecycle::{Control, Lifecycle, Stage};
 pub use succession::Succession;
 pub use tally::{ClassFigures, Reason, Tally};
--- a/crates/plan/src/file/compile.rs
+++ b/crates/plan/src/file/compile.rs
@@ -3,7 +3,7 @@
 use super::model::{self, File};
 use super::reader::{Reader, Severity};
 use crate::plan::{
-    Check, Dialect, Discovery, Limits, Listener, Plan, Pool, RequestClass, Server, Source, Tenants,
+    Check, Dialect, Discovery, Fleet, Limits, Listener, Plan, Pool, RequestClass, Server, Source, Tenants,
 };
 use crate::routes::rewrite::PathRewrite;
 use crate::routes::{
@@ -23,6 +23,7 @@
         reader.error("pool", "more than 126 zones");
     }
     let zone = zones.iter().position(|z| Some(z) == file.node.zone.as_ref()).unwrap_or(0) as u8;
+    let fleet = fleet(file, folder, reader);
     let listeners = listeners(file, reader);
     let classes = classes(file, reader);
     let tenants = tenants(file, reader)?;
@@ -44,6 +45,7 @@
         zones,
         drain_timeout,
         operator,
+        fleet,
         limits,
         listeners,
         classes,
@@ -89,6 +91,51 @@
     }
 }
 
+/// Names go along in every datagram.
+const LONGEST_FLEET_NAME: usize = 32;
+
+fn fleet(file: &File, folder: &Path, reader: &mut Reader<'_>) -> Option<Fleet> {
+    let told = file.fleet.as_ref()?;
+    let [every, timeout, suspect] = [told.probe_every.0, told.probe_timeout.0, told.suspect_for.0];
+    if told.node.len() > LONGEST_FLEET_NAME {
+        reader.error("fleet.node", "a node's name in a fleet has at most 32 characters");
+    }
+    if file.node.zone.as_ref().is_some_and(|zone| zone.len() > LONGEST_FLEET_NAME) {
+        reader.error("node.zone", "in a fleet the name of a node's zone has at most 32 characters");
+    }
+    if told.advertise.is_none() && told.listen.ip().is_unspecified() {
+        reader.error("fleet.listen", "others cannot reach this address; `advertise` says where they do");
+    }
+    let reachable = |address: &std::net::SocketAddr| address.port() != 0 && !address.ip().is_unspecified();
+    if told.advertise.is_some_and(|address| !reachable(&address)) {
+        reader.error("fleet.advertise", "others cannot reach this address");
+    }
+    for (k, _) in told.seeds.iter().enumerate().filter(|(_, seed)| !reachable(seed)) {
+        reader.error(&format!("fleet.seeds[{k}]"), "nobody can be reached at this address");
+    }
+    if !(50_000_000..=60_000_000_000).contains(&every) {
+        reader.error("fleet.probe_every", "out of range: 50ms to 1m");
+    }
+    if timeout >= every {
+        reader.error("fleet.probe_timeout", "must be shorter than `probe_every`");
+    }
+    if suspect < 2 * every {
+        reader.error("fleet.suspect_for", "must be at least twice `probe_every`");
+    }
+    Some(Fleet {
+        name: told.name.clone(),
+        node: told.node.clone(),
+        listen: told.listen,
+        advertise: told.advertise,
+        seeds: told.seeds.clone(),
+        key_file: told.key_file.as_ref().map(|path| folder.join(path)),
+        probe_every: every,
+        probe_timeout: timeout,
+        suspect_for: suspect,
+        datagram: told.datagram_bytes,
+    })
+}
+
 /// All zones that are named; the first is the program's own.
 fn zones(file: &File) -> Vec<String> {
     let mut zones = vec![file.node.zone.clone().unwrap_or_default()];
--- a/crates/plan/src/file/model.rs
+++ b/crates/plan/src/file/model.rs
@@ -11,6 +11,8 @@
 pub struct File {
     pub node: Node,
     pub operator: Operator,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub fleet: Option<Fleet>,
     pub limits: Limits,
     pub listener: Vec<Listener>,
     pub class: Vec<Class>,
@@ -27,6 +29,44 @@
     pub listen: Option<SocketAddr>,
 }
 
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Fleet {
+    pub name: String,
+    pub node: String,
+    pub listen: SocketAddr,
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub advertise: Option<SocketAddr>,
+    #[serde(default)]
+    pub seeds: Vec<SocketAddr>,
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub key_file: Option<String>,
+    #[serde(default = "probe_every")]
+    pub probe_every: Duration,
+    #[serde(default = "probe_timeout")]
+    pub probe_timeout: Duration,
+    #[serde(default = "suspect_for")]
+    pub suspect_for: Duration,
+    #[serde(default = "datagram_bytes")]
+    pub datagram_bytes: usize,
+}
+
+fn probe_every() -> Duration {
+    Duration::ms(500)
+}
+
+fn probe_timeout() -> Duration {
+    Duration::ms(200)
+}
+
+fn suspect_for() -> Duration {
+    Duration::ms(2_500)
+}
+
+fn datagram_bytes() -> usize {
+    1_200
+}
+
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields, default)]
 pub struct Node {
--- a/crates/plan/src/file/schema.rs
+++ b/crates/plan/src/file/schema.rs
@@ -139,6 +139,30 @@
         "Where operators ask for readiness and figures, drain and resume. Needs a restart to change.";
 }
 
+table! { FLEET, "The fleet that the node is a member of: nodes that keep a view of each other by datagrams (UDP), so that what is \
+    meant for all of them together is divided by those that are there. Without this table nothing is opened.",
+    name: Text(&NAME), Required, "The fleet's name, the same at all of its nodes. Needs a restart to change.";
+    node: Text(&NAME), Required,
+        "The node's own name, unique in the fleet, at most 32 characters. Needs a restart to change.";
+    listen: Text(&ADDRESS), Required,
+        "Where datagrams come in; port 0 takes a free one. Needs a restart to change.";
+    advertise: Text(&ADDRESS), Means("`listen`"),
+        "Where other nodes reach it. Needs a restart to change.";
+    seeds: List(&Text(&ADDRESS)), Value("[]"),
+        "Where some members are reached, its own address may be among them. Without any it waits for others to come.";
+    key_file: Text(&ANY), Means("no key"),
+        "A file of 64 hex digits, relative to this file, the same at all nodes: datagrams carry a keyed hash, and others are \
+         turned down. Without it whoever reaches the port may say what he likes.";
+    probe_every: Text(&DURATION), Value("\"500ms\""),
+        "How often it probes one of the others, 50ms to 1m.";
+    probe_timeout: Text(&DURATION), Value("\"200ms\""),
+        "A probe that is not answered after this goes by others too; shorter than `probe_every`.";
+    suspect_for: Text(&DURATION), Value("\"2500ms\""),
+        "How long a suspect has to object where several accuse it; twice as long where one does. At least twice \
+         `probe_every`: a node that stands still for less is not given up.";
+    datagram_bytes: Whole(256, 1400), Value("1200"), "The largest datagram that it sends.";
+}
+
 table! { LIMITS, "What the program may hold in all.",
     descriptors: Whole(48, 1_000_000), Value("1024"),
         "File descriptors, for clients and servers together.";
@@ -319,6 +343,12 @@
             absent: Means("no calls"),
             doc: "The operator's address.",
         },
+        Field {
+            name: "fleet",
+            kind: Kind::Table(&FLEET),
+            absent: Means("no fleet"),
+            doc: "The fleet that it is a member of.",
+        },
         Field {
             name: "limits",
             kind: Kind::Table(&LIMITS),
--- a/crates/plan/src/plan.rs
+++ b/crates/plan/src/plan.rs
@@ -19,6 +19,8 @@
     pub drain_timeout: Nanos,
     /// Where operators call, if they may.
     pub operator: Option<SocketAddr>,
+    /// The fleet that it is a member of.
+    pub fleet: Option<Fleet>,
     /// What it may hold.
     pub limits: Limits,
     /// Where clients connect.
@@ -35,6 +37,64 @@
     pub seed: Option<u64>,
 }
 
+/// The fleet that a node is a member of.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Fleet {
+    /// Its name.
+    pub name: String,
+    /// The node's own.
+    pub node: String,
+    /// Where datagrams come in.
+    pub listen: SocketAddr,
+    /// Where others reach it, if not there.
+    pub advertise: Option<SocketAddr>,
+    /// Where some members are reached.
+    pub seeds: Vec<SocketAddr>,
+    /// Where its key stands, if it has one.
+    pub key_file: Option<PathBuf>,
+    /// From one probe to the next.
+    pub probe_every: Nanos,
+    /// A probe goes by others after this.
+    pub probe_timeout: Nanos,
+    /// How long a suspect has to object.
+    pub suspect_for: Nanos,
+    /// The largest datagram, in bytes.
+    pub datagram: usize,
+}
+
+impl Fleet {
+    /// The first key that cannot change while the program runs, if it differs.
+    pub fn fixed(&self, other: &Fleet) -> Option<&'static str> {
+        let differs = [
+            ("name", self.name != other.name),
+            ("node", self.node != other.node),
+            ("listen", self.listen != other.listen),
+            ("advertise", self.advertise != other.advertise),
+        ];
+        differs.into_iter().find(|(_, differs)| *differs).map(|(key, _)| key)
+    }
+
+    /// Reads a key: 64 hex digits, with blanks around them or not.
+    ///
+    /// # Errors
+    /// Says what is wrong with the text, without showing any of it.
+    pub fn key(text: &str) -> Result<[u8; 32], String> {
+        let text = text.trim();
+        if text.len() != 64 || !text.is_ascii() {
+            return Err(format!("a key has 64 hex digits; here are {} characters", text.chars().count()));
+        }
+        let mut key = [0; 32];
+        for (at, byte) in key.iter_mut().enumerate() {
+            let digits = &text[2 * at..2 * at + 2];
+            let sound = digits.bytes().all(|digit| digit.is_ascii_hexdigit());
+            let value = u8::from_str_radix(digits, 16).ok().filter(|_| sound);
+            *byte = value
+                .ok_or_else(|| format!("characters {} and {} are no hex digits", 2 * at + 1, 2 * at + 2))?;
+        }
+        Ok(key)
+    }
+}
+
 /// How a listener or a pool reads and words HTTP.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Dialect {
@@ -220,6 +280,13 @@
 }
 
 impl Plan {
+    /// Every pool counts the node as one of so many, from here on.
+    pub fn group(&mut self, ordinal: u32, size: u32) {
+        for pool in &mut self.pools {
+            (pool.settings.ordinal, pool.settings.group_size) = (ordinal, size.max(ordinal + 1));
+        }
+    }
+
     /// The class of a request: that of its route, or the one for its method. The last class stands for all methods
     /// that no class names.
     pub fn class_of(&self, route: Option<usize>, method: &Method) -> usize {
--- a/crates/plan/src/platform.rs
+++ b/crates/plan/src/platform.rs
@@ -267,6 +267,8 @@
             zones: self.zones.clone(),
             drain_timeout: DRAIN,
             operator: self.operator,
+            // The platform's settings know no fleet of ours.
+            fleet: None,
             limits: Holding {
                 descriptors: self.limits.sockets,
                 memory: self.limits.memory_mb << 20,
--- a/crates/plan/tests/file.rs
+++ b/crates/plan/tests/file.rs
@@ -247,6 +247,7 @@
         | "/route/rewrite/request"
         | "/route/rewrite/response" => "",
         "/route/rewrite" => "",
+        "/fleet" => "name = \"x\"\nnode = \"n\"\nlisten = \"127.0.0.1:1\"\n",
         "/listener" => "name = \"x\"\naddress = \"127.0.0.1:1\"\n",
         "/class" => "name = \"x\"\neffect = \"safe\"\n",
         "/tenants/tenant" => "name = \"x\"\nrate = 1.0\n",
@@ -273,6 +274,7 @@
             "/node" => printed::<model::Node>(text),
             "/operator" => printed::<model::Operator>(text),
             "/limits" => printed::<model::Limits>(text),
+            "/fleet" => printed::<model::Fleet>(text),
             "/listener" => printed::<model::Listener>(text),
             "/class" => printed::<model::Class>(text),
             "/tenants" => printed::<model::Tenants>(text),
@@ -445,6 +447,10 @@
         File {
             node: model::Node { zone, zones, drain_timeout },
             operator: model::Operator { listen: operator.then(|| "127.0.0.1:9100".parse().unwrap()) },
+            fleet: operator.then(|| model::Fleet {
+                seeds: vec!["127.0.0.1:7001".parse().unwrap()],
+                ..toml::from_str("name = \"f\"\nnode = \"n\"\nlisten = \"127.0.0.1:7000\"").unwrap()
+            }),
             limits: model::Limits { memory: Size(memory), ..Default::default() },
             listener: listener.collect(),
             class: vec![class],
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -2,6 +2,7 @@
 //! No decision is made here.
 
 mod body;
+pub mod fleet;
 mod headers;
 pub mod http1;
 pub mod operator;
--- a/crates/proxy/src/operator.rs
+++ b/crates/proxy/src/operator.rs
@@ -1,10 +1,12 @@
 //! The operator's address (HTTP/1.1, one call to a connection): ready, figures, drain, resume. It has a thread and a
 //! runtime of its own, so that no load keeps an answer back.
 
+use crate::fleet::{Fleet, Place};
 use crate::socket::{Socket, SocketIo};
 use bytes::Bytes;
 use corkhollow_engine::{log, Clock};
-use corkhollow_operate::{Control, Figures};
+use corkhollow_fleet::Standing;
+use corkhollow_operate::{Control, Figures, FleetPage};
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
 use hyper::header::{self, HeaderMap, HeaderValue};
@@ -35,7 +37,7 @@
 const BODY_WITHIN: Duration = Duration::from_secs(2);
 
 /// What calls are answered from.
-#[derive(Clone, Debug)]
+#[derive(Clone)]
 pub struct Operator {
     /// The node's life.
     pub control: Control,
@@ -45,6 +47,8 @@
     pub clock: Clock,
     /// Tells the serving side that the life has changed.
     pub changed: Arc<Notify>,
+    /// The node's place in its fleet, if it has one.
+    pub fleet: Place,
 }
 
 impl Operator {
@@ -80,7 +84,7 @@
 
     fn answer(&self, method: &Method, path: &str) -> Response<Full<Bytes>> {
         let allowed = match path {
-            "/-/ready" | "/-/metrics" => Method::GET,
+            "/-/ready" | "/-/metrics" | "/-/fleet" => Method::GET,
             "/-/drain" | "/-/resume" => Method::POST,
             _ => return text(StatusCode::NOT_FOUND, "no such call\n"),
         };
@@ -101,6 +105,10 @@
                 }
                 Err(_) => text(StatusCode::INTERNAL_SERVER_ERROR, "the figures cannot be written\n"),
             },
+            "/-/fleet" => match self.fleet.get() {
+                Some(fleet) => json(page(fleet)),
+                None => text(StatusCode::NOT_FOUND, "no member of a fleet\n"),
+            },
             "/-/drain" => {
                 self.control.lock().drain(self.clock.now());
                 self.changed.notify_one();
@@ -120,6 +128,22 @@
     }
 }
 
+/// What the node holds of its fleet, in JSON.
+fn page(fleet: &Fleet) -> String {
+    let view = fleet.view();
+    let refused_by = match view.standing {
+        Standing::Refused { by } => Some(by),
+        _ => None,
+    };
+    FleetPage::new(&view.snapshot, refused_by, view.at.elapsed().as_nanos() as u64).json()
+}
+
+fn json(page: String) -> Response<Full<Bytes>> {
+    let mut response = Response::new(Full::new(Bytes::from(page)));
+    response.headers_mut().insert(header::CONTENT_TYPE, HeaderValue::from_static("application/json"));
+    response
+}
+
 async fn call(operator: Operator, stream: TcpStream) {
     let (operator, socket) = (&operator, &Socket::new(stream));
     let answering = service_fn(|request: Request<Incoming>| async move {
--- a/crates/proxy/src/site.rs
+++ b/crates/proxy/src/site.rs
@@ -1,7 +1,7 @@
 //! What a plan becomes at work, and how one plan takes over from another.
 
 use crate::upstream::{Pool, Shared};
-use corkhollow_balance::interface::{Heirs, SettingsError};
+use corkhollow_balance::interface::{Heirs, Settings, SettingsError};
 use corkhollow_operate::{ClassFigures, Handover, PoolHandover};
 use corkhollow_plan::plan::Plan;
 use std::cell::RefCell;
@@ -94,7 +94,7 @@
             classes: self.plan.classes.iter().map(|class| class.name.clone()).collect(),
             knowledge: pool.engine.knowledge(&self.places[at]),
         };
-        Handover { drains, pools: self.pools.iter().enumerate().map(pool).collect() }
+        Handover { drains, fleet: None, pools: self.pools.iter().enumerate().map(pool).collect() }
     }
 
     /// Takes over what another process's pools have learnt, by their names; how many servers are known now.
@@ -111,6 +111,25 @@
         known
     }
 
+    /// The node counts as one of so many in all pools from here on; what they have learnt stays.
+    ///
+    /// # Errors
+    /// Where a pool turns the settings down; those before it go by them.
+    pub fn regroup(&self, ordinal: u32, size: u32) -> Result<(), PoolError> {
+        let tenants: Vec<_> = (0..self.plan.tenants.shares.len()).map(Some).collect();
+        for (at, pool) in self.pools.iter().enumerate() {
+            let classes: Vec<_> = self.places[at].iter().copied().map(Some).collect();
+            let (ordinal, group_size) = (ordinal, size.max(ordinal + 1));
+            let settings = Settings { ordinal, group_size, ..self.plan.pools[at].settings.clone() };
+            let heirs = Heirs { classes: &classes, tenants: &tenants };
+            let name = || self.plan.pools[at].name.clone();
+            let places =
+                pool.engine.retune(settings, &heirs).map_err(|error| PoolError { pool: name(), error })?;
+            debug_assert_eq!(places, self.places[at], "the same classes have the same places");
+        }
+        Ok(())
+    }
+
     /// Whether all pools have been told who their servers are.
     pub fn ready(&self) -> bool {
         self.pools.iter().all(|p| p.ready.get())
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -6,6 +6,7 @@
 mod link;
 mod message;
 mod program;
+mod rig;
 mod servers;
 
 pub use clients::{get, half_close, post};
@@ -14,6 +15,7 @@
 pub use link::{End, Link, State, Way, Ways};
 pub use message::{read, response, Message};
 pub use program::{config, program, Node, Options};
+pub use rig::{Fleet, Member, Rig};
 pub use servers::{nobody, ok, raw, reset, Reply, Servers};
 
 use std::thread;
--- a/crates/standin/src/program.rs
+++ b/crates/standin/src/program.rs
@@ -189,6 +189,11 @@
 
     /// The program on an operator's file, listening on as many listeners as the file has.
     pub fn site(text: &str) -> Self {
+        Self::site_heard(text, |_| ())
+    }
+
+    /// The same; each line that it logs is told at once, from the first on.
+    pub fn site_heard(text: &str, mut heard: impl FnMut(&str) + Send + 'static) -> Self {
         let config = path("toml");
         std::fs::write(&config, text).unwrap();
         let mut command = Command::new(program());
@@ -200,6 +205,7 @@
         let mut said = Vec::new();
         while listeners.len() < text.matches("[[listener]]").count() {
             let Some(Ok(line)) = lines.next() else { panic!("it does not listen: {said:?}") };
+            heard(&line);
             if let Some((name, address)) = line.split_once(" listening on ") {
                 let name = name.rsplit(' ').next().unwrap_or_default().to_owned();
                 listeners.insert(name, address.parse().unwrap());
@@ -209,7 +215,12 @@
         }
         let log = Arc::new(Mutex::new(said));
         let lines_of = log.clone();
-        thread::spawn(move || lines.map_while(Result::ok).for_each(|l| lines_of.lock().unwrap().push(l)));
+        thread::spawn(move || {
+            lines.map_while(Result::ok).for_each(|line| {
+                heard(&line);
+                lines_of.lock().unwrap().push(line);
+            });
+        });
         let address = *listeners.values().next().unwrap();
         Node { child, config, listeners, address, operator, log }
     }
