--- a/crates/corkhollow/src/commands/membership.rs
+++ b/crates/corkhollow/src/commands/membership.rs
@@ -1,7 +1,7 @@
 //! The running program's place in its fleet: joining, following the view, and handing the place on.
 
 use super::run::StartError;
-use corkhollow_engine::log;
+use corkhollow_engine::{log, Pace};
 use corkhollow_fleet::{Additions, Config, Group, Timing};
 use corkhollow_operate::{Figures, FleetHandover};
 use corkhollow_plan::plan::{self, Plan};
@@ -102,6 +102,7 @@
 
     /// Lets the pools count by the view as it changes, for good.
     pub async fn follow(self, current: Rc<Current>) {
+        let mut pace = Pace::new(100, 1.0);
         let mut fleet = loop {
             match self.place.get() {
                 Some(fleet) => break fleet.clone(),
@@ -111,7 +112,7 @@
         loop {
             let group = fleet.view().snapshot.group;
             if self.group.get() != Some(group) {
-                self.regroup(&current, group);
+                self.regroup(&current, group, &mut pace);
             }
             if !fleet.changed().await {
                 return;
@@ -120,11 +121,11 @@
     }
 
     /// Lets the pools count so.
-    pub fn regroup(&self, current: &Current, group: Group) {
+    pub fn regroup(&self, current: &Current, group: Group, pace: &mut Pace) {
         self.group.set(Some(group));
         match current.get().regroup(group.ordinal, group.size) {
-            Ok(()) => log(format_args!("fleet: counts as number {} of {}", group.ordinal, group.size)),
-            Err(why) => log(format_args!("fleet: {why}")),
+            Ok(()) => pace.log(format_args!("fleet: counts as number {} of {}", group.ordinal, group.size)),
+            Err(why) => pace.log(format_args!("fleet: {why}")),
         }
     }
 
--- a/crates/corkhollow/src/commands/run.rs
+++ b/crates/corkhollow/src/commands/run.rs
@@ -4,7 +4,7 @@
 use super::{load, Failure};
 use crate::cli::RunArgs;
 use crate::succession::{self, Neighbours};
-use corkhollow_engine::{log, Clock};
+use corkhollow_engine::{log, Clock, Pace};
 use corkhollow_fleet::Group;
 use corkhollow_operate::{Control, Figures, FiguresError, FleetHandover, Handover};
 use corkhollow_plan::limits::Budget;
@@ -265,7 +265,7 @@
             from = learn(neighbours, &site, clock, &control) => {
                 if let Some(from) = &from {
                     let group = Group { ordinal: from.ordinal, size: from.size };
-                    member.regroup(&current, group);
+                    member.regroup(&current, group, &mut Pace::new(1, 0.0));
                 }
                 if succeeds {
                     let (plan, figures) = (Rc::new(site.plan.clone()), figures.clone());
--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -14,7 +14,7 @@
 pub use body::Pieces;
 pub use clock::Clock;
 pub use engine::{Carrier, Engine, Running, Ticket};
-pub use log::log;
+pub use log::{log, Pace};
 pub use message::{
     Answer, AttemptId, Broken, ClientBody, Interims, Message, Payload, Piece, Progress, Upload,
 };
--- a/crates/fleet/src/node/mod.rs
+++ b/crates/fleet/src/node/mod.rs
@@ -342,17 +342,19 @@
         self.table.view()
     }
 
-    /// Whether nobody is suspected, nothing has changed for two probes, and all that were heard of late have the same view.
+    /// Whether nobody is suspected, nothing has changed for two probes, and all that were heard of late and since then have
+    /// the same view: two of them at least, where there are as many.
     pub fn settled(&self, now: Nanos) -> bool {
         let every = self.config.timing.probe_every;
-        let of_late = now.saturating_sub(8 * every);
-        let mut heard = self.table.present().filter(|held| held.heard > of_late);
+        let since = now.saturating_sub(8 * every).max(self.changed + every / 2);
+        let heard = || self.table.present().filter(|held| held.heard > since);
         let alone = !self.met && self.other_seeds().next().is_some();
         self.standing == Standing::Member
             && !alone
             && now >= self.changed + 2 * every
             && self.table.suspects().is_empty()
-            && heard.all(|held| held.view == Some(self.table.view()))
+            && heard().count() >= self.table.count_present().min(2)
+            && heard().all(|held| held.view == Some(self.table.view()))
     }
 
     fn other_seeds(&self) -> impl Iterator<Item = SocketAddr> + '_ {
--- a/crates/proxy/src/fleet.rs
+++ b/crates/proxy/src/fleet.rs
@@ -1,7 +1,7 @@
 //! The node's place in its fleet: the socket, the clock and the thread around [`corkhollow_fleet::Node`]. Neither the load of
 //! requests nor a flood of datagrams holds the other up.
 
-use corkhollow_engine::log;
+use corkhollow_engine::{log, Pace};
 use corkhollow_fleet::{
     Cause, Config, Event, Nanos, Node, Outbox, Snapshot, Standing, Stats, LARGEST_DATAGRAM,
 };
@@ -17,6 +17,9 @@
 const SHOW_WITHIN: Duration = Duration::from_millis(20);
 const SHOW_EVERY: Duration = Duration::from_millis(250);
 
+/// Lines on changes at once, as many as a fleet of some hundreds makes when it meets, and then a second.
+const LINES: (u32, f64) = (1_000, 5.0);
+
 /// The view as it was at some moment.
 #[derive(Clone, Debug)]
 pub struct View {
@@ -87,7 +90,8 @@
         let node = Node::new(config, 0, seed);
         let (shown, view) = watch::channel(show(&node, 0));
         let (commands, told) = mpsc::unbounded_channel();
-        let member = Member { node, start, shown, shown_at: start, figures };
+        let member =
+            Member { node, start, shown, shown_at: start, figures, pace: Pace::new(LINES.0, LINES.1) };
         let serve = move || runtime.block_on(member.run(socket, told));
         std::thread::Builder::new().name("fleet".to_owned()).spawn(serve)?;
         Ok(Fleet { view, commands })
@@ -159,6 +163,7 @@
     shown: watch::Sender<View>,
     shown_at: Instant,
     figures: Option<FleetFigures>,
+    pace: Pace,
 }
 
 impl Member {
@@ -224,7 +229,7 @@
             // One that the system does not take is lost, as others are on their way.
             let _ = socket.try_send_to(&bytes, to);
         }
-        events.iter().for_each(tell);
+        events.iter().for_each(|event| tell(event, &mut self.pace));
         if !events.is_empty() {
             self.show(true);
         }
@@ -251,25 +256,27 @@
 }
 
 /// One line a change, with its cause.
-fn tell(event: &Event) {
+fn tell(event: &Event, pace: &mut Pace) {
     match event {
         Event::Changed { name, state, incarnation, cause } => {
             let state = state.name();
-            log(format_args!("fleet: {name} is {state} (incarnation {incarnation}): {}", Words(cause)));
+            pace.log(format_args!("fleet: {name} is {state} (incarnation {incarnation}): {}", Words(cause)));
         }
         Event::Refuted { by, state, incarnation } => {
             let state = state.name();
-            log(format_args!(
+            pace.log(format_args!(
                 "fleet: {by} held this node for {state}; it objects (incarnation {incarnation})"
             ));
         }
         Event::Stalled(late) => {
             let ms = late / 1_000_000;
-            log(format_args!("fleet: this process stood still for {ms} ms; what it waited for is put off"));
+            pace.log(format_args!(
+                "fleet: this process stood still for {ms} ms; what it waited for is put off"
+            ));
         }
-        Event::Joined(others) => log(format_args!("fleet: member beside {others} others")),
+        Event::Joined(others) => pace.log(format_args!("fleet: member beside {others} others")),
         Event::Refused(by) => {
-            log(format_args!(
+            pace.log(format_args!(
                 "fleet: the process at {by} has this node's name and has been there for longer"
             ));
         }
--- a/crates/standin/src/rig.rs
+++ b/crates/standin/src/rig.rs
@@ -229,11 +229,23 @@
         self.nodes.iter().flatten().map(Fleet::of).collect()
     }
 
+    /// Waits until all that run hold the same view, which is right; how long that took.
+    ///
+    /// # Panics
+    /// With the timeline, where it takes longer than `within`.
+    pub fn agrees(&self, what: &str, within: Duration) -> Duration {
+        self.waits(what, within, |_| true)
+    }
+
     /// Waits until all that run hold the same view, which is right, and say so; how long that took.
     ///
     /// # Panics
     /// With the timeline, where it takes longer than `within`.
     pub fn settles(&self, what: &str, within: Duration) -> Duration {
+        self.waits(what, within, |fleet| fleet.settled)
+    }
+
+    fn waits(&self, what: &str, within: Duration, holds: impl Fn(&Fleet) -> bool) -> Duration {
         let start = Instant::now();
         let running = self.nodes.iter().flatten().count();
         loop {
@@ -242,7 +254,7 @@
             let right = |fleet: &Option<Fleet>| {
                 fleet
                     .as_ref()
-                    .is_some_and(|f| f.settled && f.size == running && Some(&f.view) == first.as_ref())
+                    .is_some_and(|f| holds(f) && f.size == running && Some(&f.view) == first.as_ref())
             };
             if views.iter().all(right) {
                 return start.elapsed();
