--- a/crates/bench/benches/fleet.rs
+++ b/crates/bench/benches/fleet.rs
@@ -1,9 +1,13 @@
 //! Processes that keep a view of each other, as many as `--processes 5,20,60` says: how long their views take to be equal and right
 //! after all start, one is killed, and half is cut off from half for 15 s; what they send, and the processor time that they take.
-//! With the file's own defaults.
+//! With the file's own defaults. Then eight processes over ten servers, with a fleet and without: what a server that comes into the
+//! list cold gets from all of them.
 
 use corkhollow_faults::Act;
 use corkhollow_standin::*;
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, Ordering::SeqCst};
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 const WITHIN: Duration = Duration::from_secs(60);
@@ -36,6 +40,79 @@
     format!("{agreed:.2}, {:.2}", agreed + rig.settles(what, WITHIN).as_secs_f64())
 }
 
+/// Processes and servers of the second part, and clients at each process.
+const NODES: usize = 8;
+const SERVERS: usize = 10;
+const CLIENTS: usize = 2;
+
+/// Requests that a cold server gets in each half second after it has come, from all processes, and those that each of the
+/// others got in all that time, the least first.
+fn cold(in_a_fleet: bool) -> (Vec<usize>, Vec<usize>) {
+    let work = |_: usize, _: &Message| {
+        std::thread::sleep(Duration::from_millis(4));
+        ok("fine")
+    };
+    let warm: Vec<_> = (0..SERVERS).map(|_| Servers::new(1, work)).collect();
+    let cold = Servers::new(1, work);
+    let dials: Vec<_> = warm.iter().map(|server| server.dials[0]).collect();
+    let folder = Folder::new(if in_a_fleet { "cold-fleet" } else { "cold-alone" });
+    let list = folder.0.join("servers.toml");
+    let write = |dials: &[SocketAddr]| {
+        let servers: String = dials.iter().map(|d| format!("[[servers]]\naddress = \"{d}\"\n")).collect();
+        std::fs::write(&list, servers).expect("the folder can be written");
+    };
+    write(&dials);
+    let site = format!(
+        "[[listener]]\nname = \"web\"\naddress = \"127.0.0.1:0\"\n[[pool]]\nname = \"boxes\"\nwatch = \"{}\"\n\
+         cold_ramp = \"20s\"\n[[route]]\nname = \"all\"\npool = \"boxes\"\n",
+        list.display()
+    );
+    let own = site.clone();
+    let mut rig = Rig::new(NODES, 1, &[0], "", move |_| own.clone());
+    let mut alone = Vec::new();
+    if in_a_fleet {
+        rig.start_all(0..NODES);
+        rig.agrees("joined", WITHIN);
+    } else {
+        alone.extend((0..NODES).map(|_| Node::site(&site)));
+    }
+    let over = Arc::new(AtomicBool::new(false));
+    let addresses = rig.nodes.iter().flatten().chain(&alone).map(|node| node.address);
+    let clients: Vec<_> = addresses
+        .flat_map(|address| [address; CLIENTS])
+        .map(|address| {
+            let over = over.clone();
+            std::thread::spawn(move || {
+                while !over.load(SeqCst) {
+                    let stream = std::net::TcpStream::connect(address).ok();
+                    let _ = stream.and_then(|mut stream| {
+                        std::io::Write::write_all(&mut stream, &get("/", "")).ok()?;
+                        read(&mut stream)
+                    });
+                    std::thread::sleep(Duration::from_millis(5));
+                }
+            })
+        })
+        .collect();
+    std::thread::sleep(Duration::from_secs(6));
+    write(&[&dials[..], &cold.dials[..]].concat());
+    until("the cold server is known", || cold.seen() > 0);
+    let start: Vec<_> = warm.iter().map(Servers::seen).collect();
+    let mut before = cold.seen();
+    let mut halves = Vec::new();
+    for _ in 0..10 {
+        std::thread::sleep(Duration::from_millis(500));
+        let now = cold.seen();
+        halves.push(now - before);
+        before = now;
+    }
+    let mut others: Vec<_> = warm.iter().zip(start).map(|(server, before)| server.seen() - before).collect();
+    others.sort_unstable();
+    over.store(true, SeqCst);
+    clients.into_iter().for_each(|client| drop(client.join()));
+    (halves, others)
+}
+
 fn main() {
     let arguments: Vec<_> = std::env::args().collect();
     let given = arguments.iter().position(|a| a == "--processes").and_then(|at| arguments.get(at + 1));
@@ -71,4 +148,10 @@
             (after.1 - before.1) / node_seconds * 1e3,
         );
     }
+    println!("\n{NODES} processes, {SERVERS} warm servers and a cold one: what it gets in each half second");
+    for in_a_fleet in [false, true] {
+        let (halves, others) = cold(in_a_fleet);
+        let how = if in_a_fleet { "in a fleet" } else { "each alone" };
+        println!("{how}: {halves:?}; the warm ones in 5 s: {others:?}");
+    }
 }
