Measure what eight processes make of a tenant's rate, each alone and as a fleet

The bench fleet now plays eight processes over ten servers of 250 requests a second with more asked than there is. A test for a port that is taken, beside the one for a name that is.

--- a/crates/bench/benches/fleet.rs
+++ b/crates/bench/benches/fleet.rs
@@ -1,13 +1,13 @@
 //! Processes that keep a view of each other, as many as `--processes 5,20,60` says: how long their views take to be equal and right
 //! after all start, one is killed, and half is cut off from half for 15 s; what they send, and the processor time that they take.
 //! With the file's own defaults. Then eight processes over ten servers, with a fleet and without: what a server that comes into the
-//! list cold gets from all of them.
+//! list cold gets from all of them, what a tenant over its rate gets where there is not enough for all, and what a ninth counts as.
 
 use corkhollow_faults::Act;
 use corkhollow_standin::*;
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicBool, Ordering::SeqCst};
-use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering::SeqCst};
+use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
 const WITHIN: Duration = Duration::from_secs(60);
@@ -113,6 +113,78 @@
     (halves, others)
 }
 
+/// Requests a second that are served of a tenant whose rate is 80 over all nodes, and of another one with more than all, while both
+/// ask for more than there is; and what a ninth process counts as when it first takes clients, and after how many milliseconds.
+fn tenants(in_a_fleet: bool) -> ([f64; 2], Option<(usize, u128)>) {
+    // One at a time: each server does 250 a second.
+    let server = || {
+        let turn = Mutex::new(());
+        Servers::new(1, move |_, _| {
+            let _turn = turn.lock();
+            std::thread::sleep(Duration::from_millis(4));
+            ok("fine")
+        })
+    };
+    let servers: Vec<_> = (0..SERVERS).map(|_| server()).collect();
+    let dials: String = servers
+        .iter()
+        .flat_map(|server| &server.dials)
+        .map(|d| format!("{{ address = \"{d}\" }}, "))
+        .collect();
+    let site = format!(
+        "[[listener]]\nname = \"web\"\naddress = \"127.0.0.1:0\"\n\
+         [[class]]\nname = \"read\"\neffect = \"safe\"\nmethods = [\"GET\"]\naim = \"30ms\"\ndeadline = \"500ms\"\n\
+         [tenants]\ntenant = [{{ name = \"a\", rate = 80.0 }}, {{ name = \"b\", rate = 8000.0 }}]\n\
+         [[pool]]\nname = \"boxes\"\nconcurrency = 1\nservers = [{dials}]\n[[route]]\nname = \"all\"\npool = \"boxes\"\n"
+    );
+    let own = site.clone();
+    let mut rig = Rig::new(NODES + 1, 1, &[0], "", move |_| own.clone());
+    let mut alone = Vec::new();
+    if in_a_fleet {
+        rig.start_all(0..NODES);
+        rig.agrees("joined", WITHIN);
+    } else {
+        alone.extend((0..NODES).map(|_| Node::site(&site)));
+    }
+    let served: Arc<[AtomicUsize; 2]> = Arc::default();
+    let over = Arc::new(AtomicBool::new(false));
+    let addresses: Vec<_> = rig.nodes.iter().flatten().chain(&alone).map(|node| node.address).collect();
+    let mut clients = Vec::new();
+    for address in addresses {
+        for client in 0..16 {
+            let (served, over) = (served.clone(), over.clone());
+            clients.push(std::thread::spawn(move || {
+                let tenant = client % 2;
+                let header = ["X-Tenant-Id: a\r\n", "X-Tenant-Id: b\r\n"][tenant];
+                while !over.load(SeqCst) {
+                    let stream = std::net::TcpStream::connect(address).ok();
+                    let answer = stream.and_then(|mut stream| {
+                        std::io::Write::write_all(&mut stream, &get("/", header)).ok()?;
+                        read(&mut stream)
+                    });
+                    match answer.map(|m| m.status()) {
+                        Some(200) => drop(served[tenant].fetch_add(1, SeqCst)),
+                        _ => std::thread::sleep(Duration::from_millis(10)),
+                    }
+                }
+            }));
+        }
+    }
+    std::thread::sleep(Duration::from_secs(5));
+    let before = [0, 1].map(|k| served[k].load(SeqCst));
+    std::thread::sleep(Duration::from_secs(10));
+    let rates = [0, 1].map(|k| (served[k].load(SeqCst) - before[k]) as f64 / 10.0);
+    let ninth = in_a_fleet.then(|| {
+        let start = Instant::now();
+        rig.start(NODES);
+        let took = start.elapsed().as_millis();
+        (Fleet::of(rig.node(NODES)).map_or(0, |fleet| fleet.size), took)
+    });
+    over.store(true, SeqCst);
+    clients.into_iter().for_each(|client| drop(client.join()));
+    (rates, ninth)
+}
+
 fn main() {
     let arguments: Vec<_> = std::env::args().collect();
     let given = arguments.iter().position(|a| a == "--processes").and_then(|at| arguments.get(at + 1));
@@ -154,4 +226,15 @@
         let how = if in_a_fleet { "in a fleet" } else { "each alone" };
         println!("{how}: {halves:?}; the warm ones in 5 s: {others:?}");
     }
+    println!("\nthe same, full: requests a second served of a tenant with a rate of 80 and of one with more than all");
+    for in_a_fleet in [false, true] {
+        let ([limited, other], ninth) = tenants(in_a_fleet);
+        let how = if in_a_fleet { "in a fleet" } else { "each alone" };
+        println!("{how}: {limited:.0} and {other:.0}");
+        if let Some((size, took)) = ninth {
+            println!(
+                "a ninth counts itself as one of {size} when it takes clients, {took} ms after its start"
+            );
+        }
+    }
 }
--- a/crates/corkhollow/tests/fleet.rs
+++ b/crates/corkhollow/tests/fleet.rs
@@ -218,6 +218,16 @@
     std::fs::remove_file(&path).unwrap();
     let said = String::from_utf8(output.stderr).unwrap();
     assert!(!output.status.success(), "{said}");
+    // A port that somebody else has.
+    let taken = UdpSocket::bind("127.0.0.1:0").unwrap();
+    let address = taken.local_addr().unwrap();
+    let path = std::env::temp_dir().join(format!("corkhollow-taken-{}.toml", std::process::id()));
+    let file = rig.file(2, "n2").replace("127.0.0.1:0\"\nadvertise", &format!("{address}\"\nadvertise"));
+    std::fs::write(&path, file).unwrap();
+    let output = Command::new(program()).args(["run", "--config"]).arg(&path).output().unwrap();
+    std::fs::remove_file(&path).unwrap();
+    let told = String::from_utf8(output.stderr).unwrap();
+    assert!(!output.status.success() && told.contains(&format!("cannot listen on {address}")), "{told}");
     let words = format!("the name n1 is taken: the process at {} has it", rig.address(1));
     assert!(said.contains(&words), "{said}");
     assert_eq!(Fleet::of(rig.node(0)).unwrap().view, before.view);
--- a/crates/fleet/src/node/mod.rs
+++ b/crates/fleet/src/node/mod.rs
@@ -93,7 +93,7 @@
 pub enum Cause {
     /// It was heard itself.
     Heard,
-    /// This node told so.
+    /// That node told so.
     Told(String),
     /// It did not answer a probe of this node, nor of so many others that were asked.
     Unanswered {
--- a/crates/fleet/src/table.rs
+++ b/crates/fleet/src/table.rs
@@ -104,8 +104,7 @@
         &self.suspects
     }
 
-    /// Puts a claim in force, whatever held before; what held before. False room: none where the table is full of members
-    /// that are there.
+    /// Puts a claim in force, whatever held before; false where the table is full of members that are there.
     pub fn put(&mut self, now: Nanos, claim: Claim, suspicion: Option<Suspicion>) -> bool {
         let name = claim.record.name.clone();
         if !self.members.contains_key(&name)
