Let one of two that start together under a name stay

Seen on reading the change again: two processes of one name that begin within a datagram's time decided by ages in whole milliseconds. By the rule as it stood a tie made both give way; by a strict one both stayed and raised their incarnations against each other (of_two_that_start_together_one_stays failed with it: Member, Member). At fault: meet_double in crates/fleet/src/node/receive.rs.

Ages are told in nanoseconds; where they differ by less than 250 ms the greater life stays. Both can still never give way, as an age is never younger than told.

--- a/crates/fleet/src/node/receive.rs
+++ b/crates/fleet/src/node/receive.rs
@@ -9,6 +9,8 @@
 
 /// Datagrams that answer one comparison of digests; what is left comes with the next.
 const MOST_RECORDS: usize = 32;
+/// Two processes under one name whose ages differ by less began together: which one is older cannot be told by datagrams.
+const TOGETHER: Nanos = 250_000_000;
 /// Probes for others that a node has under way at the most.
 const MOST_RELAYS: usize = 256;
 
@@ -190,16 +192,16 @@
     /// Another process under the node's own name. Who has been there for longer keeps it: times of one's own need no common
     /// clock, and as what a process says of its age is old when it comes, two can never both give way.
     fn meet_double(&mut self, now: Nanos, from: Record, body: &Body) {
-        let uptime_ms = now.saturating_sub(self.started) / 1_000_000;
+        let uptime = now.saturating_sub(self.started);
         match (self.standing, body) {
             (Standing::Left | Standing::Refused { .. }, _) => {}
-            (_, Body::Conflict { uptime_ms: theirs }) if *theirs >= uptime_ms => {
+            (_, Body::Conflict { uptime: theirs }) if self.gives_way(*theirs, uptime, from.life) => {
                 self.table.count(&self.me, false);
                 self.standing = Standing::Refused { by: from.address };
                 self.out.events.push(Event::Refused(from.address));
             }
             _ => {
-                self.send(from.address, Body::Conflict { uptime_ms }, None);
+                self.send(from.address, Body::Conflict { uptime }, None);
                 if *body != Body::Join && from.incarnation >= self.me.incarnation {
                     self.renew(now, from.incarnation, |_| ());
                 }
@@ -207,6 +209,13 @@
         }
     }
 
+    /// Whether the other one stays, by its age when it told it and this node's now. What was told is old by the time that it took:
+    /// the other is never taken for older than it is, so that not both give way, and of two that began together the greater
+    /// life stays, so that one does.
+    fn gives_way(&self, theirs: Nanos, own: Nanos, life: u32) -> bool {
+        theirs > own.saturating_add(TOGETHER) || (theirs.abs_diff(own) <= TOGETHER && life > self.me.life)
+    }
+
     /// A probe is answered by the one that it names, at whatever address that one was reached.
     fn answer(&mut self, from: &Record, seq: u32, to: &str) {
         if to == self.me.name && self.standing == Standing::Member {
@@ -265,8 +274,8 @@
                     return true;
                 }
                 if !ours && claim.state.present() && claim.record.address != self.me.address {
-                    let uptime_ms = now.saturating_sub(self.started) / 1_000_000;
-                    self.send(claim.record.address, Body::Conflict { uptime_ms }, None);
+                    let uptime = now.saturating_sub(self.started);
+                    self.send(claim.record.address, Body::Conflict { uptime }, None);
                 }
                 self.renew(now, claim.record.incarnation, |_| ());
                 if ours && claim.state != State::Alive {
--- a/crates/fleet/src/wire.rs
+++ b/crates/fleet/src/wire.rs
@@ -69,8 +69,8 @@
     Ask { digests: [u32; BUCKETS], back: bool },
     /// What was asked for.
     Records,
-    /// Another process has that name, and has been there for so long.
-    Conflict { uptime_ms: u64 },
+    /// Another process has that name, and has been there for so long, in nanoseconds.
+    Conflict { uptime: u64 },
 }
 
 /// Kinds of datagrams, for figures.
--- a/crates/fleet/tests/node.rs
+++ b/crates/fleet/tests/node.rs
@@ -101,6 +101,20 @@
     assert!(fleet.node(1).settled(fleet.now));
 }
 
+/// Two that begin in one instant must not both give way.
+#[test]
+fn of_two_that_start_together_one_stays() {
+    let mut fleet = Fleet::new();
+    fleet.start(config("a", 1, &[1]));
+    fleet.run(1_000);
+    fleet.start(config("b", 2, &[1]));
+    fleet.start(config("b", 3, &[1]));
+    fleet.run(5_000);
+    let stands = [2, 3].map(|port| fleet.node(port).standing());
+    assert_eq!(stands.iter().filter(|s| **s == Standing::Member).count(), 1, "{stands:?}");
+    assert_eq!(fleet.node(1).group().size, 2);
+}
+
 /// Both were members before they met: the one that has been there for longer stays.
 #[test]
 fn of_two_that_meet_late_the_later_gives_way() {
