Change the fleet's key, replay a joiner's words and meet over IPv6 on real processes

Need: a key's change by SIGHUP, replays and IPv6 were read in the code and tested on the state machine or not at all.

Change: two process tests; the simulation also tells when all know who is there, apart from equal views: where datagrams are lost at 1,000 nodes somebody is always under suspicion, so that views are never all equal at one moment.

--- a/crates/corkhollow/tests/fleet.rs
+++ b/crates/corkhollow/tests/fleet.rs
@@ -345,3 +345,76 @@
     let said = rig.timeline();
     assert!(!said.iter().any(|line| line.contains("x is left") || line.contains("x is dead")), "{said:#?}");
 }
+
+/// A key that is changed by SIGHUP: the first that has it is on its own until the others have it too, and nobody is refused meanwhile.
+/// What was overheard before, and is sent again, changes nothing under either key.
+#[test]
+fn a_key_is_changed_while_the_fleet_runs() {
+    let folder = Folder::new("fleet-new-key");
+    let path = folder.0.join("key");
+    std::fs::write(&path, "ab".repeat(32)).unwrap();
+    let (mut rig, _servers) = rig(3, &[0], &format!("key_file = \"{}\"", path.display()));
+    rig.start_all(0..2);
+    rig.settles("joined", SOON);
+    // One who overhears what a third says when it joins: it takes him for a seed.
+    let overhears = UdpSocket::bind("127.0.0.1:0").unwrap();
+    overhears.set_read_timeout(Some(SOON)).unwrap();
+    let seeds = format!("seeds = [\"{}\", ", overhears.local_addr().unwrap());
+    let own = rig.file(2, "n2").replace(&format!("advertise = \"{}\"\n", rig.address(2)), "");
+    let mut third = Node::site(&own.replace("seeds = [", &seeds));
+    let knows = |k: usize, name: &str, state: &str| {
+        Fleet::of(rig.node(k)).is_some_and(|f| f.member(name).is_some_and(|m| m.state == state))
+    };
+    until("it has joined", || (0..2).all(|k| knows(k, "n2", "alive")));
+    let mut bytes = [0; 1500];
+    let (size, _) = overhears.recv_from(&mut bytes).unwrap();
+    third.signal("-TERM");
+    assert!(third.exit().success());
+    until("it has left", || (0..2).all(|k| knows(k, "n2", "left")));
+    let replay = || {
+        for _ in 0..300 {
+            overhears.send_to(&bytes[..size], rig.address(0)).unwrap();
+        }
+    };
+    replay();
+    let refused = |k: usize, why: &str| {
+        rig.node(k).figure(&format!("gw_fleet_refused{{reason=\"{why}\"}}")).unwrap_or_default()
+    };
+    // Who asks to join is told who is there, and is nobody for that.
+    let joins = "gw_fleet_datagrams{kind=\"join\",way=\"in\"}";
+    until("replays are read", || rig.node(0).figure(joins) > Some(100.0));
+    assert!((0..2).all(|k| knows(k, "n2", "left")));
+    // Another key for the first alone.
+    std::fs::write(&path, "cd".repeat(32)).unwrap();
+    rig.node(0).reload(&rig.file(0, "n0"));
+    until("it is refused", || refused(1, "key") > 0.0);
+    until("it is given up", || knows(1, "n0", "dead"));
+    assert!((0..2).all(|k| rig.node(k).get("/r", "").is_some_and(|m| m.status() == 200)));
+    let before = refused(0, "key");
+    replay();
+    until("they are under another key", || refused(0, "key") > before);
+    rig.node(1).reload(&rig.file(1, "n1"));
+    rig.settles("both have it", SOON);
+}
+
+/// The same over IPv6, where the machine has it.
+#[test]
+fn a_fleet_meets_over_ipv6() {
+    let Ok(sockets) = (0..2).map(|_| UdpSocket::bind("[::1]:0")).collect::<Result<Vec<_>, _>>() else {
+        return;
+    };
+    let addresses: Vec<_> = sockets.iter().map(|socket| socket.local_addr().unwrap()).collect();
+    drop(sockets);
+    let servers = Servers::new(1, |_, _| ok("fine"));
+    let node = |k: usize| {
+        let (own, seed) = (addresses[k], addresses[0]);
+        Node::site(&format!(
+            "[operator]\nlisten = \"127.0.0.1:0\"\n[fleet]\nname = \"six\"\nnode = \"n{k}\"\nlisten = \"{own}\"\nseeds = [\"{seed}\"]\n{TIMES}\n{}",
+            site(&servers.dials)
+        ))
+    };
+    let nodes = [node(0), node(1)];
+    let met = |size| nodes.iter().all(|n| Fleet::of(n).is_some_and(|f| f.size == size && f.settled));
+    until("both have met", || met(2));
+    assert!(Fleet::of(&nodes[0]).unwrap().member("n1").is_some());
+}
--- a/crates/laboratory/src/bin/membership.rs
+++ b/crates/laboratory/src/bin/membership.rs
@@ -124,21 +124,24 @@
             outcome
         })
         .collect();
-    let mut settled: Vec<_> = outcomes.iter().map(|o| o.settled.unwrap_or(u64::MAX)).collect();
-    settled.sort_unstable();
-    let never = settled.iter().filter(|s| **s == u64::MAX).count();
-    let at = |part: f64| settled[((settled.len() - 1) as f64 * part).round() as usize];
+    let times = |of: fn(&Outcome) -> Option<u64>| {
+        let mut times: Vec<_> = outcomes.iter().filter_map(of).collect();
+        times.sort_unstable();
+        let at = |part: f64| times.get(((times.len().max(1) - 1) as f64 * part).round() as usize);
+        let told = |part: f64| at(part).map_or("none".to_owned(), |ms| format!("{ms} ms"));
+        let never = outcomes.len() - times.len();
+        format!("{} (median), {} (p90), {} (worst), never {never}", told(0.5), told(0.9), told(1.0))
+    };
     let mean = |of: fn(&Outcome) -> f64| outcomes.iter().map(of).sum::<f64>() / outcomes.len() as f64;
     println!(
-        "{:?} {} nodes, {} lost, {} seeds: settled after {} ms (median), {} (p90), {} (worst), never {never}; \
+        "{:?} {} nodes, {} lost, {} seeds: all know who is there after {}; views equal after {}; \
          false alarms {}, deaths {} (longest {} ms); {:.0} bytes and {:.1} datagrams a node and second; {:.0} changes; {:.1} s",
         a.play,
         a.nodes,
         a.loss,
         a.seeds,
-        at(0.5),
-        at(0.9),
-        at(1.0),
+        times(|o| o.known),
+        times(|o| o.settled),
         outcomes.iter().map(|o| o.false_alarms).sum::<usize>(),
         outcomes.iter().map(|o| o.false_deaths).sum::<usize>(),
         outcomes.iter().map(|o| o.longest_false).max().unwrap_or(0),
--- a/crates/laboratory/src/membership.rs
+++ b/crates/laboratory/src/membership.rs
@@ -60,6 +60,8 @@
     /// From the last act on, in milliseconds, until all that run have one view that is right, and keep it; none where they
     /// never had.
     pub settled: Option<Millis>,
+    /// From the last act on, until all that run know who is there, though suspicions may be under way for which views differ.
+    pub known: Option<Millis>,
     /// How often a node gave one up that ran, was heard by it, and had had time to object to all before.
     pub false_deaths: usize,
     /// How often a node held one for suspect that ran and that nothing had kept from answering for long.
@@ -180,6 +182,7 @@
     fn run(&mut self, script: &Script, over: Nanos, end: Nanos) {
         let mut look = 0;
         let mut settled = None;
+        let mut known = None;
         let mut before = self.sent;
         while let Some((Reverse(at), _, key)) = self.queue.pop() {
             if at > end {
@@ -194,6 +197,10 @@
                     true => settled = settled.or(Some(look)),
                     false => settled = None,
                 }
+                match look >= over && self.all_known() {
+                    true => known = known.or(Some(look)),
+                    false => known = None,
+                }
                 look += LOOK;
             }
             self.now = at;
@@ -210,6 +217,7 @@
         self.outcome.bytes = (self.sent.1 - before.1) as f64 / seconds;
         self.outcome.datagrams = (self.sent.0 - before.0) as f64 / seconds;
         self.outcome.settled = settled.map(|at| at.saturating_sub(over) / MS);
+        self.outcome.known = known.map(|at| at.saturating_sub(over) / MS);
         let open: Vec<_> = self.wrongs.keys().copied().collect();
         open.into_iter().for_each(|pair| self.amend(pair));
     }
@@ -227,6 +235,15 @@
         })
     }
 
+    fn all_known(&self) -> bool {
+        let running = || self.slots.iter().filter_map(|slot| slot.node.as_ref());
+        let count = running().count();
+        let runs = |address: &SocketAddr| self.slots.get(number(*address)).is_some_and(|s| s.node.is_some());
+        // Counts first: they tell most that do not know, and cost nothing.
+        running().all(|node| node.standing() == Standing::Member && node.others() + 1 == count)
+            && running().all(|node| node.heritage().1.iter().all(runs))
+    }
+
     fn tell(&mut self, line: impl FnOnce() -> String) {
         if self.outcome.timeline.len() < LINES {
             let line = format!("{:>8} {}", self.now / MS, line());
