Share a cold server's sends out by how many nodes' parts hold it

Seen: in a new model of many nodes over cold and warm servers (crates/laboratory, cold), 300 nodes at full load sent the last three of twelve cold servers up to 1.40 times what pushes one over, each request counted with the mean work (no slack counted).

Ruled out: chance of lengths (counted apart: 1.46 with the lengths drawn), first sends (the windows over the bound begin 0.1 to 2 s after all have heard, ages 2.1 to 4.1 s), admission (the same at a fifth cold with 60 nodes: 0.95). A probe told which servers and when.

At fault: cold.rs divided a node's pace by the sizes of its own part (home_size, regroup in list.rs). A part that runs over cold servers is longer, so those at the end of a row of cold ones are in more parts, of which some are short: by sums 2.1 times what a warm server gets. The first of the row got less than its part.

Change: regroup works out how many parts hold each server (reach), and the pace is divided by that.

Tests: 5, 60 and 300 nodes, 100 plays and more in 16 s; 300 nodes fail with the module before, four of five tests with the pace doubled.

--- a/crates/balance/src/balancer/admission.rs
+++ b/crates/balance/src/balancer/admission.rs
@@ -23,8 +23,7 @@
 
 impl Balancer {
     pub(super) fn admit(&mut self, now: Nanos, request: Request, sink: Sink) {
-        let ramp = self.settings.ramp as f64;
-        let most = 1.0 + RETRY_SHARE * self.sent.read(now, ramp) * ramp / 1e9;
+        let most = 1.0 + RETRY_SHARE * self.sent.read(now, self.settings.ramp as f64);
         // Copies into a jam make it worse: the budget dries up as answers take longer than usual.
         let mean = self.places.get(usize::from(request.class)).map_or(1.0, |place| place.typical);
         let calm = self.pressure(now, mean).max(1.0).powi(-CALM_STEEP);
@@ -49,7 +48,7 @@
             if wait <= 0.0 || (trial && self.nodes[i].out == 0) {
                 (place.tried_at, place.refused) = (now, 0);
                 if let Some(rate) = self.tenants.get_mut(request.tenant as usize) {
-                    rate.count(now, self.memory);
+                    rate.add(now, self.memory, 1.0);
                 }
                 self.pending.insert(request.id, pending);
                 self.send(now, request.id, i, sink);
@@ -72,8 +71,8 @@
     pub(super) fn over_share(&self, now: Nanos, tenant: usize) -> bool {
         let Some(rate) = self.tenants.get(tenant) else { return false };
         let fair = self.settings.tenant_quota[tenant] / f64::from(self.settings.group_size);
-        let seconds = self.memory / 1e9;
-        rate.read(now, self.memory) > fair + CHANCE * (fair / seconds).sqrt()
+        let usual = fair * self.memory / 1e9;
+        rate.read(now, self.memory) > usual + CHANCE * usual.sqrt()
     }
 
     /// What a request is worth to others: by its class, for the work that it takes.
--- a/crates/balance/src/balancer/attempts.rs
+++ b/crates/balance/src/balancer/attempts.rs
@@ -6,11 +6,11 @@
 impl Balancer {
     pub(super) fn send(&mut self, now: Nanos, id: RequestId, i: usize, sink: Sink) {
         let credit = self.increment(now);
-        self.sent.count(now, self.settings.ramp as f64);
+        self.sent.add(now, self.settings.ramp as f64, 1.0);
+        self.begun = self.begun.min(now);
         let weight = self.pending.get(&id).map_or(1.0, |p| self.weight(&p.request));
         (self.nodes[i].sent_at, self.nodes[i].jitter) = (now, 1.0);
         self.credit(i, credit);
-        let server = self.nodes[i].server.id;
         let alone = self.nodes[i].out == 0;
         let working = self.pending.get(&id).is_some_and(|p| !p.request.streamed);
         if working {
@@ -18,7 +18,7 @@
         }
         if let Some(p) = self.pending.get_mut(&id) {
             p.attempts.push(Attempt { node: i, credit, weight, open: true, working, alone, took: 0 });
-            sink.push(Action::Send { request: id, server, timeout: 0 });
+            sink.push(Action::Send { request: id, server: self.nodes[i].server.id, timeout: 0 });
         }
     }
 
@@ -34,8 +34,7 @@
     }
 
     pub(super) fn written(&mut self, now: Nanos, id: RequestId, attempt: u8) {
-        let attempts = self.pending.get_mut(&id).map(|p| &mut p.attempts);
-        let attempt = attempts.and_then(|all| all.get_mut(usize::from(attempt)));
+        let attempt = self.pending.get_mut(&id).and_then(|p| p.attempts.get_mut(usize::from(attempt)));
         if let Some(a) = attempt.filter(|a| a.open && !a.working) {
             a.working = true;
             let (i, weight) = (a.node, a.weight);
--- a/crates/balance/src/balancer/choice.rs
+++ b/crates/balance/src/balancer/choice.rs
@@ -98,7 +98,7 @@
 
     pub(super) fn choose(&mut self, now: Nanos, pending: &Pending) -> Option<(usize, f64)> {
         let class = usize::from(pending.request.class);
-        self.pace = self.sent.known(now, self.settings.ramp as f64, self.settings.fall);
+        self.pace = self.pace_now(now);
         // Nothing is refused while another zone would serve it.
         let aim = self.settings.classes[class].aim as f64;
         let most = (WIDEN_AT * aim).min(self.limit(now, &pending.request));
--- a/crates/balance/src/balancer/cold.rs
+++ b/crates/balance/src/balancer/cold.rs
@@ -14,10 +14,17 @@
         (self.settings.cold_from + (1.0 - self.settings.cold_from) * age).min(1.0)
     }
 
+    /// This node's sends a second, over a ramp, or what is known of one.
+    pub(super) fn pace_now(&self, now: Nanos) -> f64 {
+        let memory = self.settings.ramp as f64;
+        let since = now.saturating_sub(self.begun).max(self.settings.fall) as f64;
+        self.sent.read(now, memory) / (memory / 1e9) / (1.0 - (-since / memory).exp())
+    }
+
     /// Whether a cold server's next send is due, by the rate of sends: refused clients that ask again may not
-    /// raise the pace. The rate is that of now: a node that knew none before must not be held to that.
+    /// raise the pace. The more nodes have it in their parts, the less each may send.
     pub(super) fn paced(&self, now: Nanos, i: usize) -> bool {
-        let rate = TIP_PART * self.settings.tip_multiple * self.pace / self.home_size.max(self.nodes[i].size);
+        let rate = TIP_PART * self.settings.tip_multiple * self.pace / self.nodes[i].reach;
         // Where little comes, one request in the time of a fall from each node pushes nobody over.
         let most = self.settings.fall as f64 * f64::from(self.settings.group_size);
         let interval = 1e9 / (self.cold_share(now, i) * rate * self.nodes[i].size).max(1e-6);
--- a/crates/balance/src/balancer/list.rs
+++ b/crates/balance/src/balancer/list.rs
@@ -52,11 +52,24 @@
         let nodes = f64::from(self.settings.group_size) / self.ready.len() as f64;
         let part = (count as f64 * COVER / nodes).max(LEAST_PART);
         let start = f64::from(self.settings.ordinal) * 0.618_033_988_749_895 % 1.0 * count as f64;
+        let order: Vec<_> = (0..count).map(|k| self.ready[zone][(start as usize + k) % count]).collect();
+        let shares: Vec<_> = order.iter().map(|&i| self.cold_share(now, i)).collect();
+        let mean = order.iter().map(|&i| self.nodes[i].size).sum::<f64>() / count as f64;
+        // Parts that hold a server begin at it, or where less than a part lies between: more of them among
+        // cold ones. A second round knows what the first has ended with.
+        let (mut before, mut back) = (0.0, 0);
+        for k in (0..2 * count).map(|k| k % count) {
+            self.nodes[order[k]].reach = (back + 1) as f64 * mean;
+            (before, back) = (before + shares[k], back + 1);
+            while before >= part || back >= count {
+                before -= shares[(count + k + 1 - back) % count];
+                back -= 1;
+            }
+        }
         let mut filled = 0.0;
-        for k in 0..count {
-            let i = self.ready[zone][(start as usize + k) % count];
+        for (i, share) in order.into_iter().zip(shares) {
             let inside = filled < part;
-            filled += self.cold_share(now, i);
+            filled += share;
             match (self.ranks[zone].holds(i), inside) {
                 // Every node hears of a cold server at about the same time: first sends are spread over an
                 // interval, or all of them together would spend its tipping budget at once.
@@ -68,9 +81,6 @@
                 _ => {}
             }
         }
-        if zone == usize::from(self.settings.zone) {
-            self.home_size = self.ranks[zone].iter().map(|i| self.nodes[i].size).sum();
-        }
     }
 
     fn over(&self, now: Nanos, i: usize) -> bool {
@@ -96,6 +106,7 @@
             failures: Faded::default(),
             sent_at: now,
             jitter: 1.0,
+            reach: size,
             left_at: now,
         };
         // One that was free may be in use again by now.
--- a/crates/balance/src/balancer/mod.rs
+++ b/crates/balance/src/balancer/mod.rs
@@ -45,6 +45,7 @@
     pub(crate) failures: Faded,
     sent_at: Nanos,
     jitter: f64,
+    reach: f64,
     left_at: Nanos,
 }
 
@@ -89,14 +90,14 @@
     pub(crate) by_id: BTreeMap<ServerId, usize>,
     ready: Vec<Vec<usize>>,
     ranks: Vec<Order>,
-    home_size: f64,
     epoch: Nanos,
     pending: BTreeMap<RequestId, Pending>,
     pub(crate) places: Vec<retune::Place>,
     waits: Faded,
-    sent: Rate,
+    sent: Faded,
+    begun: Nanos,
     pace: f64,
-    tenants: Vec<Rate>,
+    tenants: Vec<Faded>,
     budget: f64,
     usual_queue: f64,
     jobs: BinaryHeap<Reverse<(Nanos, Job)>>,
@@ -107,7 +108,7 @@
     pub(crate) longest: Nanos,
 }
 
-/// A deviation from what is usual, believed the less the longer there was no news of it.
+/// A deviation from what is usual, or a sum, believed the less the longer there was no news of it.
 #[derive(Clone, Copy, Default)]
 pub(crate) struct Faded {
     pub(crate) value: f64,
@@ -119,30 +120,11 @@
         self.value * (-(now.saturating_sub(self.at) as f64) / memory).exp()
     }
     fn learn(&mut self, now: Nanos, memory: f64, seen: f64, weight: f64) {
-        let old = self.read(now, memory);
-        (self.value, self.at) = (old + (seen - old) * weight, now);
+        self.add(now, memory, (seen - self.read(now, memory)) * weight);
     }
-}
-
-/// A rate a second, averaged over the memory it is read with.
-#[derive(Clone, Copy, Default)]
-struct Rate {
-    sum: Faded,
-    begun: Option<Nanos>,
-}
-
-impl Rate {
-    fn read(&self, now: Nanos, memory: f64) -> f64 {
-        self.sum.read(now, memory) / (memory / 1e9)
-    }
-    /// The same where nothing could be counted for a part of that memory; over `least` all the same.
-    fn known(&self, now: Nanos, memory: f64, least: Nanos) -> f64 {
-        let since = now.saturating_sub(self.begun.unwrap_or(now)).max(least) as f64;
-        self.read(now, memory) / (1.0 - (-since / memory).exp())
-    }
-    fn count(&mut self, now: Nanos, memory: f64) {
-        self.begun = self.begun.or(Some(now));
-        (self.sum.value, self.sum.at) = (self.sum.read(now, memory) + 1.0, now);
+    /// What is counted so is, read with the same memory, a sum over about that time.
+    fn add(&mut self, now: Nanos, memory: f64, more: f64) {
+        (self.value, self.at) = (self.read(now, memory) + more, now);
     }
 }
 
@@ -157,14 +139,14 @@
             by_id: BTreeMap::new(),
             ready: Vec::new(),
             ranks: Vec::new(),
-            home_size: 0.0,
             epoch: 0,
             pending: BTreeMap::new(),
             places: settings.classes.iter().map(retune::Place::new).collect(),
             waits: Faded::default(),
-            sent: Rate::default(),
+            sent: Faded::default(),
+            begun: Nanos::MAX,
             pace: 0.0,
-            tenants: vec![Rate::default(); settings.tenant_quota.len()],
+            tenants: vec![Faded::default(); settings.tenant_quota.len()],
             budget: 1.0,
             usual_queue: 0.0,
             jobs: BinaryHeap::new(),
--- a/crates/balance/src/balancer/order.rs
+++ b/crates/balance/src/balancer/order.rs
@@ -91,8 +91,7 @@
         let (at, members) = (run.at, &mut run.members);
         // Its equals stand with it.
         let first = members.partition_point(|m| m.0 > from);
-        let Some(now) = members[first..].iter().position(|m| m.1 as usize == node) else { return };
-        let now = first + now;
+        let Some(now) = (first..members.len()).find(|&k| members[k].1 as usize == node) else { return };
         let (new, last) = if to > from {
             (members[..now].partition_point(|m| m.0 >= to), 0)
         } else {
--- a/crates/laboratory/src/fleet.rs
+++ b/crates/laboratory/src/fleet.rs
@@ -1,5 +1,6 @@
 //! A seeded model of nodes over one fleet of servers, in which every queue is known: what a node cannot know is counted
-//! beside what it did. Servers take one request at a time in turn; times are simulated.
+//! beside what it did. Servers take as many requests at a time as they have cores, the others in turn; one that has just started
+//! is cold, as the nodes' settings say. Times are simulated.
 
 use corkhollow_balance::interface::*;
 use corkhollow_balance::Balancer;
@@ -56,8 +57,25 @@
 
 #[derive(Default)]
 struct Machine {
-    jobs: VecDeque<(RequestId, Nanos)>,
-    started: Option<Nanos>,
+    cores: usize,
+    /// When the process started; none where it has been there for long.
+    born: Option<Nanos>,
+    gone: Option<Nanos>,
+    waiting: VecDeque<(RequestId, Nanos)>,
+    running: Vec<RequestId>,
+    /// Work sent within the last window of the fall time, while cold.
+    window: VecDeque<(Nanos, f64)>,
+}
+
+/// What was sent to servers while they were cold.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Cold {
+    /// The most work sent within any window of the fall time, as a part of what pushes over.
+    pub nearest: f64,
+    /// The same where each request counts with the mean work: what nodes decide, without what the draw of lengths adds.
+    pub nearest_mean: f64,
+    /// Work sent, as a part of what the cold servers could have done meanwhile.
+    pub sent: f64,
 }
 
 struct Open {
@@ -71,7 +89,8 @@
 #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 enum Step {
     Arrive(usize),
-    Done(ServerId),
+    Done(ServerId, RequestId),
+    Hear(usize, usize),
     GiveUp(RequestId),
     Timer(usize),
 }
@@ -90,6 +109,14 @@
     pub counts: Vec<Count>,
     /// Attempts so far.
     pub sends: u64,
+    /// What cold servers were sent.
+    cold: Cold,
+    /// The part of all requests that comes to the first node alone; the rest are spread evenly over all.
+    pub first_share: f64,
+    /// Changes of the list reach each node within this, evenly.
+    pub heard_within: Nanos,
+    changes: Vec<Vec<Server>>,
+    cores: usize,
     machines: BTreeMap<ServerId, Machine>,
     open: BTreeMap<RequestId, Open>,
     steps: BinaryHeap<Reverse<(Nanos, u64, Step)>>,
@@ -105,6 +132,20 @@
     /// # Errors
     /// Where no node could act on the settings.
     pub fn new(settings: Settings, nodes: u32, servers: u64, seed: u64) -> Result<Self, SettingsError> {
+        Model::with_cores(settings, nodes, servers, 1, seed)
+    }
+
+    /// The same with servers of several cores.
+    ///
+    /// # Errors
+    /// Where no node could act on the settings.
+    pub fn with_cores(
+        settings: Settings,
+        nodes: u32,
+        servers: u64,
+        cores: usize,
+        seed: u64,
+    ) -> Result<Self, SettingsError> {
         let now = 1_000_000_000_000;
         let list: Vec<_> = (0..servers).map(|k| Server::warm(ServerId(k))).collect();
         let mut model = Model {
@@ -113,7 +154,12 @@
             streams: Vec::new(),
             counts: Vec::new(),
             sends: 0,
-            machines: list.iter().map(|s| (s.id, Machine::default())).collect(),
+            cold: Cold::default(),
+            first_share: 0.0,
+            heard_within: 1_000_000_000,
+            changes: Vec::new(),
+            cores,
+            machines: list.iter().map(|s| (s.id, Machine { cores, ..Machine::default() })).collect(),
             open: BTreeMap::new(),
             steps: BinaryHeap::new(),
             rng: Pcg64Mcg::seed_from_u64(seed),
@@ -165,12 +211,17 @@
             match step {
                 Step::Arrive(stream) => {
                     if self.streams[stream].1.rate > 0.0 {
+                        let first = self.first_share > 0.0 && self.chance() < self.first_share;
                         let node = self.rng.next_u32() as usize % self.nodes.len();
-                        self.arrive(stream, node);
+                        self.arrive(stream, if first { 0 } else { node });
                     }
                     self.after_gap(stream);
                 }
-                Step::Done(server) => self.done(server),
+                Step::Done(server, id) => self.done(server, id),
+                Step::Hear(node, change) => {
+                    let servers = self.changes[change].clone();
+                    self.handle(node, Event::List { kind: ListKind::Changes, servers });
+                }
                 Step::GiveUp(id) => self.give_up(id),
                 Step::Timer(node) => self.handle(node, Event::Timer { token: 0 }),
             }
@@ -211,9 +262,10 @@
                 Action::Send { request, server, .. } => {
                     let Some(open) = self.open.get_mut(&request) else { continue };
                     open.attempts.push(server);
-                    let work = open.work;
+                    let (work, mean) = (open.work, self.streams[open.stream].1.work);
                     self.sends += 1;
-                    self.machines.get_mut(&server).expect("listed").jobs.push_back((request, work));
+                    self.weigh(server, work, mean);
+                    self.machines.get_mut(&server).expect("listed").waiting.push_back((request, work));
                     self.begin(server);
                 }
                 Action::Refuse { request, .. } => {
@@ -233,22 +285,86 @@
         }
     }
 
-    fn begin(&mut self, server: ServerId) {
+    /// The part of its capacity that a server has at a time.
+    fn share(&self, born: Option<Nanos>, at: Nanos) -> f64 {
+        let age = born.map_or(1.0, |born| at.saturating_sub(born) as f64 / self.settings.ramp as f64);
+        (self.settings.cold_from + (1.0 - self.settings.cold_from) * age).min(1.0)
+    }
+
+    /// Counts what is sent to a cold server against what would push it over.
+    fn weigh(&mut self, server: ServerId, work: Nanos, mean: Nanos) {
+        let (now, fall) = (self.now, self.settings.fall);
+        let machine = &self.machines[&server];
+        let (born, cores) = (machine.born, machine.cores as f64);
+        if self.share(born, now) >= 1.0 {
+            return;
+        }
+        // Capacity rises evenly: what the middle of the window had is the mean of it.
+        let middle = self.share(born, now.saturating_sub(fall / 2));
+        let budget = self.settings.tip_multiple * cores * middle * fall as f64 / 1e9;
         let machine = self.machines.get_mut(&server).expect("listed");
-        if machine.started.is_none() {
-            if let Some(&(_, work)) = machine.jobs.front() {
-                machine.started = Some(self.now);
-                self.busy += 1;
-                self.push(self.now + work, Step::Done(server));
-            }
+        let mean = mean as f64 / 1e9;
+        machine.window.push_back((now, work as f64 / 1e9));
+        while machine.window.front().is_some_and(|sent| sent.0 + fall <= now) {
+            machine.window.pop_front();
         }
+        let within: f64 = machine.window.iter().map(|sent| sent.1).sum();
+        self.cold.sent += work as f64 / 1e9;
+        self.cold.nearest = self.cold.nearest.max(within / budget);
+        self.cold.nearest_mean = self.cold.nearest_mean.max(machine.window.len() as f64 * mean / budget);
     }
 
-    fn done(&mut self, server: ServerId) {
+    /// What cold servers were sent so far.
+    pub fn cold(&self) -> Cold {
+        let ramp = self.settings.ramp;
+        let could = self.machines.values().filter_map(|machine| {
+            let born = machine.born?;
+            let end = self.now.min(born + ramp).min(machine.gone.unwrap_or(self.now));
+            let mean = (self.share(machine.born, born) + self.share(machine.born, end)) / 2.0;
+            Some(mean * machine.cores as f64 * end.saturating_sub(born) as f64 / 1e9)
+        });
+        Cold { sent: self.cold.sent / could.sum::<f64>().max(f64::MIN_POSITIVE), ..self.cold }
+    }
+
+    /// Servers that have not been replaced, the oldest first.
+    pub fn serving(&self) -> Vec<ServerId> {
+        self.machines.iter().filter(|(_, machine)| machine.gone.is_none()).map(|(id, _)| *id).collect()
+    }
+
+    /// A server is replaced by one that has just started; each node hears of it at a time of its own.
+    pub fn replace(&mut self, old: ServerId) -> ServerId {
+        if let Some(machine) = self.machines.get_mut(&old) {
+            machine.gone = Some(self.now);
+        }
+        let id = ServerId(self.machines.keys().next_back().map_or(0, |id| id.0 + 1));
+        self.machines.insert(id, Machine { cores: self.cores, born: Some(self.now), ..Machine::default() });
+        let gone = Server { phase: Phase::Gone, ..Server::warm(old) };
+        self.changes.push(vec![gone, Server { started_at: self.now, ..Server::warm(id) }]);
+        for node in 0..self.nodes.len() {
+            let after = (self.chance() * self.heard_within as f64) as Nanos;
+            self.push(self.now + after, Step::Hear(node, self.changes.len() - 1));
+        }
+        id
+    }
+
+    fn begin(&mut self, server: ServerId) {
+        let now = self.now;
+        let machine = &self.machines[&server];
+        if machine.running.len() >= machine.cores || machine.waiting.is_empty() {
+            return;
+        }
+        let share = self.share(machine.born, now);
         let machine = self.machines.get_mut(&server).expect("listed");
-        machine.started = None;
-        self.busy -= 1;
-        let (id, _) = machine.jobs.pop_front().expect("it was at work");
+        let Some((id, work)) = machine.waiting.pop_front() else { return };
+        self.busy += usize::from(machine.running.is_empty());
+        machine.running.push(id);
+        self.push(now + (work as f64 / share) as Nanos, Step::Done(server, id));
+    }
+
+    fn done(&mut self, server: ServerId, id: RequestId) {
+        let machine = self.machines.get_mut(&server).expect("listed");
+        machine.running.retain(|running| *running != id);
+        self.busy -= usize::from(machine.running.is_empty());
         self.begin(server);
         let Some(open) = self.open.get(&id) else { return };
         let (node, took) = (open.node, self.now - open.came);
@@ -279,10 +395,7 @@
         // What waits is not worked on; what is being worked on goes on to its end.
         for server in &attempts {
             let machine = self.machines.get_mut(server).expect("listed");
-            let running = usize::from(machine.started.is_some());
-            if let Some(at) = machine.jobs.iter().skip(running).position(|j| j.0 == id) {
-                machine.jobs.remove(at + running);
-            }
+            machine.waiting.retain(|waiting| waiting.0 != id);
         }
         for (attempt, server) in attempts.into_iter().enumerate() {
             let event = Event::Outcome {
--- a/crates/laboratory/src/lib.rs
+++ b/crates/laboratory/src/lib.rs
@@ -1,9 +1,11 @@
 //! Simulations on a clock of their own, seeded: the same seed gives the same run.
 //!
-//! [`fleet`] plays many nodes' decisions over one fleet of servers whose queues are all known; [`histories`] plays one node's
+//! [`fleet`] plays many nodes' decisions over one fleet of servers whose queues are all known, [`cold`] servers of it that start
+//! cold; [`histories`] plays one node's
 //! engine through random failures and holds the rules against what it does; [`membership`] plays many nodes that keep one view
 //! of each other over a network that fails them.
 
+pub mod cold;
 pub mod fleet;
 pub mod histories;
 pub mod membership;
