Let sends to a cold server that were not used be made up for

At fault: cold.rs, paced: what comes at random finds the interval not over, and what it would have allowed is lost.

--- a/crates/balance/src/balancer/attempts.rs
+++ b/crates/balance/src/balancer/attempts.rs
@@ -1,5 +1,6 @@
 //! Attempts: sent, ended, sent again, copied, called off.
 
+use super::cold::EARLY;
 use super::{Attempt, Balancer, Sink};
 use crate::interface::{Action, Effect, Ending, Group, Nanos, RequestId};
 
@@ -9,7 +10,8 @@
         self.sent.add(now, self.settings.ramp as f64, 1.0);
         self.begun = self.begun.min(now);
         let weight = self.pending.get(&id).map_or(1.0, |p| self.weight(&p.request));
-        (self.nodes[i].sent_at, self.nodes[i].jitter) = (now, 1.0);
+        let from = self.due(now, i).max(now as f64 - EARLY * self.settings.fall as f64);
+        (self.nodes[i].paced_from, self.nodes[i].jitter) = (from, 1.0);
         self.credit(i, credit);
         let alone = self.nodes[i].out == 0;
         let working = self.pending.get(&id).is_some_and(|p| !p.request.streamed);
--- a/crates/balance/src/balancer/choice.rs
+++ b/crates/balance/src/balancer/choice.rs
@@ -23,7 +23,7 @@
         let node = &self.nodes[i];
         node.blocked_until <= now
             && (node.strikes == 0 || node.out == 0)
-            && (self.cold_share(now, i) >= 1.0 || (self.ranked(i) && self.paced(now, i)))
+            && (self.cold_share(now, i) >= 1.0 || (self.ranked(i) && self.due(now, i) <= now as f64))
             && !pending.attempts.iter().any(|a| a.node == i)
             && self.inside(now, i, pending)
     }
@@ -72,8 +72,7 @@
         }
         if have == 0 {
             let i = *self.ready[zone].iter().find(|&&i| self.usable(now, i, pending))?;
-            drawn[0] = (i, place(i));
-            have = 1;
+            (drawn[0], have) = ((i, place(i)), 1);
         }
         let queues = drawn[..have].iter().map(|&(i, place)| {
             let queue = self.queue(now, i, mean, weight) * if favourite == Some(i) { KEY_BONUS } else { 1.0 };
--- a/crates/balance/src/balancer/cold.rs
+++ b/crates/balance/src/balancer/cold.rs
@@ -6,6 +6,9 @@
 /// A cold server may get this part of what pushes it over, while a like warm one gets what it can do.
 const TIP_PART: f64 = 2.0 / 3.0;
 
+/// Sends that were not used may be made up for within this part of the time in which a server falls.
+pub(super) const EARLY: f64 = 0.25;
+
 impl Balancer {
     pub(super) fn cold_share(&self, now: Nanos, i: usize) -> f64 {
         let started = self.nodes[i].server.started_at;
@@ -21,13 +24,14 @@
         self.sent.read(now, memory) / (memory / 1e9) / (1.0 - (-since / memory).exp())
     }
 
-    /// Whether a cold server's next send is due, by the rate of sends: refused clients that ask again may not
+    /// When a cold server may be sent to next, by the rate of sends: refused clients that ask again may not
     /// raise the pace. The more nodes have it in their parts, the less each may send.
-    pub(super) fn paced(&self, now: Nanos, i: usize) -> bool {
-        let rate = TIP_PART * self.settings.tip_multiple * self.pace / self.nodes[i].reach;
+    pub(super) fn due(&self, now: Nanos, i: usize) -> f64 {
+        let node = &self.nodes[i];
+        let rate = TIP_PART * self.settings.tip_multiple * self.pace / node.reach;
         // Where little comes, one request in the time of a fall from each node pushes nobody over.
         let most = self.settings.fall as f64 * f64::from(self.settings.group_size);
-        let interval = 1e9 / (self.cold_share(now, i) * rate * self.nodes[i].size).max(1e-6);
-        now.saturating_sub(self.nodes[i].sent_at) as f64 >= self.nodes[i].jitter * interval.min(most)
+        let interval = 1e9 / (self.cold_share(now, i) * rate * node.size).max(1e-6);
+        node.paced_from + node.jitter * interval.min(most)
     }
 }
--- a/crates/balance/src/balancer/list.rs
+++ b/crates/balance/src/balancer/list.rs
@@ -74,7 +74,7 @@
                 // Every node hears of a cold server at about the same time: first sends are spread over an
                 // interval, or all of them together would spend its tipping budget at once.
                 (false, true) => {
-                    (self.nodes[i].sent_at, self.nodes[i].jitter) = (now, self.chance());
+                    (self.nodes[i].paced_from, self.nodes[i].jitter) = (now as f64, self.chance());
                     self.ranks[zone].insert(i, self.nodes[i].score);
                 }
                 (true, false) => self.ranks[zone].remove(i),
@@ -104,7 +104,7 @@
             blocked_until: 0,
             strikes: 0,
             failures: Faded::default(),
-            sent_at: now,
+            paced_from: now as f64,
             jitter: 1.0,
             reach: size,
             left_at: now,
@@ -143,7 +143,7 @@
                 let at = self.ready[zone].partition_point(|&j| self.nodes[j].server.id < server.id);
                 self.ready[zone].insert(at, i);
             }
-            (self.nodes[i].sent_at, self.nodes[i].jitter) = (now, self.chance());
+            (self.nodes[i].paced_from, self.nodes[i].jitter) = (now as f64, self.chance());
         }
     }
 
--- a/crates/balance/src/balancer/mod.rs
+++ b/crates/balance/src/balancer/mod.rs
@@ -43,7 +43,7 @@
     pub(crate) blocked_until: Nanos,
     pub(crate) strikes: u32,
     pub(crate) failures: Faded,
-    sent_at: Nanos,
+    paced_from: f64,
     jitter: f64,
     reach: f64,
     left_at: Nanos,
