Ask for missed lists in time whatever the deadlines: 6 s is all there is

Seen (tests/lists.rs, a scripted discovery): with deadlines of 20 s a node whose call for the list failed asked again after 20 to 60 s, then up to 480 s; with this site's 2.5 s after 2.5 to 7.5 s. What it misses counts as told 6 s after the silence, so drains are broken from then on. Cause: `follow_list` takes its pause from the longest give-up time, which has nothing to do with discovery. Ruled out: the watcher itself, which reports the failure at once.

The pause is now 0.5 to 1.5 s, then 1 to 3 s. A site whose lists are pushed never comes here.

asked_lists_are_asked_for_again_in_time fails without it (no call within 20 s) and passes with it.

--- a/crates/balance/src/balancer/list.rs
+++ b/crates/balance/src/balancer/list.rs
@@ -10,14 +10,16 @@
 /// into a queue itself: the fewer share a server, the more each knows.
 const COVER: f64 = 3.0;
 const LEAST_PART: f64 = 2.0;
+/// What is missed counts as told within 6 s, whatever the deadlines: half the mean first wait to ask again.
+const RELIST: f64 = 0.5e9;
 
 impl Balancer {
     pub(super) fn follow_list(&mut self, now: Nanos, kind: ListKind, servers: &[Server], sink: Sink) {
         match kind {
-            // The whole group may have been cut off at once: come back spread out, later each time.
+            // The whole group may have been cut off at once: come back spread out, later the next time.
             ListKind::Failed => {
-                self.list_failures = (self.list_failures + 1).min(4);
-                let pause = self.longest as f64 * f64::from(1 << self.list_failures) * (0.5 + self.chance());
+                self.list_failures = (self.list_failures + 1).min(2);
+                let pause = RELIST * f64::from(1 << self.list_failures) * (0.5 + self.chance());
                 return self.jobs.push(Reverse((now + pause as Nanos, Job::Relist)));
             }
             ListKind::Cached if self.settings.must_subscribe => sink.push(Action::Subscribe),
