Let a new process hear the agent before it serves by its earlier life's list

Suspected, and confirmed with a scripted agent: requests that came before the first list went by `known`, though what the agent has counts as told from the process's first moment. While the agent answers at once the window is milliseconds, inside the 250 ms of a drain; a first answer that takes longer than that left drained servers in use.

Requests on a pool whose lists are pushed now wait for the first list, for 250 ms after the start at most: a drain has as long, and an agent that says nothing by then is silent. Their time goes on meanwhile.

a_new_process_hears_the_agent_before_it_serves: red before (answered by the old server), green now.

--- a/crates/proxy/src/upstream/pool.rs
+++ b/crates/proxy/src/upstream/pool.rs
@@ -5,7 +5,7 @@
 use super::fleet::Entry;
 use super::upstreams::{Sender, Upstreams};
 use corkhollow_balance::interface::{
-    Heirs, ListKind, Phase, Server as Told, ServerId, Settings, SettingsError,
+    Heirs, ListKind, Nanos, Phase, Server as Told, ServerId, Settings, SettingsError,
 };
 use corkhollow_engine::{log, Clock, Engine};
 use corkhollow_operate::Figures;
@@ -24,6 +24,12 @@
 /// A watched file is looked at this often.
 const LOOK: Duration = Duration::from_millis(250);
 
+/// What an agent has counts as told from the process's first moment, and it answers at once: requests wait this long for
+/// its answer. Then it is silent, and the list of the earlier life has to do. A drain has as long.
+const FIRST_LIST: Nanos = 250_000_000;
+/// How often they look.
+const HEARD: Duration = Duration::from_millis(5);
+
 /// Without a word from discovery a pool serves by the list of its earlier life after this.
 const READY_KNOWN: Duration = Duration::from_millis(700);
 
@@ -47,6 +53,8 @@
     /// It has been told who its servers are.
     pub ready: Rc<Cell<bool>>,
     told: plan::Pool,
+    /// Until when requests wait for the first list.
+    waits_until: Nanos,
     limits: Limits,
     roster: Rc<RefCell<Roster>>,
     discovery: Option<watch::Sender<SocketAddr>>,
@@ -82,6 +90,7 @@
         let ready = Rc::new(Cell::new(false));
         let mut discovery = None;
         let mut source = None;
+        let pushed = matches!(told.source, Source::Discovery(_)) && !told.settings.must_subscribe;
         if let Source::Discovery(from) = &told.source {
             let (address, seen) = watch::channel(from.address);
             discovery = Some(address);
@@ -117,6 +126,7 @@
             roster,
             discovery,
             retired,
+            waits_until: if pushed { shared.clock.now() + FIRST_LIST } else { 0 },
             source: RefCell::new(source),
             checks: RefCell::default(),
             told,
@@ -189,6 +199,13 @@
         self.replacer().replace(servers);
     }
 
+    /// Waits until the pool has been told who its servers are, or its process is no longer new.
+    pub async fn first_list(&self) {
+        while !self.ready.get() && self.engine.clock().now() < self.waits_until {
+            tokio::time::sleep(HEARD).await;
+        }
+    }
+
     /// Who is to be checked, and where.
     pub fn to_check(&self) -> Vec<(String, SocketAddr)> {
         self.roster.borrow().to_check()
