Read lists as a stream of values, and have a fresh call out while the agent is silent

Three causes in the watcher, each confirmed against a scripted discovery on the program as it was:

- `lines_of_watch` cut at every line feed and read each line as a whole object: an indented list was nonsense for ever (the node never got ready).
Lists are now cut out of the bytes wherever these are cut (plan::hosts::ListReader, pure): many on a line, one on many lines, heartbeats between.
One that was cut short ends its watch as soon as what follows shows it, or after a silence in which only white space came; it no longer can swallow the lists behind it.
- A call opened while the agent is silent held the node for 2.6 s (next call after 2.67 s), and waits between calls that failed grew to 1.5 s (1.09 s after ten), though what the agent gets at its return counts as told at once and its answers cost nothing.
While no call is answered there is now another one every 100 ms, four at most at a time, and a call that failed is repeated after 25 to 75 ms.
Waits still grow where what was told is of no use (nonsense, older versions).
- A watch on asked lists that broke went through the module's pause.
One that had stood for 1 s is opened again by the watcher, after up to 0.2 s; calls have 3 s to their first word in place of 6 s twice.
A fetch no longer outlives a moved address.

--- a/crates/proxy/src/upstream/discovery.rs
+++ b/crates/proxy/src/upstream/discovery.rs
@@ -6,7 +6,7 @@
 use crate::socket::{Socket, SocketIo};
 use corkhollow_balance::interface::{ListKind, Phase, Server, ServerId};
 use corkhollow_engine::{log, Engine, ListCall};
-use corkhollow_plan::hosts::{Health, Host, HostList};
+use corkhollow_plan::hosts::{Health, Host, HostList, ListError, ListReader, LONGEST_LIST};
 use http_body_util::{BodyExt, Empty};
 use hyper::body::{Bytes, Incoming};
 use hyper::{Request, StatusCode};
@@ -14,23 +14,38 @@
 use rand_core::{RngCore, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 use std::cell::Cell;
+use std::future::{poll_fn, Future};
 use std::net::SocketAddr;
+use std::pin::Pin;
 use std::rc::Rc;
+use std::task::Poll;
 use std::time::Duration;
 use tokio::net::TcpStream;
 use tokio::sync::{mpsc, watch};
-use tokio::time::timeout;
+use tokio::task::AbortHandle;
+use tokio::time::{interval, sleep, timeout, timeout_at, Instant, MissedTickBehavior};
 
 /// A watch says something at least every 2 s; one that is silent for longer hangs.
 const SILENCE: Duration = Duration::from_millis(2600);
-/// Discovery that is asked may let a call wait in turn.
-const CALL: Duration = Duration::from_secs(6);
+/// Discovery that is asked lets a call wait in turn. What a silent watch misses counts as told 6 s after it fell silent:
+/// this and the silence have to be over by then.
+const CALL: Duration = Duration::from_secs(3);
 const CONNECT: Duration = Duration::from_millis(500);
-/// Waits before a watch is opened again: from the first, doubled up to the last, and spread.
+/// Lists that are pushed cost nothing to ask for, and what the agent gets after a silence counts as told at once: as long as
+/// no call is answered, there is another one this often, so that one of them is new whenever the silence ends ...
+const ANOTHER: Duration = Duration::from_millis(100);
+/// ... of which this many wait: the oldest, in case an answer just takes its time, and the newest.
+const MOST_CALLS: usize = 4;
+/// Waits before a watch is opened again: from the first, doubled up to the last where what it brings is of no use, and
+/// spread.
 const PAUSE_FIRST: f64 = 0.05;
 const PAUSE_LAST: f64 = 1.0;
-/// The longest line; a list of 10,000 servers has a fifth of that.
-const LONGEST: usize = 8 << 20;
+/// A watch on lists that are asked for has stood if it lasted for this long. When it breaks, those of all nodes may have:
+/// it is opened again after a part of this, for what it misses counts as told soon.
+const STOOD: Duration = Duration::from_secs(1);
+const STOOD_PART: f64 = 0.2;
+/// A list of which nothing more has come for this long may have been cut short.
+const PAUSED: Duration = Duration::from_millis(100);
 /// An older whole list is taken only when discovery has stuck to it in this many watches: it may have lost its
 /// numbers, but more likely it was one stale copy, which would bring drained servers back.
 const STUBBORN: u32 = 4;
@@ -53,10 +68,8 @@
     Http(#[from] hyper::Error),
     #[error("answered {0}")]
     Status(StatusCode),
-    #[error("a line of over {LONGEST} bytes")]
-    TooLong,
-    #[error("a line that cannot be read: {0}")]
-    Nonsense(#[from] serde_json::Error),
+    #[error("{0}")]
+    Nonsense(#[from] ListError),
     #[error("version {0} after {1}")]
     Backwards(u64, u64),
     #[error("the watch ended")]
@@ -91,7 +104,6 @@
     /// Nothing is held that changes could build on.
     blank: bool,
     older: u32,
-    lines: u64,
     rng: Pcg64Mcg,
 }
 
@@ -107,29 +119,31 @@
         let rng = Pcg64Mcg::seed_from_u64(following.seed ^ 0x6469_7363);
         let known = following.known.take();
         let (seq, blank) = (known.as_ref().map_or(0, |k| k.seq), known.is_none());
-        let watcher =
-            Watcher { engine, upstreams, following, ready, address, seq, blank, older: 0, lines: 0, rng };
+        let watcher = Watcher { engine, upstreams, following, ready, address, seq, blank, older: 0, rng };
         watcher.tell(ListKind::Cached, known.map(|k| k.hosts).unwrap_or_default());
         watcher
     }
 
+    fn spread(&mut self) -> f64 {
+        f64::from(self.rng.next_u32()) / f64::from(u32::MAX)
+    }
+
     /// Lists come unasked: the watch is the node's to keep alive.
     pub async fn follow(mut self) {
         let mut moves = self.address.clone();
         let mut pause = PAUSE_FIRST;
         loop {
-            let lines = self.lines;
-            let spread = 0.5 + f64::from(self.rng.next_u32()) / f64::from(u32::MAX);
+            let spread = 0.5 + self.spread();
             let lost = async {
                 let error = self.watch().await;
-                if self.lines > lines {
-                    pause = PAUSE_FIRST;
-                }
                 log(format_args!("discovery: {error}"));
-                tokio::time::sleep(Duration::from_secs_f64(pause * spread)).await;
+                // What is told badly is told badly again. A watch that has only ended is missed from here on.
+                let useless = matches!(error, WatchError::Nonsense(_) | WatchError::Backwards(..));
+                pause = if useless { (pause * 2.0).min(PAUSE_LAST) } else { PAUSE_FIRST };
+                sleep(Duration::from_secs_f64(pause * spread)).await;
             };
             tokio::select! {
-                () = lost => pause = (pause * 2.0).min(PAUSE_LAST),
+                () = lost => {}
                 // What the old address still had to say, the new one tells: it is asked from the same version on.
                 () = moved(&mut moves) => pause = PAUSE_FIRST,
             }
@@ -141,16 +155,26 @@
         let mut moves = self.address.clone();
         let mut next = calls.recv().await;
         while let Some(call) = next.take() {
+            let begun = Instant::now();
             let error = match call {
-                ListCall::Fetch => self.fetch().await.err(),
+                ListCall::Fetch => tokio::select! {
+                    fetched = self.fetch() => fetched.err(),
+                    () = moved(&mut moves) => { next = Some(call); continue }
+                },
                 ListCall::Subscribe => tokio::select! {
                     error = self.watch() => Some(error),
-                    call = calls.recv() => { next = call; continue }
+                    asked = calls.recv() => { next = asked; continue }
                     () = moved(&mut moves) => { next = Some(call); continue }
                 },
             };
             if let Some(error) = error {
                 log(format_args!("discovery: {error}"));
+                if call == ListCall::Subscribe && begun.elapsed() > STOOD {
+                    let pause = STOOD.mul_f64(STOOD_PART * self.spread());
+                    sleep(pause).await;
+                    next = Some(call);
+                    continue;
+                }
                 self.engine.list(ListKind::Failed, Vec::new());
             }
             next = calls.recv().await;
@@ -158,52 +182,57 @@
     }
 
     async fn fetch(&mut self) -> Result<(), WatchError> {
-        let body = self.get("/discovery/hosts".to_owned()).await?;
-        let limited = http_body_util::Limited::new(body, LONGEST);
+        let (body, _connection) = self.get("/discovery/hosts".to_owned(), CALL).await?;
+        let limited = http_body_util::Limited::new(body, LONGEST_LIST);
         let whole = timeout(CALL, limited.collect()).await.map_err(|_| WatchError::Silent)?;
         let bytes = whole.map_err(|_| WatchError::Ended)?.to_bytes();
-        self.line(&bytes)
+        self.take(serde_json::from_slice(&bytes).map_err(ListError::from)?)
     }
 
     async fn watch(&mut self) -> WatchError {
-        match self.lines_of_watch().await {
+        match self.listen().await {
             Ok(()) => WatchError::Ended,
             Err(error) => error,
         }
     }
 
-    async fn lines_of_watch(&mut self) -> Result<(), WatchError> {
+    async fn listen(&mut self) -> Result<(), WatchError> {
         let mut path = "/discovery/hosts?follow=1".to_owned();
         if !self.blank && self.older == 0 {
             path += &format!("&since={}", self.seq);
         }
-        let mut body = self.get(path).await?;
-        let mut held: Vec<u8> = Vec::new();
-        let patience = if self.following.must_subscribe { CALL } else { SILENCE };
-        let mut within = patience;
-        while let Some(frame) = timeout(within, body.frame()).await.map_err(|_| WatchError::Silent)? {
-            within = SILENCE;
-            let Ok(data) = frame?.into_data() else { continue };
-            let mut rest = &data[..];
-            while let Some(end) = rest.iter().position(|b| *b == b'\n') {
-                held.extend_from_slice(&rest[..end]);
-                rest = &rest[end + 1..];
-                // The empty line is the heartbeat.
-                if !held.trim_ascii().is_empty() {
-                    self.line(&held)?;
+        let Opened { first, mut body, _connection } = self.open(path).await?;
+        let mut reader = ListReader::default();
+        self.read(&mut reader, &first)?;
+        let (mut moved_at, mut looked) = (Instant::now(), false);
+        loop {
+            let silent_at = moved_at + SILENCE;
+            let pause = Instant::now() + PAUSED;
+            let until = if reader.amid() && !looked { pause.min(silent_at) } else { silent_at };
+            match timeout_at(until, body.frame()).await {
+                Ok(None) => return Ok(()),
+                Ok(Some(frame)) => {
+                    let Ok(data) = frame?.into_data() else { continue };
+                    // White space in a list that does not go on is the heartbeat, behind one that was cut short.
+                    if !reader.amid() || !data.trim_ascii().is_empty() {
+                        (moved_at, looked) = (Instant::now(), false);
+                    }
+                    self.read(&mut reader, &data)?;
                 }
-                held.clear();
-            }
-            held.extend_from_slice(rest);
-            if held.len() > LONGEST {
-                return Err(WatchError::TooLong);
+                Err(_) if until < silent_at => {
+                    reader.check()?;
+                    looked = true;
+                }
+                Err(_) => return Err(WatchError::Silent),
             }
         }
-        Ok(())
     }
 
-    fn line(&mut self, bytes: &[u8]) -> Result<(), WatchError> {
-        let list: HostList = serde_json::from_slice(bytes)?;
+    fn read(&mut self, reader: &mut ListReader, data: &[u8]) -> Result<(), WatchError> {
+        reader.take(data)?.into_iter().try_for_each(|list| self.take(list))
+    }
+
+    fn take(&mut self, list: HostList) -> Result<(), WatchError> {
         if list.seq < self.seq && !self.blank {
             self.older += 1;
             if !list.whole || self.older < STUBBORN {
@@ -211,7 +240,6 @@
             }
         }
         self.older = 0;
-        self.lines += 1;
         self.seq = list.seq;
         self.blank = false;
         self.tell(if list.whole { ListKind::Full } else { ListKind::Changes }, list.hosts);
@@ -246,7 +274,52 @@
         self.engine.list(kind, servers);
     }
 
-    async fn get(&self, path: String) -> Result<Incoming, WatchError> {
+    /// Opens a watch and waits for the first that it says.
+    async fn open(&self, path: String) -> Result<Opened, WatchError> {
+        if self.following.must_subscribe {
+            return timeout(CALL, self.call(path, CALL)).await.unwrap_or(Err(WatchError::Silent));
+        }
+        let mut calls: Vec<Calling<'_>> = Vec::new();
+        let mut another = interval(ANOTHER);
+        another.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        loop {
+            let answered = poll_fn(|cx| {
+                let over = calls.iter_mut().enumerate().find_map(|(k, call)| match call.as_mut().poll(cx) {
+                    Poll::Ready(answer) => Some((k, answer)),
+                    Poll::Pending => None,
+                });
+                over.map_or(Poll::Pending, Poll::Ready)
+            });
+            tokio::select! {
+                biased;
+                (at, answer) = answered => {
+                    drop(calls.swap_remove(at));
+                    if answer.is_ok() || calls.is_empty() {
+                        return answer;
+                    }
+                }
+                _ = another.tick() => {
+                    if calls.len() == MOST_CALLS {
+                        drop(calls.remove(1));
+                    }
+                    calls.push(Box::pin(self.call(path.clone(), SILENCE)));
+                }
+            }
+        }
+    }
+
+    /// One call, up to the first that it says.
+    async fn call(&self, path: String, patience: Duration) -> Result<Opened, WatchError> {
+        let (mut body, _connection) = self.get(path, patience).await?;
+        loop {
+            let frame = timeout(patience, body.frame()).await.map_err(|_| WatchError::Silent)?;
+            if let Ok(first) = frame.ok_or(WatchError::Ended)??.into_data() {
+                return Ok(Opened { first, body, _connection });
+            }
+        }
+    }
+
+    async fn get(&self, path: String, patience: Duration) -> Result<(Incoming, Ends), WatchError> {
         let address = *self.address.borrow();
         let stream = match timeout(CONNECT, TcpStream::connect(address)).await {
             Ok(stream) => stream.map_err(WatchError::Connect)?,
@@ -254,17 +327,35 @@
         };
         let io = TokioIo::new(SocketIo(Socket::new(stream)));
         let (mut sender, connection) = hyper::client::conn::http1::handshake(io).await?;
-        // Ends with the answer's body: nothing else holds the connection.
-        tokio::task::spawn_local(connection);
+        let ends = Ends(tokio::task::spawn_local(connection).abort_handle());
         let mut request = Request::new(Empty::<Bytes>::new());
         *request.uri_mut() = path.parse().unwrap_or_default();
         let host = hyper::header::HeaderValue::try_from(address.to_string());
         request.headers_mut().extend(host.ok().map(|h| (hyper::header::HOST, h)));
-        let wait = if self.following.must_subscribe { CALL } else { SILENCE };
-        let answer = timeout(wait, sender.send_request(request)).await.map_err(|_| WatchError::Silent)??;
+        let answer =
+            timeout(patience, sender.send_request(request)).await.map_err(|_| WatchError::Silent)??;
         match answer.status() {
-            StatusCode::OK => Ok(answer.into_body()),
+            StatusCode::OK => Ok((answer.into_body(), ends)),
             status => Err(WatchError::Status(status)),
         }
     }
 }
+
+/// A call that is out.
+type Calling<'c> = Pin<Box<dyn Future<Output = Result<Opened, WatchError>> + 'c>>;
+
+/// A watch that has said something.
+struct Opened {
+    first: Bytes,
+    body: Incoming,
+    _connection: Ends,
+}
+
+/// A connection's task, which ends with it.
+struct Ends(AbortHandle);
+
+impl Drop for Ends {
+    fn drop(&mut self) {
+        self.0.abort();
+    }
+}
--- a/crates/standin/src/discovery.rs
+++ b/crates/standin/src/discovery.rs
@@ -1,8 +1,9 @@
 //! The platform's discovery.
 
 use crate::message::read;
+use crate::PATIENCE;
 use std::io::Write;
-use std::net::{SocketAddr, TcpListener};
+use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{mpsc, Arc, Mutex};
 use std::thread;
@@ -79,3 +80,75 @@
         self.watches.load(Ordering::SeqCst)
     }
 }
+
+/// Discovery whose calls a test answers itself, one by one: it stands at each point of each call.
+pub struct Agent {
+    /// Where it listens.
+    pub address: SocketAddr,
+    calls: mpsc::Receiver<Call>,
+}
+
+/// A call that has come. Dropped, its connection is closed.
+pub struct Call {
+    /// What was asked for: path and query.
+    pub target: String,
+    stream: TcpStream,
+}
+
+impl Agent {
+    /// Takes calls.
+    pub fn listen() -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let address = listener.local_addr().unwrap();
+        let (sender, calls) = mpsc::channel();
+        thread::spawn(move || {
+            for mut stream in listener.incoming().flatten() {
+                if let Some(message) = read(&mut stream) {
+                    let target = message.head.split(' ').nth(1).unwrap_or_default().to_owned();
+                    if sender.send(Call { target, stream }).is_err() {
+                        return;
+                    }
+                }
+            }
+        });
+        Agent { address, calls }
+    }
+
+    /// The next call.
+    pub fn call(&self) -> Call {
+        self.calls.recv_timeout(PATIENCE).expect("the node calls")
+    }
+
+    /// A call that comes within this.
+    pub fn call_within(&self, time: Duration) -> Option<Call> {
+        self.calls.recv_timeout(time).ok()
+    }
+
+    /// The newest of the calls that have come by now, and of the next one where none has; the others go on being silent.
+    pub fn newest(&self, silent: &mut Vec<Call>) -> Call {
+        let mut newest = self.call();
+        while let Ok(newer) = self.calls.try_recv() {
+            silent.push(std::mem::replace(&mut newest, newer));
+        }
+        newest
+    }
+}
+
+impl Call {
+    /// Begins the answer of a watch, and says this on it.
+    pub fn watch(&mut self, words: &str) {
+        let _ = self.stream.write_all(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+        self.say(words);
+    }
+
+    /// Says more, as it stands.
+    pub fn say(&mut self, words: &str) {
+        let chunk = format!("{:x}\r\n{words}\r\n", words.len());
+        let _ = self.stream.write_all(chunk.as_bytes());
+    }
+
+    /// Ends it with a reset.
+    pub fn reset(self) {
+        crate::servers::reset(self.stream);
+    }
+}
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -10,7 +10,7 @@
 mod servers;
 
 pub use clients::{get, half_close, post};
-pub use discovery::{host, list, Discovery};
+pub use discovery::{host, list, Agent, Call, Discovery};
 pub use fleet::{Draw, Load, Machine, Tally};
 pub use link::{End, Link, State, Way, Ways};
 pub use message::{read, response, Message};
--- a/crates/standin/src/program.rs
+++ b/crates/standin/src/program.rs
@@ -116,6 +116,12 @@
         Self::started(child, config, None)
     }
 
+    /// Starts it on this platform configuration and waits until it listens.
+    pub fn of(config: &str) -> Self {
+        let (child, config) = Self::spawn(config);
+        Self::started(child, config, None)
+    }
+
     /// The program on a listening socket that it is handed, with a folder that it has in common with others on the same
     /// socket. Waits until it says where operators call.
     pub fn handed(
