See a client leave behind bytes that it has sent after its request

While a request is answered hyper looks for the end of the connection only while its read buffer is empty (`mid_message_detect_eof`); with bytes there it waits. The request went on to servers, was tried again, and the requests behind it were served one by one after that (3 requests at the servers where 2 were right).

`serve` now reads on itself while the service has the whole request: up to 16 KiB are kept for hyper in their order. On the platform, whose clients send one request at a time, what is beyond that is thrown away and the answer is the connection's last one; in the general dialect, where pipelining is allowed, reading stops there. A client that only ends its sending has left, as before: it cannot be told from one that has closed, and PROTOCOL has both mean the same where a node does it.

--- a/crates/proxy/src/http1/clients.rs
+++ b/crates/proxy/src/http1/clients.rs
@@ -19,6 +19,7 @@
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::convert::Infallible;
+use std::future::poll_fn;
 use std::io;
 use std::net::SocketAddr;
 use std::pin::{pin, Pin};
@@ -67,6 +68,8 @@
     closing: Cell<bool>,
     /// The next answer is its last.
     last: Cell<bool>,
+    /// All of the request under way is here.
+    whole: Cell<bool>,
     /// The last answer may have left some of its request unread.
     unread: Cell<bool>,
     close: Notify,
@@ -105,11 +108,24 @@
 
     /// The last byte of the request has come.
     pub(super) fn taken(&self, now: Nanos) {
+        self.whole.set(true);
         if let Some(tally) = &mut *self.tally.borrow_mut() {
             tally.take(now);
         }
     }
 
+    /// Ends when the client has left while its request, of which all is here, waits for its answer. One that has only ended
+    /// its sending has left too: nobody can tell it from one that has closed, and the protocol has both mean the same
+    /// where a node does it. On the platform, whose clients send one request at a time, what else they send must not
+    /// hide their end.
+    async fn leaves(&self, one_at_a_time: bool) {
+        poll_fn(|cx| match self.stage.get() == Stage::Waiting && self.whole.get() {
+            true => self.socket.poll_left(cx, one_at_a_time.then_some(&self.last)),
+            false => Poll::Pending,
+        })
+        .await
+    }
+
     /// Ends the connection: at once, or when no request is open. The task that serves it sleeps and has to be
     /// woken, or it holds its descriptor until the client leaves.
     fn stop(&self, cut: bool) {
@@ -209,6 +225,7 @@
             cut: Cell::new(false),
             closing: Cell::new(false),
             last: Cell::new(false),
+            whole: Cell::new(false),
             unread: Cell::new(false),
             close: Notify::new(),
             tally: RefCell::default(),
@@ -299,6 +316,10 @@
     let answering = service_fn(|request| respond(service, &client, request));
     let io = TokioIo::new(SocketIo(client.socket.clone()));
     let mut connection = pin!(builder.serve_connection(io, answering));
+    let site = service.site.get();
+    let told = site.plan.listeners.iter().find(|l| *l.name == *client.listener);
+    let one_at_a_time = told.is_some_and(|l| l.dialect == Dialect::Platform);
+    drop(site);
     loop {
         tokio::select! {
             biased;
@@ -308,6 +329,7 @@
                 client.unread.set(unreadable || client.unread.get());
                 break;
             }
+            () = client.leaves(one_at_a_time) => return,
             _ = client.close.notified() => {
                 if client.cut.get() {
                     return;
@@ -378,6 +400,7 @@
     request: Request<Incoming>,
 ) -> Result<Response<Outgoing>, Infallible> {
     client.stage.set(Stage::Reading);
+    client.whole.set(false);
     client.fresh_since.set(None);
     let chunked = request.headers().contains_key(header::TRANSFER_ENCODING);
     let seen = chunked && client.socket.has_head(request.method().as_str());
--- a/crates/proxy/src/socket.rs
+++ b/crates/proxy/src/socket.rs
@@ -39,8 +39,13 @@
     /// What is to go out before anything else of hyper's: one message at most.
     said: RefCell<Vec<u8>>,
     first: RefCell<Vec<u8>>,
+    /// What the node has read before hyper wanted it.
+    ahead: RefCell<Vec<u8>>,
 }
 
+/// How much is read ahead of hyper.
+const AHEAD: usize = 16 * 1024;
+
 /// How much of what comes first is kept as it came: no less than the longest head, or a length could hide there.
 const FIRST: usize = 16 * 1024;
 
@@ -90,6 +95,7 @@
             flushed: Cell::new(true),
             said: RefCell::default(),
             first: RefCell::default(),
+            ahead: RefCell::default(),
         })
     }
 
@@ -195,9 +201,40 @@
         let _ = timeout(longest, read).await;
     }
 
+    /// Ends when the peer has ended its side or the connection has broken. What comes before that is kept for hyper, which
+    /// reads nothing more behind a request that it has read until that one is answered, and so sees no end behind it. What
+    /// is too much to keep is thrown away where it `spills`, and told of; elsewhere it stays where it is, and so does
+    /// the end behind it.
+    pub fn poll_left(&self, cx: &mut Context<'_>, spills: Option<&Cell<bool>>) -> Poll<()> {
+        let mut bytes = [0; 4096];
+        loop {
+            let mut ahead = self.ahead.borrow_mut();
+            let room = AHEAD - ahead.len();
+            if room == 0 && spills.is_none() {
+                return Poll::Pending;
+            }
+            let most = if spills.is_some() { bytes.len() } else { room.min(bytes.len()) };
+            let mut buf = ReadBuf::new(&mut bytes[..most]);
+            let read = Pin::new(&mut *self.stream.borrow_mut()).poll_read(cx, &mut buf);
+            let came = buf.filled();
+            if ready!(read).is_err() || came.is_empty() {
+                return Poll::Ready(());
+            }
+            ahead.extend_from_slice(&came[..came.len().min(room)]);
+            if let Some(spills) = spills.filter(|_| came.len() > room) {
+                spills.set(true);
+            }
+            // Hyper may have asked just before this came, and would not ask again.
+            cx.waker().wake_by_ref();
+        }
+    }
+
     /// Nothing has come and the peer has not closed. This asks the kernel itself: what the runtime knows may
     /// be older than a close that would lose the next request.
     pub fn quiet(&self) -> bool {
+        if !self.ahead.borrow().is_empty() {
+            return false;
+        }
         let mut byte = [MaybeUninit::uninit()];
         let seen = socket2::SockRef::from(&*self.stream.borrow()).peek(&mut byte);
         matches!(seen, Err(e) if e.kind() == io::ErrorKind::WouldBlock)
@@ -211,6 +248,14 @@
     fn poll_read(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &mut ReadBuf<'_>) -> Poll<io::Result<()>> {
         // The stream's own read knows when a short one has emptied the kernel's buffer, and spares the next.
         let before = buf.filled().len();
+        let mut ahead = self.0.ahead.borrow_mut();
+        if !ahead.is_empty() {
+            let most = ahead.len().min(buf.remaining());
+            buf.put_slice(&ahead[..most]);
+            ahead.drain(..most);
+            self.0.hear(&buf.filled()[before..]);
+            return Poll::Ready(Ok(()));
+        }
         ready!(Pin::new(&mut *self.0.stream.borrow_mut()).poll_read(cx, buf))?;
         let came = &buf.filled()[before..];
         if !came.is_empty() {
