Count a keyed request's window from its sending, and let a late attempt ask once more

Cause: `outcome` reckoned the time of sending as now less `took`, but `took` ends with the answer's head; a body that stands still or dribbles until it breaks moved the window's end by all of that (250 ms at least for an answer that never ends). The attempt now keeps when it was decided on. The fence also kept an index of a node, whose place another server may have by then where shorter deadlines have come into force: it keeps the server.

`may_begin` answers, for an attempt that is about to be written, what was true when it was decided on: its request open, its server listed as ready, its window not over.

--- a/crates/balance/src/balancer/admission.rs
+++ b/crates/balance/src/balancer/admission.rs
@@ -47,9 +47,8 @@
             let trial = forgotten && place.refused >= REFUSED_A_TRIAL && !request.is_retry;
             if wait <= 0.0 || (trial && self.nodes[i].out == 0) {
                 (place.tried_at, place.refused) = (now, 0);
-                if let Some(rate) = self.tenants.get_mut(request.tenant as usize) {
-                    rate.add(now, self.memory, 1.0);
-                }
+                let rate = self.tenants.get_mut(request.tenant as usize);
+                rate.into_iter().for_each(|rate| rate.add(now, self.memory, 1.0));
                 self.pending.insert(request.id, pending);
                 self.send(now, request.id, i, sink);
                 let class = &self.settings.classes[class];
--- a/crates/balance/src/balancer/attempts.rs
+++ b/crates/balance/src/balancer/attempts.rs
@@ -2,7 +2,7 @@
 
 use super::cold::EARLY;
 use super::{Attempt, Balancer, Sink};
-use crate::interface::{Action, Effect, Ending, Group, Nanos, RequestId};
+use crate::interface::{Action, Effect, Ending, Group, Nanos, Phase, RequestId, ServerId};
 
 impl Balancer {
     pub(super) fn send(&mut self, now: Nanos, id: RequestId, i: usize, sink: Sink) {
@@ -19,7 +19,8 @@
             self.works(now, i, weight);
         }
         if let Some(p) = self.pending.get_mut(&id) {
-            p.attempts.push(Attempt { node: i, credit, weight, open: true, working, alone, took: 0 });
+            let attempt = Attempt { node: i, at: now, credit, weight, open: true, working, alone, took: 0 };
+            p.attempts.push(attempt);
             sink.push(Action::Send { request: id, server: self.nodes[i].server.id, timeout: 0 });
         }
     }
@@ -59,20 +60,17 @@
         let (a, request) = (*a, p.request);
         let window = self.settings.classes[usize::from(request.class)].window;
         if !ending.never_ran() && p.fence.is_none() {
-            p.fence = Some((a.node, now.saturating_sub(took) + window));
+            p.fence = Some((self.nodes[a.node].server, a.at + window));
         }
         if a.working {
             self.rests(a.node, a.weight);
         }
         self.judge(now, a, &request, ending, sink);
-        let Some(p) = self.pending.get(&id) else { return };
-        if finished || p.answered {
-            return self.close(id, sink);
+        match self.pending.get(&id) {
+            Some(p) if finished || p.answered => self.close(id, sink),
+            Some(p) if p.open() > 0 && now < p.request.give_up_at => {}
+            _ => self.again(now, id, (ending, spent), sink),
         }
-        if p.open() > 0 && now < p.request.give_up_at {
-            return;
-        }
-        self.again(now, id, (ending, spent), sink);
     }
 
     /// Sends a request again whose attempts have all ended without an answer, or ends it.
@@ -103,15 +101,16 @@
             }
         }
         self.pending.insert(id, p);
-        match next {
-            Some((i, _)) => {
-                if !free {
-                    self.budget -= 1.0;
-                }
-                self.send(now, id, i, sink)
-            }
-            None => self.close(id, sink),
-        }
+        let Some((i, _)) = next else { return self.close(id, sink) };
+        self.budget -= if free { 0.0 } else { 1.0 };
+        self.send(now, id, i, sink)
+    }
+
+    /// Whether an attempt may still begin, as it could when it was decided on: connecting takes time.
+    pub fn may_begin(&self, now: Nanos, id: RequestId, server: ServerId) -> bool {
+        let ready = |i: usize| self.nodes[i].server.phase == Phase::Ready;
+        let open = self.pending.get(&id).filter(|p| !p.answered);
+        open.zip(self.by_id.get(&server)).is_some_and(|(p, &i)| ready(i) && self.inside(now, i, p))
     }
 
     /// A second copy for a request that is slow to come back, within the budget.
@@ -123,10 +122,9 @@
         let may = fits && self.budget >= 1.0 && now < p.request.give_up_at;
         let next = may.then(|| self.choose(now, &p)).flatten().filter(|c| self.expected(class, c.1) < left);
         self.pending.insert(id, p);
-        if let Some((i, _)) = next {
-            self.budget -= 1.0;
-            self.send(now, id, i, sink);
-        }
+        let Some((i, _)) = next else { return };
+        self.budget -= 1.0;
+        self.send(now, id, i, sink);
     }
 
     /// Nothing more is owed: calls off what is still out and forgets the request once all is in.
--- a/crates/balance/src/balancer/choice.rs
+++ b/crates/balance/src/balancer/choice.rs
@@ -30,10 +30,10 @@
 
     pub(super) fn inside(&self, now: Nanos, i: usize, pending: &Pending) -> bool {
         let class = &self.settings.classes[usize::from(pending.request.class)];
-        let Some((first, until)) = pending.fence.filter(|_| class.effect == Effect::Keyed) else {
+        let Some((a, until)) = pending.fence.filter(|_| class.effect == Effect::Keyed) else {
             return true;
         };
-        let (a, b) = (&self.nodes[first].server, &self.nodes[i].server);
+        let b = &self.nodes[i].server;
         let same = match class.group {
             Group::All => true,
             Group::Zone => a.zone == b.zone,
--- a/crates/balance/src/balancer/mod.rs
+++ b/crates/balance/src/balancer/mod.rs
@@ -52,6 +52,7 @@
 #[derive(Clone, Copy)]
 struct Attempt {
     node: usize,
+    at: Nanos,
     credit: f64,
     weight: f64,
     open: bool,
@@ -65,7 +66,7 @@
     arrived: Nanos,
     attempts: Vec<Attempt>,
     most: u32,
-    fence: Option<(usize, Nanos)>,
+    fence: Option<(Server, Nanos)>,
     answered: bool,
     streaming: bool,
 }
