--- a/crates/standin/src/servers.rs
+++ b/crates/standin/src/servers.rs
@@ -134,3 +134,55 @@
     });
     address
 }
+
+/// A server whose backlog is full: connections to it neither come up nor fail.
+pub struct Full {
+    /// Where it listens.
+    pub dial: SocketAddr,
+    listener: socket2::Socket,
+    fillers: Vec<TcpStream>,
+}
+
+impl Full {
+    /// One that takes nothing.
+    pub fn new() -> Self {
+        let listener = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).unwrap();
+        listener.bind(&SocketAddr::from(([127, 0, 0, 1], 0)).into()).unwrap();
+        listener.listen(0).unwrap();
+        let dial = listener.local_addr().unwrap().as_socket().unwrap();
+        let mut fillers = Vec::new();
+        while let Ok(filler) = TcpStream::connect_timeout(&dial, Duration::from_millis(200)) {
+            fillers.push(filler);
+        }
+        Full { dial, listener, fillers }
+    }
+
+    /// From here on it takes connections; the kernel of whoever waits for one tries again about a second after its last
+    /// try. All that comes on them within this time, of all of them together.
+    pub fn open(self, time: Duration) -> Vec<u8> {
+        for _ in &self.fillers {
+            let _ = self.listener.accept();
+        }
+        let listener: TcpListener = self.listener.into();
+        listener.set_nonblocking(true).unwrap();
+        let (begun, mut streams, mut seen) = (Instant::now(), Vec::new(), Vec::new());
+        while begun.elapsed() < time {
+            streams.extend(listener.accept().ok().map(|(stream, _)| stream));
+            for stream in &mut streams {
+                let _ = stream.set_nonblocking(true);
+                let mut some = [0; 4096];
+                while let Ok(n @ 1..) = stream.read(&mut some) {
+                    seen.extend_from_slice(&some[..n]);
+                }
+            }
+            thread::sleep(Duration::from_millis(2));
+        }
+        seen
+    }
+}
+
+impl Default for Full {
+    fn default() -> Self {
+        Self::new()
+    }
+}
