Believe what servers did no longer than with deadlines of 3 s

Cause: a failed connect puts its server out for half the longest deadline at least (15 to 60 s here, of 24 s in all), and lag, failures and tenants' rates are believed for three of them. Neither servers nor networks recover the later the longer clients would wait.

--- a/crates/balance/src/balancer/health.rs
+++ b/crates/balance/src/balancer/health.rs
@@ -104,7 +104,7 @@
         if matches!(ending, Ending::Reset | Ending::Rejected) && node.strikes == 1 {
             return;
         }
-        let pause = self.longest as f64 / 2.0 * f64::from(1 << node.strikes) * jitter;
+        let pause = self.memory / 6.0 * f64::from(1 << node.strikes) * jitter;
         node.blocked_until = now + pause as Nanos;
         if node.strikes == 2 {
             let text = format!("ejected after {ending:?}");
--- /dev/null
+++ b/crates/corkhollow/tests/customers.rs
@@ -0,0 +1,24 @@
+//! Settings of other customers: what is right for one's deadlines must not be wrong for another's.
+
+use corkhollow_standin::*;
+use std::time::{Duration, Instant};
+
+/// Deadlines of 20 s, as a customer with heavy work has them.
+fn long(discovery: std::net::SocketAddr) -> String {
+    config(discovery, &Options::default()).replace("\"giveUpNs\":3000000000", "\"giveUpNs\":20000000000")
+}
+
+/// A connection that comes up late is no connection; its server is avoided for a while and is there again when the trouble is
+/// over, however long clients would wait.
+#[test]
+fn a_server_is_back_soon_whatever_the_deadlines() {
+    let late = Full::new();
+    let discovery = Discovery::new(vec![list(1, true, &[host("s-0", late.dial, "active")])], true);
+    let node = Node::of(&long(discovery.address));
+    node.ready();
+    assert_eq!(node.post("/once/1", b"").unwrap().status(), 503, "nobody else could have it");
+    let failed = Instant::now();
+    late.serve("fine");
+    until("it is tried again", || node.post("/once/1", b"").unwrap().status() == 200);
+    assert!(failed.elapsed() < Duration::from_secs(8), "{:?}", failed.elapsed());
+}
--- a/crates/standin/src/servers.rs
+++ b/crates/standin/src/servers.rs
@@ -157,13 +157,31 @@
         Full { dial, listener, fillers }
     }
 
-    /// From here on it takes connections; the kernel of whoever waits for one tries again about a second after its last
-    /// try. All that comes on them within this time, of all of them together.
-    pub fn open(self, time: Duration) -> Vec<u8> {
+    /// From here on it takes connections, and gives each request this answer.
+    pub fn serve(self, body: &'static str) {
+        let listener = self.free();
+        thread::spawn(move || {
+            for mut stream in listener.incoming().flatten() {
+                thread::spawn(move || {
+                    while read(&mut stream).is_some() {
+                        let _ = stream.write_all(&response("200 OK", "", body.as_bytes()));
+                    }
+                });
+            }
+        });
+    }
+
+    fn free(self) -> TcpListener {
         for _ in &self.fillers {
             let _ = self.listener.accept();
         }
-        let listener: TcpListener = self.listener.into();
+        self.listener.into()
+    }
+
+    /// From here on it takes connections; the kernel of whoever waits for one tries again about a second after its last
+    /// try. All that comes on them within this time, of all of them together.
+    pub fn open(self, time: Duration) -> Vec<u8> {
+        let listener = self.free();
         listener.set_nonblocking(true).unwrap();
         let (begun, mut streams, mut seen) = (Instant::now(), Vec::new(), Vec::new());
         while begun.elapsed() < time {
