Try again when an error's answer is over, not while it is on its way

Seen (tests/attempts.rs, a 500 whose body never ends, second copies not allowed): the next attempt was at the other server while the first one's connection stayed open for 200 ms more, which PROTOCOL counts as a second copy. Cause: `answer` told the engine of the error before it read the rest of it. It now reads first (64 KiB, 200 ms at most) and tells then; where the rest does not come the connection is closed before the next attempt can be written. An error that comes whole, as nearly all do, costs no time. Ruled out beside it: a request of which the last byte is not written when its time is up.

--- a/crates/proxy/src/upstream/platform.rs
+++ b/crates/proxy/src/upstream/platform.rs
@@ -42,8 +42,10 @@
             status if status.is_client_error() => Ending::Rejected,
             _ => Ending::Error,
         };
+        // An attempt is out as long as its answer is on its way, and another may not be allowed beside it.
+        let whole = Box::pin(drain(link, body)).await;
         engine.ended(id, ending);
-        return Box::pin(drain(link, body)).await;
+        return whole;
     }
     let mut headers = head.headers;
     strip(&mut headers);
