Let connections rest where servers have been heard to answer twice

Suspected, and confirmed with a scripted server that says each answer again 4 ms later: the second copy crossed the next request on the connection that had just been put back, and a client was served another request's answer ("body of 1" for request 2). `checkout` asks the kernel whether a kept connection has spoken, which helps only once the copy is there.

A connection that brings more than was asked for is now remembered: right behind the answer (hyper ends it with an error of its own), while it is kept, or when it is looked at. For 60 s after that connections of the pool rest 50 ms before they are used again. Where no server does this nothing changes. What is left: the very first such copy that a node meets, if it crosses a request within those milliseconds; nothing on the wire tells it from an answer.

--- /dev/null
+++ b/crates/corkhollow/tests/attempts.rs
@@ -0,0 +1,91 @@
+//! Attempts at close range: answers that come twice, errors that do not end, requests of which a part is written.
+
+use corkhollow_standin::*;
+use std::io::{Read, Write};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering::SeqCst};
+use std::sync::Arc;
+use std::time::Duration;
+
+/// Answers each request with its own body, and then once more: the first time right behind, and from then on some
+/// milliseconds later, on the connection that the node has just put back.
+#[test]
+fn a_second_answer_is_nobodys() {
+    let number = AtomicUsize::new(0);
+    let dial = raw(move |mut stream| {
+        while let Some(message) = read(&mut stream).filter(|m| m.whole) {
+            let answer = response("200 OK", "", &message.body);
+            let twice = answer.repeat(if number.fetch_add(1, SeqCst) == 0 { 2 } else { 1 });
+            let _ = stream.write_all(&twice);
+            std::thread::sleep(Duration::from_millis(4));
+            let _ = stream.write_all(&answer);
+        }
+    });
+    let discovery = Discovery::new(vec![list(1, true, &[host("s-0", dial, "active")])], true);
+    let node = Node::start(discovery.address, &Options::default());
+    node.ready();
+    let mut client = node.connect();
+    for k in 0..200 {
+        let body = format!("body of {k}").into_bytes();
+        client.write_all(&post("/once/1", &body)).unwrap();
+        let answer = read(&mut client).expect("an answer");
+        assert_eq!(
+            (answer.status(), String::from_utf8_lossy(&answer.body)),
+            (200, String::from_utf8_lossy(&body))
+        );
+    }
+}
+
+/// Where second copies are not allowed, an attempt whose error is still on its way is not over: the next one goes when its
+/// connection is closed, not beside it.
+#[test]
+fn nothing_is_tried_again_beside_an_error_on_its_way() {
+    let closed = Arc::new(AtomicBool::new(false));
+    let beside = Arc::new(AtomicUsize::new(0));
+    let (closes, sees) = (closed.clone(), beside.clone());
+    let servers = Servers::new(2, move |n, _| {
+        if n > 0 {
+            // The close is on its way with the request; the thread that sees it may be a little behind.
+            let begun = std::time::Instant::now();
+            while !closes.load(SeqCst) && begun.elapsed() < Duration::from_millis(120) {
+                std::thread::sleep(Duration::from_millis(1));
+            }
+            sees.fetch_add(usize::from(!closes.load(SeqCst)), SeqCst);
+            return ok("fine");
+        }
+        let closes = closes.clone();
+        Reply::Do(Box::new(move |stream| {
+            let _ = stream.write_all(b"HTTP/1.1 500 No\r\nContent-Length: 100\r\n\r\nthe rest never comes");
+            let _ = stream.read(&mut [0]);
+            closes.store(true, SeqCst);
+        }))
+    });
+    let (node, _discovery) = Node::with(&servers);
+    assert_eq!(node.get("/safe/1", "").unwrap().body, b"fine");
+    assert!(closed.load(SeqCst));
+    assert_eq!(beside.load(SeqCst), 0, "two attempts were out at once");
+}
+
+/// A request of which the last byte is not written when its time is up is gone for good, however much of it is.
+#[test]
+fn a_part_of_a_request_stays_a_part() {
+    let length = 9_000_000;
+    let (open, opens) = std::sync::mpsc::channel::<()>();
+    let (tell, told) = std::sync::mpsc::channel();
+    let opens = std::sync::Mutex::new(opens);
+    let dial = raw(move |mut stream| {
+        let _ = opens.lock().unwrap().recv();
+        let mut all = Vec::new();
+        let _ = stream.read_to_end(&mut all);
+        let _ = tell.send(all.len());
+    });
+    let discovery = Discovery::new(vec![list(1, true, &[host("s-0", dial, "active")])], true);
+    let node = Node::start(discovery.address, &Options::default());
+    node.ready();
+    let request = String::from_utf8(post("/once/1", &vec![b'x'; length])).unwrap();
+    let request = request.replace("X-Timeout-Ms: 2500", "X-Timeout-Ms: 900");
+    assert_eq!(node.raw(request.as_bytes()).unwrap().status(), 504);
+    open.send(()).unwrap();
+    let seen = told.recv_timeout(Duration::from_secs(20)).unwrap();
+    assert!(seen < length, "{seen} bytes: all of it");
+    assert_eq!(node.figure("gw_forwards"), Some(0.0));
+}
--- a/crates/proxy/src/socket.rs
+++ b/crates/proxy/src/socket.rs
@@ -229,6 +229,12 @@
         }
     }
 
+    /// Something has come that nobody has read, as far as the kernel knows.
+    pub fn spoke(&self) -> bool {
+        let mut byte = [MaybeUninit::uninit()];
+        socket2::SockRef::from(&*self.stream.borrow()).peek(&mut byte).is_ok_and(|n| n > 0)
+    }
+
     /// Nothing has come and the peer has not closed. This asks the kernel itself: what the runtime knows may
     /// be older than a close that would lose the next request.
     pub fn quiet(&self) -> bool {
--- a/crates/proxy/src/upstream/attempt.rs
+++ b/crates/proxy/src/upstream/attempt.rs
@@ -127,7 +127,11 @@
                     engine.answering(id, took.as_nanos() as Nanos);
                 }
                 let keep = answer(upstreams, engine, id, message, &mut link, response).await;
-                if keep && link.reusable().await && !upstreams.crowded() {
+                let reusable = keep && link.reusable().await;
+                if keep && link.surplus {
+                    upstreams.fleet(|f| f.spoke(upstreams.clock.now()));
+                }
+                if reusable && !upstreams.crowded() {
                     let idle = Idle { link, opened, since: upstreams.clock.now() };
                     upstreams.fleet(|f| f.checkin(server, dial, idle));
                 }
--- a/crates/proxy/src/upstream/fleet.rs
+++ b/crates/proxy/src/upstream/fleet.rs
@@ -33,9 +33,17 @@
 /// The servers that the list has named, by the identity under which the module knows them.
 pub struct Fleet {
     upstreams: BTreeMap<ServerId, Upstream>,
+    /// When a server last said more than it was asked for.
+    spoke_at: Option<Nanos>,
     pub(super) lives: Lives,
 }
 
+/// Some servers answer twice, the second time some milliseconds later. It would be taken for the answer to the next request on
+/// that connection: where this has been seen within such a time, connections rest for a while before they are used again, or
+/// are found to have spoken.
+const SPOKEN: Nanos = 60_000_000_000;
+const REST: Nanos = 50_000_000;
+
 /// Part of the idle time after which a server may close that its connections are kept.
 const IDLE_PART: f64 = 0.6;
 
@@ -47,7 +55,7 @@
 
 impl Fleet {
     pub fn new(conn_idle: Nanos) -> Self {
-        Fleet { upstreams: BTreeMap::new(), lives: Lives::new(Self::keep(conn_idle)) }
+        Fleet { upstreams: BTreeMap::new(), spoke_at: None, lives: Lives::new(Self::keep(conn_idle)) }
     }
 
     fn keep(conn_idle: Nanos) -> Nanos {
@@ -107,17 +115,28 @@
 
     pub(super) fn checkout(&mut self, server: ServerId, now: Nanos) -> Option<Idle> {
         let oldest = now.saturating_sub(self.lives.keep);
+        let spoken = self.spoke_at.is_some_and(|at| now.saturating_sub(at) < SPOKEN);
+        let newest = if spoken { now.saturating_sub(REST) } else { now };
         let upstream = self.upstreams.get_mut(&server)?;
-        while let Some(idle) = upstream.idle.pop() {
+        while let Some(at) = upstream.idle.iter().rposition(|idle| idle.since <= newest) {
+            let idle = upstream.idle.remove(at);
             // What has come since it was kept (a close, a second copy of the last answer, noise) would be taken
             // for the next request's end or answer. The kernel knows; the runtime may not yet.
             if idle.since >= oldest && idle.link.socket.quiet() {
                 return Some(idle);
             }
+            if idle.link.socket.spoke() {
+                self.spoke_at = Some(now);
+            }
         }
         None
     }
 
+    /// A server has said more than it was asked for.
+    pub(super) fn spoke(&mut self, now: Nanos) {
+        self.spoke_at = Some(now);
+    }
+
     pub(super) fn checkin(&mut self, server: ServerId, dial: SocketAddr, idle: Idle) {
         if let Some(u) = self.upstreams.get_mut(&server) {
             if u.closed_at.is_none() && u.dial == dial && u.started_at <= idle.opened {
@@ -129,9 +148,14 @@
     /// Closes what has stood idle for too long or was closed by its server.
     pub fn sweep(&mut self, now: Nanos) {
         let oldest = now.saturating_sub(self.lives.keep);
+        let mut spoke = false;
         for upstream in self.upstreams.values_mut() {
-            upstream.idle.retain(|i| i.since >= oldest && i.link.socket.quiet());
+            upstream.idle.retain(|i| {
+                spoke |= i.link.socket.spoke();
+                i.since >= oldest && i.link.socket.quiet()
+            });
         }
+        self.spoke_at = spoke.then_some(now).or(self.spoke_at);
     }
 
     pub(super) fn evict(&mut self) -> bool {
@@ -179,6 +203,7 @@
                 sender,
                 connection: Some(Box::new(connection)),
                 heard: Default::default(),
+                surplus: false,
                 _slot: slot,
                 _place: place,
             };
--- a/crates/proxy/src/upstream/link.rs
+++ b/crates/proxy/src/upstream/link.rs
@@ -26,6 +26,8 @@
     /// In a place of its own: it is large, and a link is handed on twice for each attempt.
     pub(super) connection: Option<Box<Connection<TokioIo<SocketIo>, RequestBody>>>,
     pub(super) heard: Heard,
+    /// More has come than the answer that was asked for.
+    pub(super) surplus: bool,
     pub(super) _slot: Slot,
     pub(super) _place: Place,
 }
@@ -79,8 +81,12 @@
 
     pub(super) fn turn(&mut self, cx: &mut Context<'_>) {
         if let Some(connection) = &mut self.connection {
-            if Pin::new(&mut **connection).poll(cx).is_ready() {
+            if let Poll::Ready(ended) = Pin::new(&mut **connection).poll(cx) {
                 self.connection = None;
+                // What the socket fails with has a source.
+                let unasked =
+                    |e: &hyper::Error| std::error::Error::source(e).is_none() && !e.is_incomplete_message();
+                self.surplus = ended.as_ref().is_err_and(unasked);
             }
         }
     }
@@ -145,6 +151,7 @@
         sender,
         connection: Some(Box::new(connection)),
         heard: Heard::default(),
+        surplus: false,
         _slot: slot,
         _place: place,
     })
