--- a/crates/balance/src/balancer/health.rs
+++ b/crates/balance/src/balancer/health.rs
@@ -5,6 +5,8 @@
 
 /// No more than this part of a zone is ejected on soft evidence.
 const EJECT_CAP: f64 = 0.5;
+/// Of a give-up time 3 s count, as in PROTOCOL: no server is back later because its clients wait longer.
+const LONGEST_COUNTED: Nanos = 3_000_000_000;
 /// Least weight of a new response in a server's lag.
 const LAG_WEIGHT: f64 = 0.15;
 /// Weight of a new response in what waits at the fleet, and how slowly a class's usual response follows.
@@ -93,9 +95,8 @@
         if self.nodes[i].blocked_until > now || self.nodes[i].server.phase != Phase::Ready {
             return;
         }
-        let hard = ending == Ending::ConnectFailed;
         let out = self.ranks[zone].iter().filter(|&j| self.nodes[j].blocked_until > now).count();
-        if !hard && out as f64 >= EJECT_CAP * self.ranks[zone].len() as f64 {
+        if ending != Ending::ConnectFailed && out as f64 >= EJECT_CAP * self.ranks[zone].len() as f64 {
             return;
         }
         let jitter = 0.75 + 0.5 * self.chance();
@@ -104,7 +105,7 @@
         if matches!(ending, Ending::Reset | Ending::Rejected) && node.strikes == 1 {
             return;
         }
-        let pause = self.memory / 6.0 * f64::from(1 << node.strikes) * jitter;
+        let pause = self.longest.min(LONGEST_COUNTED) as f64 / 2.0 * f64::from(1 << node.strikes) * jitter;
         node.blocked_until = now + pause as Nanos;
         if node.strikes == 2 {
             let text = format!("ejected after {ending:?}");
--- a/crates/balance/src/balancer/mod.rs
+++ b/crates/balance/src/balancer/mod.rs
@@ -24,9 +24,8 @@
 
 type Sink<'a> = &'a mut Vec<Action>;
 
-/// What servers do is believed for so many of the longest give-up time: of at most 3 s, for they don't wait.
+/// The lag of a server is believed for this many give-up times.
 const LAG_MEMORY: f64 = 3.0;
-const LONGEST_COUNTED: Nanos = 3_000_000_000;
 /// Without news, pressure fades by e in this many aims.
 const RELIEF: f64 = 3.0;
 
@@ -154,7 +153,7 @@
             jobs: BinaryHeap::new(),
             armed: Nanos::MAX,
             list_failures: 0,
-            memory: LAG_MEMORY * longest.min(LONGEST_COUNTED) as f64,
+            memory: LAG_MEMORY * longest as f64,
             relief: RELIEF * settings.classes.iter().map(|c| c.aim).max().unwrap_or(1) as f64,
             longest,
             settings,
--- a/crates/balance/src/balancer/retune.rs
+++ b/crates/balance/src/balancer/retune.rs
@@ -1,6 +1,6 @@
 //! Other settings take over while requests are open: these keep the rules under which they were taken.
 
-use super::{Balancer, Faded, LAG_MEMORY, LONGEST_COUNTED, RELIEF};
+use super::{Balancer, Faded, LAG_MEMORY, RELIEF};
 use crate::interface::{Class, Heirs, Nanos, Settings, SettingsError};
 
 /// A class that has gone keeps its place for this many of the longest give-up times: requests whose
@@ -64,7 +64,7 @@
             .collect();
         let named = |part: fn(&Class) -> Nanos| classes.iter().map(part).max().unwrap_or(1);
         self.longest = named(|c| c.give_up);
-        self.memory = LAG_MEMORY * self.longest.min(LONGEST_COUNTED) as f64;
+        self.memory = LAG_MEMORY * self.longest as f64;
         self.relief = RELIEF * named(|c| c.aim) as f64;
         let rate = |k: usize| self.tenants.get((*heirs.tenants.get(k)?)?).copied();
         self.tenants = (0..settings.tenant_quota.len()).map(|k| rate(k).unwrap_or_default()).collect();
