Let connections rest for 10 ms, and requests wait for them, where servers answer twice

Connections now rest 10 ms, for a second answer comes some milliseconds late, and a request waits for one rather than open another.

--- a/crates/proxy/src/upstream/attempt.rs
+++ b/crates/proxy/src/upstream/attempt.rs
@@ -65,9 +65,16 @@
     message: &Rc<Message>,
     seen: &RefCell<Option<Rc<Socket>>>,
 ) -> Result<(), Ending> {
-    let Some(dial) = upstreams.fleet(|f| f.dial(server)) else { return Err(Ending::NotSent) };
     let mut begun = upstreams.clock.now();
     let mut kept = upstreams.fleet(|f| f.checkout(server, begun));
+    if kept.is_none() {
+        if let Some(at) = upstreams.fleet(|f| f.rested_at(server, begun)) {
+            tokio::time::sleep_until(upstreams.clock.instant(at)).await;
+            begun = upstreams.clock.now();
+            kept = upstreams.fleet(|f| f.checkout(server, begun));
+        }
+    }
+    let Some(dial) = upstreams.fleet(|f| f.dial(server)) else { return Err(Ending::NotSent) };
     loop {
         let rested = kept.as_ref().map(|idle| begun.saturating_sub(idle.since));
         let (mut link, opened) = match kept.take() {
--- a/crates/proxy/src/upstream/fleet.rs
+++ b/crates/proxy/src/upstream/fleet.rs
@@ -40,9 +40,9 @@
 
 /// Some servers answer twice, the second time some milliseconds later. It would be taken for the answer to the next request on
 /// that connection: where this has been seen within such a time, connections rest for a while before they are used again, or
-/// are found to have spoken.
+/// are found to have spoken. A request waits for one that rests: a new one costs the server more, and may not come up.
 const SPOKEN: Nanos = 60_000_000_000;
-const REST: Nanos = 50_000_000;
+const REST: Nanos = 10_000_000;
 
 /// Part of the idle time after which a server may close that its connections are kept.
 const IDLE_PART: f64 = 0.6;
@@ -115,8 +115,7 @@
 
     pub(super) fn checkout(&mut self, server: ServerId, now: Nanos) -> Option<Idle> {
         let oldest = now.saturating_sub(self.lives.keep);
-        let spoken = self.spoke_at.is_some_and(|at| now.saturating_sub(at) < SPOKEN);
-        let newest = if spoken { now.saturating_sub(REST) } else { now };
+        let newest = now.saturating_sub(self.rest(now));
         let upstream = self.upstreams.get_mut(&server)?;
         while let Some(at) = upstream.idle.iter().rposition(|idle| idle.since <= newest) {
             let idle = upstream.idle.remove(at);
@@ -132,6 +131,22 @@
         None
     }
 
+    /// How long connections rest before they are used again.
+    fn rest(&self, now: Nanos) -> Nanos {
+        let spoken = self.spoke_at.is_some_and(|at| now.saturating_sub(at) < SPOKEN);
+        if spoken {
+            REST
+        } else {
+            0
+        }
+    }
+
+    /// When a connection to this server that rests may be used; none where none does.
+    pub(super) fn rested_at(&self, server: ServerId, now: Nanos) -> Option<Nanos> {
+        let oldest = self.upstreams.get(&server)?.idle.first()?;
+        Some(oldest.since + self.rest(now)).filter(|at| *at > now)
+    }
+
     /// A server has said more than it was asked for.
     pub(super) fn spoke(&mut self, now: Nanos) {
         self.spoke_at = Some(now);
@@ -185,28 +200,54 @@
 
     const MS: Nanos = 1_000_000;
 
+    /// A connection to a peer, the peer's end of it, and its address.
+    async fn link() -> (Link, std::net::TcpStream, SocketAddr) {
+        let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+        let dial = listener.local_addr().unwrap();
+        let socket = Socket::new(TcpStream::connect(dial).await.unwrap());
+        let peer = listener.accept().unwrap().0;
+        let io = TokioIo::new(SocketIo(socket.clone()));
+        let (sender, connection) = http1::handshake::<_, crate::body::RequestBody>(io).await.unwrap();
+        let link = Link {
+            socket,
+            sender,
+            connection: Some(Box::new(connection)),
+            heard: Default::default(),
+            surplus: false,
+            _slot: Budget::new(100, 100).server().unwrap(),
+            _place: super::super::upstreams::Place::free(),
+        };
+        (link, peer, dial)
+    }
+
+    /// Where servers have been heard to say more than they were asked for, and there alone, connections rest.
+    #[tokio::test]
+    async fn connections_rest_where_servers_speak_unasked() {
+        let (link, _peer, dial) = link().await;
+        let mut fleet = Fleet::new(10_000 * MS);
+        let entry = Entry { host: "s-0".into(), dial, server: Server::warm(ServerId(0)) };
+        let server = fleet.follow(0, ListKind::Full, vec![entry])[0].id;
+        let put_back = 100 * MS;
+        fleet.checkin(server, dial, Idle { link, opened: 0, since: put_back });
+        assert_eq!(fleet.rested_at(server, put_back), None);
+        let idle = fleet.checkout(server, put_back).expect("it is used at once");
+        fleet.spoke(put_back);
+        fleet.checkin(server, dial, Idle { since: put_back, ..idle });
+        assert!(fleet.checkout(server, put_back + REST - 1).is_none());
+        assert_eq!(fleet.rested_at(server, put_back + REST - 1), Some(put_back + REST));
+        let idle = fleet.checkout(server, put_back + REST).expect("it has rested");
+        let later = put_back + SPOKEN;
+        fleet.checkin(server, dial, Idle { since: later, ..idle });
+        assert!(fleet.checkout(server, later).is_some(), "that is long ago");
+    }
+
     /// What has come on a connection while it was kept is not the answer to the next request, and a close there
     /// would lose it. The runtime may not have been told of either yet.
     #[tokio::test]
     async fn a_kept_connection_that_has_spoken_is_not_used() {
         for word in [&b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"[..], b""] {
-            let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
-            let dial = listener.local_addr().unwrap();
-            let socket = Socket::new(TcpStream::connect(dial).await.unwrap());
-            let mut peer = listener.accept().unwrap().0;
-            let io = TokioIo::new(SocketIo(socket.clone()));
-            let (sender, connection) = http1::handshake::<_, crate::body::RequestBody>(io).await.unwrap();
-            let slot = Budget::new(100, 100).server().unwrap();
-            let place = super::super::upstreams::Place::free();
-            let link = Link {
-                socket: socket.clone(),
-                sender,
-                connection: Some(Box::new(connection)),
-                heard: Default::default(),
-                surplus: false,
-                _slot: slot,
-                _place: place,
-            };
+            let (link, mut peer, dial) = link().await;
+            let socket = link.socket.clone();
             let mut fleet = Fleet::new(10_000 * MS);
             let entry = Entry { host: "s-0".into(), dial, server: Server::warm(ServerId(0)) };
             let server = fleet.follow(0, ListKind::Full, vec![entry])[0].id;
