Force five more crossings, wait for the first list by its event, log lost watches less

The check right before an attempt's first byte had no test over sockets of its own: without it all stayed green, for leaving clients are withdrawn and drains have a check of their own. A keyed request whose window ends while its second connection comes up shows it now (red with the check taken out, green with it). New beside it, all green at once: a place in a pool whose waiter leaves; SIGTERM in a head, a short body and a streamed one; SIGHUP twice and SIGTERM behind it with a request before its retry, whose class is gone by then.

Requests that wait for the first list looked every 5 ms; they are woken. An agent that refuses is asked twenty times a second, and each failure was a line of the log: now the first, second, fourth and so on in a row.

--- a/crates/corkhollow/tests/attempts.rs
+++ b/crates/corkhollow/tests/attempts.rs
@@ -48,7 +48,7 @@
     let servers = Servers::new(2, move |n, _| {
         if n > 0 {
             // The close is on its way with the request; the thread that sees it may be a little behind.
-            let begun = std::time::Instant::now();
+            let begun = Instant::now();
             while !closes.load(SeqCst) && begun.elapsed() < Duration::from_millis(120) {
                 std::thread::sleep(Duration::from_millis(1));
             }
@@ -74,7 +74,7 @@
     let length = 9_000_000;
     let (open, opens) = std::sync::mpsc::channel::<()>();
     let (tell, told) = std::sync::mpsc::channel();
-    let opens = std::sync::Mutex::new(opens);
+    let opens = Mutex::new(opens);
     let dial = raw(move |mut stream| {
         let _ = opens.lock().unwrap().recv();
         let mut all = Vec::new();
@@ -92,3 +92,35 @@
     assert!(seen < length, "{seen} bytes: all of it");
     assert_eq!(node.figure("gw_forwards"), Some(0.0));
 }
+
+/// A keyed request whose first try may have run is sent again only while servers know it again. A connection that comes up
+/// after that, a second after it was decided on, does not carry it.
+#[test]
+fn a_keyed_request_is_not_begun_when_its_window_is_over() {
+    let (break_off, breaks) = std::sync::mpsc::channel::<()>();
+    let breaks = Mutex::new(breaks);
+    let first = Servers::new(1, move |_, _| {
+        let _ = breaks.lock().unwrap().recv();
+        Reply::Reset
+    });
+    let discovery = Discovery::new(vec![first.list(1)], true);
+    let text = config(discovery.address, &Options::default())
+        .replace("\"effect\":\"pure\"", "\"effect\":\"token\"")
+        .replace("\"windowNs\":1000000000", "\"windowNs\":600000000")
+        .replace("\"connectTimeoutNs\":120000000", "\"connectTimeoutNs\":2900000000");
+    let node = Node::of(&text);
+    node.ready();
+    let mut client = node.connect();
+    client.write_all(&post("/safe/1", b"body")).unwrap();
+    until("the request is under way", || first.seen() == 1);
+    let second = Full::new();
+    discovery.say(list(2, false, &[host("s-1", second.dial, "active")]));
+    until("the list is taken in", || node.figure("gw_discovered") == Some(2.0));
+    break_off.send(()).unwrap();
+    until("it is tried again", || node.figure("gw_retries{pool=\"platform\"}") == Some(1.0));
+    let seen = second.open(Duration::from_millis(1700));
+    assert!(seen.is_empty(), "{}", String::from_utf8_lossy(&seen));
+    // All servers would know it again, as far as they do: refusing it is harmless, serving it is not.
+    assert!(matches!(read(&mut client).unwrap().status(), 502..=504));
+    assert_eq!(first.seen(), 1);
+}
--- a/crates/corkhollow/tests/leaving.rs
+++ b/crates/corkhollow/tests/leaving.rs
@@ -177,3 +177,41 @@
     assert!(seen.is_empty(), "{}", String::from_utf8_lossy(&seen));
     assert_eq!(read(&mut client).unwrap().body, b"other");
 }
+
+/// A client that leaves while its request waits for a place in a pool: the place goes to the next one, and the server never
+/// hears of it.
+#[test]
+fn nothing_is_sent_for_a_client_that_left_while_it_waited_for_a_place() {
+    let (go, gate) = std::sync::mpsc::channel::<()>();
+    let gate = std::sync::Mutex::new(gate);
+    let servers = Servers::new(1, move |_, _| {
+        let _ = gate.lock().unwrap().recv();
+        ok("fine")
+    });
+    let dial = servers.dials[0];
+    let node = Node::site(&format!(
+        "[operator]\nlisten = \"127.0.0.1:0\"\n[[listener]]\nname = \"web\"\naddress = \"127.0.0.1:0\"\n\
+         [[pool]]\nname = \"boxes\"\nservers = [{{ address = \"{dial}\" }}]\nmax_connections = 1\nmax_waiting = 4\n\
+         [[route]]\nname = \"all\"\npool = \"boxes\"\n"
+    ));
+    let ask = |path: &str| {
+        let mut client = node.connect();
+        client.write_all(&post(path, b"body")).unwrap();
+        client
+    };
+    let mut first = ask("/first");
+    until("the first is under way", || servers.seen() == 1);
+    let left = ask("/left");
+    outstanding(&node, 2);
+    drop(left);
+    outstanding(&node, 1);
+    let mut next = ask("/next");
+    outstanding(&node, 2);
+    drop(go);
+    for client in [&mut first, &mut next] {
+        assert_eq!(read(client).unwrap().body, b"fine");
+    }
+    let requests = servers.requests.lock().unwrap();
+    assert!(requests.iter().all(|m| !m.head.contains("/left")), "{requests:?}");
+    assert_eq!(requests.len(), 2);
+}
--- a/crates/corkhollow/tests/lists.rs
+++ b/crates/corkhollow/tests/lists.rs
@@ -2,6 +2,7 @@
 
 use corkhollow_standin::*;
 use std::io::Write;
+use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
 /// One list on many lines.
@@ -20,6 +21,16 @@
         Change { old: Servers::new(1, |_, _| ok("old")), new: Servers::new(1, |_, _| ok("new")) }
     }
 
+    /// A node on this configuration that watches, and has been told of the old one.
+    fn watched(&self, config: impl Fn(SocketAddr) -> String) -> (Node, Agent, Call) {
+        let agent = Agent::listen();
+        let node = Node::of(&config(agent.address));
+        let mut watch = agent.call();
+        watch.watch(&self.before());
+        node.ready();
+        (node, agent, watch)
+    }
+
     fn before(&self) -> String {
         self.old.list(1) + "\n"
     }
@@ -35,7 +46,7 @@
 }
 
 /// Lists are asked for, and deadlines are long: neither may keep the node from what it has missed.
-fn asked(discovery: std::net::SocketAddr) -> String {
+fn asked(discovery: SocketAddr) -> String {
     config(discovery, &Options::default())
         .replace("\"automatic\"", "\"subscribe\"")
         .replace("\"giveUpNs\":3000000000", "\"giveUpNs\":20000000000")
@@ -65,12 +76,9 @@
 #[test]
 fn a_list_cut_short_ends_its_watch() {
     let change = Change::new();
-    let (agent, list) = (Agent::listen(), change.after(2, false));
+    let (node, agent, mut watch) = change.watched(|discovery| config(discovery, &Options::default()));
+    let list = change.after(2, false);
     let list = list.trim_end();
-    let node = Node::start(agent.address, &Options::default());
-    let mut watch = agent.call();
-    watch.watch(&change.before());
-    node.ready();
     for end in ["\n", "\n\n"] {
         for cut in [1, list.find("hosts").unwrap() + 8, list.find("leaving").unwrap() + 3, list.len() - 1] {
             watch.say(&format!("{}{end}", &list[..cut]));
@@ -98,11 +106,8 @@
 /// that come from then on; those that came before stay silent.
 #[test]
 fn what_an_agent_gets_after_a_silence_is_fetched_at_once() {
-    let (agent, change) = (Agent::listen(), Change::new());
-    let node = Node::start(agent.address, &Options::default());
-    let mut watch = agent.call();
-    watch.watch(&change.before());
-    node.ready();
+    let change = Change::new();
+    let (node, agent, watch) = change.watched(|discovery| config(discovery, &Options::default()));
     drop(watch);
     let mut silent = vec![agent.call()];
     let asked = Instant::now();
@@ -116,11 +121,8 @@
 /// However often calls have failed, the next one comes soon: the agent is on the node's own machine and answers at no cost.
 #[test]
 fn an_agent_that_refuses_is_asked_again_soon() {
-    let (agent, change) = (Agent::listen(), Change::new());
-    let node = Node::start(agent.address, &Options::default());
-    let mut watch = agent.call();
-    watch.watch(&change.before());
-    node.ready();
+    let change = Change::new();
+    let (node, agent, mut watch) = change.watched(|discovery| config(discovery, &Options::default()));
     for _ in 0..10 {
         watch.reset();
         watch = agent.call();
@@ -138,11 +140,8 @@
 /// take, and a call may have to wait in turn for 2 s of that.
 #[test]
 fn a_silent_watch_on_asked_lists_is_opened_again_in_time() {
-    let (agent, change) = (Agent::listen(), Change::new());
-    let node = Node::of(&asked(agent.address));
-    let mut watch = agent.call();
-    watch.watch(&change.before());
-    node.ready();
+    let change = Change::new();
+    let (node, agent, mut watch) = change.watched(asked);
     // It stands for a while, as watches do, and the silence begins.
     watch.say("\n");
     let silent = Instant::now();
--- a/crates/corkhollow/tests/shutdown.rs
+++ b/crates/corkhollow/tests/shutdown.rs
@@ -68,9 +68,8 @@
     let told = Instant::now();
     node.signal("-TERM");
     refuses(&node);
-    while told.elapsed() < Duration::from_millis(900) {
-        std::thread::sleep(Duration::from_millis(5));
-    }
+    // That is half a second after the signal; what is late is a matter of time, and nothing tells of it.
+    std::thread::sleep(Duration::from_millis(900).saturating_sub(told.elapsed()));
     for (k, client) in clients.iter_mut().enumerate() {
         let own = patient("/once/1");
         client.write_all(&own[20..]).unwrap();
@@ -154,3 +153,65 @@
     assert!(node.exit().success());
     assert!(told.elapsed() < KILLED + Duration::from_millis(300), "{:?}", told.elapsed());
 }
+
+/// SIGTERM in the middle of a head, of a short body, and of a long one that goes on as it comes: each request is taken whole
+/// after it, served, and the last on its connection.
+#[test]
+fn requests_that_are_still_coming_are_served() {
+    let servers =
+        Servers::new(8, |_, m| Reply::Say(response("200 OK", "", m.body.len().to_string().as_bytes())));
+    let discovery = Discovery::new(vec![servers.list(1)], true);
+    let mut node = Node::start(discovery.address, &Options { memory_mb: 48, ..Options::default() });
+    node.ready();
+    let long = 6_000_000;
+    let mut coming = Vec::new();
+    for (length, here) in [(4, 20), (4, post("/once/1", b"").len() + 2), (long, long / 2)] {
+        let request = post("/once/1", &vec![b'x'; length]);
+        let mut client = node.connect();
+        client.write_all(&request[..here]).unwrap();
+        coming.push((client, request, here, length));
+    }
+    until("they are there", || node.figure("gw_client_connections") == Some(3.0));
+    node.signal("-TERM");
+    until("the node says that it leaves", || node.get("/up", "").is_some_and(|m| m.status() == 503));
+    for (mut client, request, here, length) in coming {
+        client.write_all(&request[here..]).unwrap();
+        let answer = read(&mut client).expect("an answer");
+        assert_eq!((answer.status(), answer.header("connection")), (200, Some("close")), "{length} bytes");
+        assert_eq!(answer.body, length.to_string().into_bytes());
+    }
+    assert!(node.exit().success());
+}
+
+/// New settings come twice at once, and the end right behind them: a request that is under way keeps its rules and its
+/// answer, also where its class is gone by then and a server that it is tried at next came with the new list.
+#[test]
+fn new_settings_and_the_end_behind_them_cost_no_answer() {
+    let (go, gate) = std::sync::mpsc::channel::<()>();
+    let gate = std::sync::Mutex::new(gate);
+    let servers = Servers::new(2, move |n, _| {
+        if n > 0 {
+            return ok("fine");
+        }
+        let _ = gate.lock().unwrap().recv();
+        Reply::Say(response("500 No", "", b""))
+    });
+    let (mut node, discovery) = Node::with(&servers);
+    let mut client = node.connect();
+    client.write_all(&get("/safe/1", "")).unwrap();
+    until("the request is under way", || servers.seen() == 1);
+    let other = config(discovery.address, &Options::default())
+        .replace("\"name\":\"safe\"", "\"name\":\"sure\"")
+        .replace("\"maxAttempts\":3", "\"maxAttempts\":1");
+    node.reload(&other);
+    node.signal("-HUP");
+    node.says("reloaded: listeners", 1);
+    assert_eq!(node.get("/safe/2", "").unwrap().status(), 404, "the class is gone");
+    assert_eq!(node.get("/sure/2", "").unwrap().status(), 200);
+    node.signal("-TERM");
+    until("the node says that it leaves", || node.get("/up", "").is_some_and(|m| m.status() == 503));
+    go.send(()).unwrap();
+    assert_eq!(read(&mut client).expect("an answer").body, b"fine");
+    assert_eq!(servers.seen(), 3);
+    assert!(node.exit().success());
+}
--- a/crates/proxy/src/site.rs
+++ b/crates/proxy/src/site.rs
@@ -132,7 +132,7 @@
 
     /// Whether all pools have been told who their servers are.
     pub fn ready(&self) -> bool {
-        self.pools.iter().all(|p| p.ready.get())
+        self.pools.iter().all(|p| *p.ready.borrow())
     }
 }
 
--- a/crates/proxy/src/upstream/discovery.rs
+++ b/crates/proxy/src/upstream/discovery.rs
@@ -13,7 +13,6 @@
 use hyper_util::rt::TokioIo;
 use rand_core::{RngCore, SeedableRng};
 use rand_pcg::Pcg64Mcg;
-use std::cell::Cell;
 use std::future::{poll_fn, Future};
 use std::net::SocketAddr;
 use std::pin::Pin;
@@ -97,7 +96,7 @@
     upstreams: Rc<Upstreams>,
     following: Following,
     /// Set once discovery has told the list.
-    ready: Rc<Cell<bool>>,
+    ready: Rc<watch::Sender<bool>>,
     /// Where discovery is, by the configuration in force.
     address: watch::Receiver<SocketAddr>,
     seq: u64,
@@ -116,7 +115,7 @@
         upstreams: Rc<Upstreams>,
         mut following: Following,
         address: watch::Receiver<SocketAddr>,
-        ready: Rc<Cell<bool>>,
+        ready: Rc<watch::Sender<bool>>,
     ) -> Self {
         let rng = Pcg64Mcg::seed_from_u64(following.seed ^ 0x6469_7363);
         let known = following.known.take();
@@ -144,12 +143,17 @@
     /// Lists come unasked: the watch is the node's to keep alive.
     pub async fn follow(mut self) {
         let mut moves = self.address.clone();
-        let mut pause = PAUSE_FIRST;
+        let (mut pause, mut lost_in_a_row) = (PAUSE_FIRST, 0u32);
         loop {
             let spread = 0.5 + self.spread();
+            self.opened_at = None;
             let lost = async {
                 let error = self.watch().await;
-                log(format_args!("discovery: {error}"));
+                // An agent that refuses is asked twenty times a second: the log is told with growing gaps.
+                lost_in_a_row = if self.opened_at.is_some() { 1 } else { lost_in_a_row + 1 };
+                if lost_in_a_row.is_power_of_two() {
+                    log(format_args!("discovery: {error}"));
+                }
                 // What is told badly is told badly again. A watch that has only ended is missed from here on.
                 let useless = matches!(error, WatchError::Nonsense(_) | WatchError::Backwards(..));
                 pause = if useless { (pause * 2.0).min(PAUSE_LAST) } else { PAUSE_FIRST };
@@ -257,7 +261,7 @@
         self.seq = list.seq;
         self.blank = false;
         self.tell(if list.whole { ListKind::Full } else { ListKind::Changes }, list.hosts);
-        self.ready.set(true);
+        self.ready.send_replace(true);
         Ok(())
     }
 
--- a/crates/proxy/src/upstream/pool.rs
+++ b/crates/proxy/src/upstream/pool.rs
@@ -27,8 +27,6 @@
 /// What an agent has counts as told from the process's first moment, and it answers at once: requests wait this long for
 /// its answer. Then it is silent, and the list of the earlier life has to do. A drain has as long.
 const FIRST_LIST: Nanos = 250_000_000;
-/// How often they look.
-const HEARD: Duration = Duration::from_millis(5);
 
 /// Without a word from discovery a pool serves by the list of its earlier life after this.
 const READY_KNOWN: Duration = Duration::from_millis(700);
@@ -70,7 +68,7 @@
     /// Its connections.
     pub upstreams: Rc<Upstreams>,
     /// It has been told who its servers are.
-    pub ready: Rc<Cell<bool>>,
+    pub ready: Rc<watch::Sender<bool>>,
     told: plan::Pool,
     /// Until when requests wait for the first list.
     waits_until: Nanos,
@@ -107,7 +105,7 @@
         shared.engines.add(&engine);
         let retired = Rc::new(Cell::new(false));
         spawn_local(engine.clone().run_timers(retired.clone()));
-        let ready = Rc::new(Cell::new(false));
+        let ready = Rc::new(watch::Sender::new(false));
         let mut discovery = None;
         let mut source = None;
         let pushed = matches!(told.source, Source::Discovery(_)) && !told.settings.must_subscribe;
@@ -118,7 +116,7 @@
                 let ready = ready.clone();
                 spawn_local(async move {
                     tokio::time::sleep(READY_KNOWN).await;
-                    ready.set(true);
+                    ready.send_replace(true);
                 });
             }
             let must_subscribe = told.settings.must_subscribe;
@@ -221,8 +219,9 @@
 
     /// Waits until the pool has been told who its servers are, or its process is no longer new.
     pub async fn first_list(&self) {
-        while !self.ready.get() && self.engine.clock().now() < self.waits_until {
-            tokio::time::sleep(HEARD).await;
+        if !*self.ready.borrow() {
+            let until = self.engine.clock().instant(self.waits_until);
+            let _ = tokio::time::timeout_at(until, self.ready.subscribe().wait_for(|ready| *ready)).await;
         }
     }
 
@@ -248,14 +247,14 @@
     engine: Rc<Engine>,
     upstreams: Rc<Upstreams>,
     roster: Rc<RefCell<Roster>>,
-    ready: Rc<Cell<bool>>,
+    ready: Rc<watch::Sender<bool>>,
 }
 
 impl Replacer {
     fn replace(&self, servers: &[plan::Server]) {
         let listed = self.roster.borrow_mut().replace(self.engine.clock().now(), servers);
         self.tell(ListKind::Full, listed);
-        self.ready.set(true);
+        self.ready.send_replace(true);
     }
 
     fn tell(&self, kind: ListKind, listed: Vec<Listed>) {
