--- a/crates/proxy/src/http1/clients.rs
+++ b/crates/proxy/src/http1/clients.rs
@@ -191,7 +191,14 @@
             tokio::select! {
                 biased;
                 accepted = listener.accept() => self.accepted(&name, accepted).await,
-                _ = &mut stop => return,
+                _ = &mut stop => break,
+            }
+        }
+        // The kernel itself is asked: a process that has stood still may not have been told of what waits there.
+        let Ok(listener) = listener.into_std() else { return };
+        while let Ok((stream, peer)) = listener.accept() {
+            if let Ok(stream) = stream.set_nonblocking(true).and_then(|()| TcpStream::from_std(stream)) {
+                self.open(&name, stream, peer);
             }
         }
     }
