Let stand-ins read on when a signal breaks a read off

Seen: a_node_that_is_told_to_end_at_its_start_answers failed in about 1 of 10 runs under load; the answer was there, the stand-in's read had ended with EINTR (reads with a time limit do) and was taken for the connection's end. Two failures of other tests under load were requests of a demo that was still running on the machine and whose checks came to a port used again: `GET /up` among the requests seen.

--- a/crates/corkhollow/tests/shutdown.rs
+++ b/crates/corkhollow/tests/shutdown.rs
@@ -50,7 +50,8 @@
         assert_eq!((answer.status(), answer.header("connection")), (504, Some("close")), "{seconds} s");
         assert!(node.exit().success());
         assert!(told.elapsed() < KILLED + Duration::from_millis(300), "{seconds} s: {:?}", told.elapsed());
-        assert_eq!(servers.seen(), 1, "an unsafe request goes nowhere else");
+        let requests = servers.requests.lock().unwrap();
+        assert_eq!(requests.len(), 1, "an unsafe request goes nowhere else: {requests:?}");
     }
 }
 
--- a/crates/standin/src/message.rs
+++ b/crates/standin/src/message.rs
@@ -37,6 +37,8 @@
     while !head.ends_with(b"\r\n\r\n") {
         match stream.read(&mut byte) {
             Ok(1) => head.push(byte[0]),
+            // A read with a time limit may be broken off by a signal, of which nothing is lost.
+            Err(e) if e.kind() == std::io::ErrorKind::Interrupted => {}
             _ => return None,
         }
     }
