End the demo's program with the demo, also on SIGTERM, SIGHUP and SIGKILL

Seen: SIGTERM to `corkhollow demo` left its program running without a parent, for good. Cause: the program stands in a process group of its own, so that Ctrl-C ends the clients first (commands/demo.rs, start), and the demo waited for Ctrl-C alone: any other signal ended it before the drop that kills the program.

Change: the demo takes SIGTERM and SIGHUP as it takes Ctrl-C, from before its first server starts. For SIGKILL, which nothing can take, the program gets a pipe as standard input and a hidden flag with which it ends when that ends: the kernel closes the pipe with the demo. Ruled out: a parent-death signal, which needs unsafe code before exec and follows the thread, not the process.

Shown by two tests that start a real demo: with the handlers taken out one fails at its end, with the pipe taken out the other waits in vain.

--- a/crates/corkhollow/src/cli.rs
+++ b/crates/corkhollow/src/cli.rs
@@ -49,6 +49,9 @@
     /// Where operators call, in place of what the file says: for a process that runs beside the one that it replaces
     #[arg(long, value_name = "ADDRESS")]
     pub operator: Option<SocketAddr>,
+    /// Ends at once when standard input does: whoever started it holds the other end, and it goes on for nobody else
+    #[arg(long, hide = true)]
+    pub until_stdin_ends: bool,
 }
 
 #[derive(Debug, Args)]
@@ -86,7 +89,7 @@
     /// The port on 127.0.0.1; 0 takes a free one
     #[arg(long, default_value_t = 0)]
     pub port: u16,
-    /// Ends after so many seconds; without it, with Ctrl-C
+    /// Ends after so many seconds; without it, with Ctrl-C or SIGTERM
     #[arg(long)]
     pub seconds: Option<u64>,
     /// Settles what the clients ask, and when
--- a/crates/corkhollow/src/commands/demo.rs
+++ b/crates/corkhollow/src/commands/demo.rs
@@ -5,13 +5,16 @@
 use corkhollow_standin::{Load, Machine};
 use std::collections::VecDeque;
 use std::fmt::Write as _;
+use std::future::poll_fn;
 use std::io::{BufRead, BufReader, IsTerminal, Write};
 use std::os::unix::process::CommandExt;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::Ordering::SeqCst;
 use std::sync::{Arc, Mutex};
+use std::task::Poll;
 use std::time::{Duration, Instant};
+use tokio::signal::unix::{signal, Signal, SignalKind};
 
 /// Servers of the fleet, each a little slower than the one before.
 const SERVERS: u64 = 5;
@@ -46,13 +49,18 @@
     }
 }
 
-/// Runs until Ctrl-C, or for as long as it was told.
+/// Runs until Ctrl-C, SIGTERM or its terminal's end, or for as long as it was told.
 pub fn demo(args: &DemoArgs) -> Result<(), Failure> {
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
     runtime.block_on(play(args))
 }
 
 async fn play(args: &DemoArgs) -> Result<(), Failure> {
+    // From here on no signal ends the process before its program, its clients and its files are gone.
+    let mut ends = [SignalKind::interrupt(), SignalKind::terminate(), SignalKind::hangup()]
+        .into_iter()
+        .map(signal)
+        .collect::<Result<Vec<_>, _>>()?;
     let machine = |k| Machine::start(&format!("box-{k}"), Duration::from_millis(8 + 4 * k), k);
     let fleet = (1..=SERVERS).map(machine).collect::<Result<Vec<_>, _>>()?;
     let program = start(&fleet, args.port)?;
@@ -67,7 +75,6 @@
     let began = Instant::now();
     let terminal = out.is_terminal();
     let (mut printed, mut told, mut height) = (began, u64::MAX, 0);
-    let mut end = std::pin::pin!(tokio::signal::ctrl_c());
     loop {
         let second = began.elapsed().as_secs();
         if second != told {
@@ -86,7 +93,7 @@
             break;
         }
         tokio::select! {
-            _ = &mut end => break,
+            () = any(&mut ends) => break,
             () = tokio::time::sleep(DRAW) => {}
         }
     }
@@ -103,13 +110,24 @@
     Ok(())
 }
 
+/// Waits for one of these signals.
+async fn any(signals: &mut [Signal]) {
+    poll_fn(|cx| match signals.iter_mut().any(|signal| signal.poll_recv(cx).is_ready()) {
+        true => Poll::Ready(()),
+        false => Poll::Pending,
+    })
+    .await
+}
+
 fn start(fleet: &[Arc<Machine>], port: u16) -> Result<Program, Failure> {
     let folder = std::env::temp_dir().join(format!("corkhollow-demo-{}", std::process::id()));
     std::fs::create_dir_all(&folder)?;
     list(fleet, &folder, None)?;
     std::fs::write(folder.join("site.toml"), SITE.replace("PORT", &port.to_string()))?;
     let mut command = Command::new(std::env::current_exe()?);
-    command.arg("run").arg("--config").arg(folder.join("site.toml")).stderr(Stdio::piped());
+    command.arg("run").arg("--config").arg(folder.join("site.toml")).arg("--until-stdin-ends");
+    // It holds the other end of this pipe for as long as it lives: where it is killed, the program hears of that.
+    command.stdin(Stdio::piped()).stderr(Stdio::piped());
     // A terminal's Ctrl-C goes to the whole group: the program has to outlive the clients, whom the demo ends first.
     let mut child = command.process_group(0).spawn()?;
     let stderr = child.stderr.take();
--- a/crates/corkhollow/src/commands/run.rs
+++ b/crates/corkhollow/src/commands/run.rs
@@ -76,6 +76,9 @@
 
 /// Serves until SIGTERM.
 pub fn run(args: RunArgs) -> Result<(), Failure> {
+    if args.until_stdin_ends {
+        end_with_stdin()?;
+    }
     let handed = succession::handed().map_err(StartError::from)?;
     let (told, plan) = match args.config {
         Some(path) => {
@@ -94,6 +97,19 @@
     Ok(LocalSet::new().block_on(&runtime, serve(told, plan, handed, neighbours))?)
 }
 
+/// Ends the process when its standard input ends. A process that dies, however it does, lets go of its pipes: this is how a
+/// child hears of that.
+fn end_with_stdin() -> Result<(), StartError> {
+    let wait = || {
+        // What is written there is nobody's; a pipe that breaks has ended too.
+        let _ = std::io::copy(&mut std::io::stdin().lock(), &mut std::io::sink());
+        log(format_args!("standard input has ended, and so does the program"));
+        std::process::exit(0);
+    };
+    std::thread::Builder::new().name("stdin".to_owned()).spawn(wait)?;
+    Ok(())
+}
+
 /// Reads an operator's file.
 fn read(path: &Path, operator: Option<SocketAddr>) -> Result<Plan, Failure> {
     let plan = load(path)?.plan;
--- a/crates/corkhollow/tests/demo.rs
+++ b/crates/corkhollow/tests/demo.rs
@@ -1,8 +1,11 @@
 //! The first minute: the demo serves, a server drains and one dies, and it ends by itself, leaving nothing behind.
 
-use std::io::{BufRead, BufReader};
+use corkhollow_standin::until;
+use std::io::{BufRead, BufReader, Read};
+use std::net::{SocketAddr, TcpStream};
 use std::os::unix::process::CommandExt;
-use std::process::{Command, Stdio};
+use std::path::{Path, PathBuf};
+use std::process::{Child, ChildStdout, Command, Stdio};
 
 #[test]
 fn the_demo_serves_and_ends() {
@@ -23,6 +26,75 @@
     assert!(!std::path::Path::new(file).exists(), "{file} is left");
 }
 
+/// A demo under way; killed when dropped.
+struct Demo {
+    child: Child,
+    out: BufReader<ChildStdout>,
+    /// Where its program listens.
+    address: SocketAddr,
+    /// The program's file.
+    file: PathBuf,
+}
+
+impl Demo {
+    fn start() -> Self {
+        let mut command = Command::new(env!("CARGO_BIN_EXE_corkhollow"));
+        let mut child = command.arg("demo").stdout(Stdio::piped()).spawn().expect("it runs");
+        let out = BufReader::new(child.stdout.take().unwrap());
+        let nowhere = SocketAddr::from(([127, 0, 0, 1], 0));
+        let mut demo = Demo { child, out, address: nowhere, file: PathBuf::new() };
+        let mut line = String::new();
+        while demo.file == Path::new("") {
+            line.clear();
+            assert!(demo.out.read_line(&mut line).unwrap() > 0, "it says where it listens");
+            if let Some((_, rest)) = line.split_once("listens on http://") {
+                demo.address = rest.split('/').next().unwrap().parse().unwrap();
+            }
+            if let Some((_, file)) = line.split_once("Its file: ") {
+                demo.file = PathBuf::from(file.split(' ').next().unwrap());
+            }
+        }
+        assert!(TcpStream::connect(demo.address).is_ok() && demo.file.exists());
+        demo
+    }
+}
+
+impl Drop for Demo {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+        // A folder that nobody was left to remove.
+        let _ = self.file.parent().map(std::fs::remove_dir_all);
+    }
+}
+
+/// SIGTERM, and SIGHUP of a terminal that is closed, end it as Ctrl-C does: nothing of it is left.
+#[test]
+fn the_end_of_the_demo_is_the_end_of_its_program() {
+    for signal in ["-TERM", "-HUP"] {
+        let mut demo = Demo::start();
+        assert!(Command::new("kill")
+            .args([signal, &demo.child.id().to_string()])
+            .status()
+            .unwrap()
+            .success());
+        let last = demo.out.by_ref().lines().map_while(Result::ok).find(|line| line.starts_with("ended: "));
+        assert!(last.is_some_and(|line| line.ends_with(" 0 failed")), "{signal}: it tells its end");
+        assert!(demo.child.wait().unwrap().success());
+        assert!(TcpStream::connect(demo.address).is_err(), "{signal}: its program goes on");
+        assert!(!demo.file.exists(), "{signal}: {} is left", demo.file.display());
+    }
+}
+
+/// Killed, it cannot end its program: that one ends by itself.
+#[test]
+fn a_program_ends_with_the_demo_that_is_killed() {
+    let mut demo = Demo::start();
+    demo.child.kill().unwrap();
+    demo.child.wait().unwrap();
+    until("its program has ended", || TcpStream::connect(demo.address).is_err());
+}
+
 /// Ctrl-C goes to all of a terminal's processes: the program under the demo must not end before the clients' requests.
 #[test]
 fn an_interrupt_costs_no_request() {
