--- a/crates/standin/src/program.rs
+++ b/crates/standin/src/program.rs
@@ -8,7 +8,7 @@
 use std::collections::BTreeMap;
 use std::io::{BufRead, BufReader, Write};
 use std::net::{SocketAddr, TcpStream};
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::process::{Child, Command, ExitStatus, Stdio};
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
@@ -126,7 +126,7 @@
     /// socket. Waits until it says where operators call.
     pub fn handed(
         listener: &std::net::TcpListener,
-        folder: &std::path::Path,
+        folder: &Path,
         discovery: SocketAddr,
         options: &Options,
     ) -> Self {
@@ -145,12 +145,7 @@
     }
 
     /// The program on an operator's file and on a listening socket that it gets by systemd's protocol.
-    pub fn activated(
-        listener: &std::net::TcpListener,
-        folder: &std::path::Path,
-        operator: &str,
-        text: &str,
-    ) -> Self {
+    pub fn activated(listener: &std::net::TcpListener, folder: &Path, operator: &str, text: &str) -> Self {
         let path = path("toml");
         std::fs::write(&path, text).unwrap();
         let mut command = Command::new("sh");
@@ -165,7 +160,7 @@
 
     /// The program as a deploy file starts it: its line, given to a shell, with the program's path put in for its `$0`.
     /// The folder is the only one that it may write to.
-    pub fn deployed(line: &str, folder: &std::path::Path, config: &str) -> Self {
+    pub fn deployed(line: &str, folder: &Path, config: &str) -> Self {
         let path = path("json");
         std::fs::write(&path, config).unwrap();
         let mut command = Command::new("/bin/sh");
@@ -199,10 +194,15 @@
     }
 
     /// The same; each line that it logs is told at once, from the first on.
-    pub fn site_heard(text: &str, mut heard: impl FnMut(&str) + Send + 'static) -> Self {
+    pub fn site_heard(text: &str, heard: impl FnMut(&str) + Send + 'static) -> Self {
+        Self::site_by(&program(), text, heard)
+    }
+
+    /// The same by a program that stands elsewhere.
+    pub fn site_by(program: &Path, text: &str, mut heard: impl FnMut(&str) + Send + 'static) -> Self {
         let config = path("toml");
         std::fs::write(&config, text).unwrap();
-        let mut command = Command::new(program());
+        let mut command = Command::new(program);
         command.arg("run").arg("--config").arg(&config).stderr(Stdio::piped());
         let mut child = command.spawn().expect("the program starts");
         let mut lines = BufReader::new(child.stderr.take().unwrap()).lines();
@@ -231,6 +231,11 @@
         Node { child, config, listeners, address, operator, log }
     }
 
+    /// The file that it reads.
+    pub fn file(&self) -> &Path {
+        &self.config
+    }
+
     /// Its process.
     pub fn id(&self) -> u32 {
         self.child.id()
