--- a/crates/balance/src/balancer/admission.rs
+++ b/crates/balance/src/balancer/admission.rs
@@ -47,8 +47,9 @@
             let trial = forgotten && place.refused >= REFUSED_A_TRIAL && !request.is_retry;
             if wait <= 0.0 || (trial && self.nodes[i].out == 0) {
                 (place.tried_at, place.refused) = (now, 0);
-                let rate = self.tenants.get_mut(request.tenant as usize);
-                rate.into_iter().for_each(|rate| rate.add(now, self.memory, 1.0));
+                if self.settings.tenant_quota.get(request.tenant).is_some() {
+                    self.tenants.entry(request.tenant).or_default().add(now, self.memory, 1.0);
+                }
                 self.pending.insert(request.id, pending);
                 self.send(now, request.id, i, sink);
                 let class = &self.settings.classes[class];
@@ -67,11 +68,11 @@
 
     /// Whether a tenant already gets its share here. What is let in counts: clients that ask again after a
     /// refusal would put their tenant over its share and be refused the more.
-    pub(super) fn over_share(&self, now: Nanos, tenant: usize) -> bool {
-        let Some(rate) = self.tenants.get(tenant) else { return false };
-        let fair = self.settings.tenant_quota[tenant] / f64::from(self.settings.group_size);
-        let usual = fair * self.memory / 1e9;
-        rate.read(now, self.memory) > usual + CHANCE * usual.sqrt()
+    pub(super) fn over_share(&self, now: Nanos, tenant: u32) -> bool {
+        let Some(quota) = self.settings.tenant_quota.get(tenant) else { return false };
+        let usual = quota / f64::from(self.settings.group_size) * self.memory / 1e9;
+        let rate = self.tenants.get(&tenant).map_or(0.0, |rate| rate.read(now, self.memory));
+        rate > usual + CHANCE * usual.sqrt()
     }
 
     /// What a request is worth to others: by its class, for the work that it takes.
@@ -93,7 +94,7 @@
     pub(super) fn limit(&self, now: Nanos, request: &Request) -> f64 {
         let class = &self.settings.classes[usize::from(request.class)];
         let mut own = self.value(usize::from(request.class));
-        if self.over_share(now, request.tenant as usize) {
+        if self.over_share(now, request.tenant) {
             own *= self.settings.over_share_worth;
         }
         let (mut best, mut delayed) = (own.max(f64::MIN_POSITIVE), 0.0f64);
--- a/crates/balance/src/balancer/list.rs
+++ b/crates/balance/src/balancer/list.rs
@@ -49,7 +49,7 @@
 
     /// Ranks this node's own part of a zone: with many nodes each would see any one server too seldom. Parts
     /// are windows of one order, set off by the golden ratio, so that all servers are in about as many.
-    pub(super) fn regroup(&mut self, now: Nanos, zone: usize) {
+    pub(crate) fn regroup(&mut self, now: Nanos, zone: usize) {
         let count = self.ready[zone].len();
         let nodes = f64::from(self.settings.group_size) / self.ready.len() as f64;
         let part = (count as f64 * COVER / nodes).max(LEAST_PART);
--- a/crates/balance/src/balancer/retune.rs
+++ b/crates/balance/src/balancer/retune.rs
@@ -1,7 +1,7 @@
 //! Other settings take over while requests are open: these keep the rules under which they were taken.
 
 use super::{Balancer, Faded, LAG_MEMORY, RELIEF};
-use crate::interface::{Class, Heirs, Nanos, Settings, SettingsError};
+use crate::interface::{Class, Nanos, Settings, SettingsError};
 
 /// A class that has gone keeps its place for this many of the longest give-up times: requests whose
 /// body is still coming name it.
@@ -31,9 +31,9 @@
 }
 
 impl Balancer {
-    /// Goes by other settings from here on, with all that is known of servers. For each of their classes and
-    /// tenants, `heirs` says whose name it has, by place in the settings or as this returned it. Returns each
-    /// class's place, by which [`Request::class`](crate::interface::Request::class) names it; open requests
+    /// Goes by other settings from here on, with all that is known of servers. For each of their classes
+    /// `heirs` says whose name it has, by place in the settings or as this returned it. Returns each class's
+    /// place, by which [`Request::class`](crate::interface::Request::class) names it; open requests
     /// keep theirs, with its rules.
     ///
     /// # Errors
@@ -42,7 +42,7 @@
         &mut self,
         now: Nanos,
         mut settings: Settings,
-        heirs: &Heirs<'_>,
+        heirs: &[Option<u16>],
     ) -> Result<Vec<u16>, SettingsError> {
         settings.validate()?;
         self.places.iter_mut().for_each(|place| place.retired = place.retired.or(Some(now)));
@@ -52,7 +52,7 @@
             .iter()
             .enumerate()
             .map(|(k, class)| {
-                let heir = heirs.classes.get(k).copied().flatten().map(usize::from);
+                let heir = heirs.get(k).copied().flatten().map(usize::from);
                 let heir = heir.filter(|p| *p < table.len());
                 // The same name with other rules is another class; it begins with what was learnt.
                 let at = heir
@@ -66,9 +66,8 @@
         self.longest = named(|c| c.give_up);
         self.memory = LAG_MEMORY * self.longest as f64;
         self.relief = RELIEF * named(|c| c.aim) as f64;
-        let rate = |k: usize| self.tenants.get((*heirs.tenants.get(k)?)?).copied();
-        self.tenants = (0..settings.tenant_quota.len()).map(|k| rate(k).unwrap_or_default()).collect();
         self.settings = Settings { classes: table, ..settings };
+        self.forget_strangers();
         (0..self.ready.len()).for_each(|zone| self.regroup(now, zone));
         Ok(places)
     }
--- a/crates/balance/src/interface.rs
+++ b/crates/balance/src/interface.rs
@@ -3,6 +3,8 @@
 //! All times and durations are nanoseconds. The node owns connections, clocks and timers; the balancer owns
 //! nothing but its own picture of the fleet.
 
+pub use crate::quotas::Quotas;
+
 /// A point in time or a duration, in nanoseconds.
 pub type Nanos = u64;
 /// The node's own number for one request; never used twice.
@@ -124,7 +126,7 @@
     /// The request classes; at least one.
     pub classes: Vec<Class>,
     /// Each tenant's share in requests a second over all nodes; empty where there are none.
-    pub tenant_quota: Vec<f64>,
+    pub tenant_quota: Quotas,
     /// Part of its worth that a request over its tenant's share keeps, 0 to 1.
     pub over_share_worth: f64,
     /// Requests count by their work, not each alike.
@@ -186,7 +188,7 @@
         };
         Settings {
             classes: vec![class],
-            tenant_quota: Vec::new(),
+            tenant_quota: Quotas::default(),
             over_share_worth: 1.0,
             worth_by_work: false,
             zone: 0,
@@ -256,10 +258,14 @@
         if !(self.slots.is_finite() && self.slots >= 1.0) {
             return Err(SettingsError::OutOfRange("slots"));
         }
-        if self.tenant_quota.iter().any(|q| !(q.is_finite() && *q >= 0.0)) {
-            return Err(SettingsError::OutOfRange("tenant_quota"));
-        }
-        Ok(())
+        validate_quotas(&self.tenant_quota)
+    }
+}
+
+pub(crate) fn validate_quotas(quotas: &Quotas) -> Result<(), SettingsError> {
+    match quotas.iter().all(|(_, share)| share.is_finite() && share >= 0.0) {
+        true => Ok(()),
+        false => Err(SettingsError::OutOfRange("tenant_quota")),
     }
 }
 
@@ -288,15 +294,6 @@
     OutOfRange(&'static str),
 }
 
-/// Who had a name before, where other settings take over: see [`retune`](crate::Balancer::retune).
-#[derive(Clone, Copy, Debug, Default)]
-pub struct Heirs<'a> {
-    /// For each class of the new settings, the place of the class that had its name.
-    pub classes: &'a [Option<u16>],
-    /// For each tenant of the new settings, the index of the one that had its name.
-    pub tenants: &'a [Option<usize>],
-}
-
 /// A client's request.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Request {
@@ -304,7 +301,7 @@
     pub id: RequestId,
     /// Its class: its index in [`Settings::classes`], or its place as [`retune`](crate::Balancer::retune) told it.
     pub class: u16,
-    /// Its tenant, as an index into [`Settings::tenant_quota`].
+    /// Its tenant, by its number in [`Settings::tenant_quota`]; any other number is nobody's.
     pub tenant: u32,
     /// Routing key, 0 for none.
     pub key: u64,
--- a/crates/balance/src/lib.rs
+++ b/crates/balance/src/lib.rs
@@ -21,7 +21,9 @@
 mod balancer;
 pub mod interface;
 mod knowledge;
+mod quotas;
 pub mod settings;
+mod told;
 
 pub use balancer::Balancer;
 pub use knowledge::{ClassKnown, Knowledge, ServerKnown};
--- a/crates/balance/src/settings.rs
+++ b/crates/balance/src/settings.rs
@@ -120,14 +120,14 @@
     let classes = (0..pairs.count("classes")?).map(|k| class(pairs, k)).collect::<Result<_, _>>()?;
     let tenant_quota = (0..pairs.count("tenants")?)
         .map(|k| pairs.get(&format!("tenants.{k}.quotaPerS")))
-        .collect::<Result<_, _>>()?;
+        .collect::<Result<Vec<f64>, String>>()?;
     let zones = pairs.text("zones")?.split(',').count();
     let silent = pairs.or("report.via", String::new())? == "silent";
     let names = if silent { String::new() } else { pairs.or("report.names", String::new())? };
     let retry_after = pairs.or("caps.retryAfter", false)?;
     let settings = Settings {
         classes,
-        tenant_quota,
+        tenant_quota: tenant_quota.into(),
         over_share_worth: pairs.or("overShareWorth", 1.0)?,
         worth_by_work: pairs.or("countedBy", String::new())? == "work",
         zone: pairs.position("zone", zones.min(256))? as u8,
--- a/crates/balance/tests/admission.rs
+++ b/crates/balance/tests/admission.rs
@@ -69,7 +69,7 @@
         let worths: Vec<_> = kinds.iter().map(|k| k.0).collect();
         let mut settings = classes(&worths, AIM, 3 * AIM);
         settings.group_size = nodes;
-        (settings.tenant_quota, settings.over_share_worth) = (vec![0.1, 10.0], 0.05);
+        (settings.tenant_quota, settings.over_share_worth) = (vec![0.1, 10.0].into(), 0.05);
         let mut bed = bed(settings, 12);
         for (k, gap, tenant, is_retry) in turns {
             let class = k % kinds.len();
--- a/crates/balance/tests/incidents.rs
+++ b/crates/balance/tests/incidents.rs
@@ -210,7 +210,7 @@
 #[test]
 fn a_tenant_gets_its_share() {
     let mut s = settings(Effect::Safe);
-    s.tenant_quota = vec![20.0, 20.0];
+    s.tenant_quota = vec![20.0, 20.0].into();
     s.over_share_worth = 0.1;
     let let_in = |waits: bool| {
         let mut bed = Bed::new(s.clone(), servers(6), 3);
--- a/crates/balance/tests/replay.rs
+++ b/crates/balance/tests/replay.rs
@@ -66,7 +66,7 @@
             class(Effect::Keyed, Group::Zone, 600, 1500, 1.0),
             class(Effect::Unsafe, Group::All, 600, 2500, 10.0),
         ],
-        tenant_quota: vec![150.0, 60.0],
+        tenant_quota: vec![150.0, 60.0].into(),
         over_share_worth: 0.05,
         second_copies: true,
         must_subscribe: !zones_known,
@@ -147,7 +147,7 @@
             }
         };
         if retuned.is_some_and(|every| matches!(event, Event::Request(_)) && left.is_multiple_of(every)) {
-            let heirs = Heirs { classes: &[Some(0), Some(1), Some(2)], tenants: &[Some(0), Some(1)] };
+            let heirs = [Some(0), Some(1), Some(2)];
             let places = balancer.retune(now, settings(seed.is_multiple_of(2)), &heirs).unwrap();
             assert_eq!(places, [0, 1, 2]);
         }
--- a/crates/balance/tests/retune.rs
+++ b/crates/balance/tests/retune.rs
@@ -8,10 +8,6 @@
 use proptest::test_runner::RngSeed;
 use std::collections::BTreeMap;
 
-fn classes(heirs: &[Option<u16>]) -> Heirs<'_> {
-    Heirs { classes: heirs, tenants: &[] }
-}
-
 fn sent(actions: &[Action]) -> Vec<ServerId> {
     let server = |a: &Action| match a {
         Action::Send { server, .. } => Some(*server),
@@ -46,7 +42,7 @@
         let first = sent(&actions)[0];
         let few = Settings { max_attempts: 1, ..settings(new) };
         let now = bed.now;
-        let places = bed.balancer.retune(now, few, &classes(&[Some(0)])).unwrap();
+        let places = bed.balancer.retune(now, few, &[Some(0)]).unwrap();
         assert_eq!(places, [1], "other rules are another class");
         let actions = ends(&mut bed, id, first, 0, Ending::Reset);
         // What may have run goes again only where the request was taken as safe; the new limit of one attempt is not its.
@@ -71,7 +67,7 @@
     ends(&mut bed, id, bad, 0, Ending::Error);
     let now = bed.now;
     assert_eq!(bed.balancer.census(now), (3, 1));
-    let places = bed.balancer.retune(now, settings(Effect::Safe), &classes(&[Some(0)])).unwrap();
+    let places = bed.balancer.retune(now, settings(Effect::Safe), &[Some(0)]).unwrap();
     assert_eq!(places, [0], "the same class keeps its place");
     assert_eq!(bed.balancer.census(now), (3, 1));
     for _ in 0..20 {
@@ -88,7 +84,7 @@
         Settings { max_attempts: 0, ..settings(Effect::Safe) },
         Settings { classes: Vec::new(), ..settings(Effect::Safe) },
     ] {
-        assert!(bed.balancer.retune(now, broken, &classes(&[Some(0)])).is_err());
+        assert!(bed.balancer.retune(now, broken, &[Some(0)]).is_err());
         let (id, actions) = bed.request();
         let first = sent(&actions)[0];
         assert_eq!(sent(&ends(&mut bed, id, first, 0, Ending::ConnectFailed)).len(), 1);
@@ -110,7 +106,7 @@
     for k in 1..200 {
         bed.now += 20_000 * MS;
         let now = bed.now;
-        let place = bed.balancer.retune(now, class((100 + k) * MS), &classes(&[None])).unwrap()[0];
+        let place = bed.balancer.retune(now, class((100 + k) * MS), &[None]).unwrap()[0];
         assert_ne!(place, 0, "the place of an open request");
         most = most.max(place);
     }
@@ -118,40 +114,110 @@
     bed.now += 20_000 * MS;
     ends(&mut bed, open, server, 0, Ending::Ok);
     let now = bed.now;
-    assert_eq!(bed.balancer.retune(now, class(7 * MS), &classes(&[None])).unwrap(), [0]);
+    assert_eq!(bed.balancer.retune(now, class(7 * MS), &[None]).unwrap(), [0]);
 }
 
-/// A tenant keeps its rate under its name, wherever it stands in the new settings; one of another name begins anew.
-#[test]
-fn a_tenants_rate_goes_by_its_name() {
-    let shared = |quotas: &[f64]| Settings {
-        tenant_quota: quotas.to_vec(),
+fn shared(quotas: &[(u32, f64)]) -> Settings {
+    Settings {
+        tenant_quota: Quotas::new(quotas.iter().copied()),
         over_share_worth: 0.0,
         ..settings(Effect::Safe)
+    }
+}
+
+/// Whether a request of this tenant is refused.
+fn refused(bed: &mut Bed, tenant: u32) -> bool {
+    let (id, request) = bed.draft();
+    let actions = bed.feed(Event::Request(Request { tenant, ..request }));
+    let server = sent(&actions).first().copied();
+    // Some are kept waiting by others: without that nobody would have to yield.
+    let took = if id.is_multiple_of(3) { 60 * MS } else { 10 * MS };
+    server.into_iter().for_each(|server| drop(bed.outcome(id, server, 0, took, Ending::Ok)));
+    server.is_none()
+}
+
+/// A tenant keeps its rate under its number, wherever it stands in the new settings, and however it is told of them; one of
+/// another number begins anew, and so does one that was gone in between.
+#[test]
+fn a_tenants_rate_goes_by_its_number() {
+    let whole = |bed: &mut Bed, quotas: &[(u32, f64)]| {
+        let now = bed.now;
+        bed.balancer.retune(now, shared(quotas), &[Some(0)]).map(drop).unwrap();
     };
-    // The third stands in the second's place under another name.
-    for (heirs, places) in [([Some(1), Some(0)], [1, 0]), ([Some(0), None], [0, 9])] {
-        let mut bed = Bed::new(shared(&[5.0, 5.0]), servers(8), 1);
-        let refused = |bed: &mut Bed, tenant: u32| {
-            let (id, request) = bed.draft();
-            let actions = bed.feed(Event::Request(Request { tenant, ..request }));
-            let server = sent(&actions).first().copied();
-            // Some are kept waiting by others: without that nobody would have to yield.
-            let took = if id.is_multiple_of(3) { 60 * MS } else { 10 * MS };
-            server.into_iter().for_each(|server| drop(bed.outcome(id, server, 0, took, Ending::Ok)));
-            server.is_none()
-        };
-        // The second is far over its share, the first uses none of it.
-        let over = (0..200).filter(|_| refused(&mut bed, 1)).count();
-        assert!(over > 100, "{over}");
+    let alone = |bed: &mut Bed, quotas: &[(u32, f64)]| {
+        bed.balancer.keep_quotas(Quotas::new(quotas.iter().copied())).unwrap();
+    };
+    for told in [whole as fn(&mut Bed, &[(u32, f64)]), alone] {
+        for (quotas, over) in [
+            (&[&[(7, 5.0), (3, 5.0)][..]][..], [(7, true), (3, false)]),
+            (&[&[(3, 5.0), (8, 5.0)]], [(8, false), (3, false)]),
+            (&[&[(3, 5.0)], &[(3, 5.0), (7, 5.0)]], [(7, false), (3, false)]),
+            (&[&[(3, 5.0), (7, 5_000.0)]], [(7, false), (3, false)]),
+            (&[&[(3, 5.0), (7, 5_000.0)], &[(7, 5.0)]], [(7, true), (9, false)]),
+        ] {
+            let mut bed = Bed::new(shared(&[(3, 5.0), (7, 5.0)]), servers(8), 1);
+            // One is far over its share, the other uses none of it.
+            let count = (0..200).filter(|_| refused(&mut bed, 7)).count();
+            assert!(count > 100, "{count}");
+            quotas.iter().for_each(|quotas| told(&mut bed, quotas));
+            for (tenant, expected) in over {
+                assert_eq!(refused(&mut bed, tenant), expected, "tenant {tenant} of {quotas:?}");
+            }
+        }
+    }
+    let mut bed = Bed::new(shared(&[(3, 5.0)]), servers(3), 1);
+    assert!(bed.balancer.keep_quotas(Quotas::from(vec![f64::NAN])).is_err());
+}
+
+/// Something is known of a tenant once it was seen, and no longer when it has been idle for long. Nothing that is decided
+/// changes by that.
+#[test]
+fn tenants_are_known_once_seen_and_forgotten_when_idle() {
+    let quotas: Vec<_> = (0..15_000).map(|tenant| (tenant, 50.0)).collect();
+    let beds = || Bed::new(shared(&quotas), servers(8), 1);
+    let (mut bed, mut keeps) = (beds(), beds());
+    assert_eq!(bed.balancer.tenants_known(), 0);
+    let mut decided = [Vec::new(), Vec::new()];
+    for round in 0..40 {
+        for (bed, decided) in [&mut bed, &mut keeps].into_iter().zip(&mut decided) {
+            // A stranger's number leaves no trace.
+            let all = (0..100).map(|k| (round * 131 + k * k) % 15_000).chain([20_000, u32::MAX]);
+            decided.extend(all.map(|tenant| refused(bed, tenant)));
+            bed.now += 20_000 * MS;
+        }
         let now = bed.now;
-        let heirs = Heirs { classes: &[Some(0)], tenants: &heirs };
-        bed.balancer.retune(now, shared(&[5.0, 5.0]), &heirs).unwrap();
-        for tenant in 0..2u32 {
-            let was_second = places[tenant as usize] == 1;
-            assert_eq!(refused(&mut bed, tenant), was_second, "tenant {tenant} of {places:?}");
+        bed.balancer.forget_idle(now);
+        assert!(bed.balancer.tenants_known() < 1_000, "{}", bed.balancer.tenants_known());
+    }
+    assert!(keeps.balancer.tenants_known() > 1_500, "{}", keeps.balancer.tenants_known());
+    assert_eq!(decided[0], decided[1]);
+    bed.now += 200_000 * MS;
+    let now = bed.now;
+    bed.balancer.forget_idle(now);
+    assert_eq!(bed.balancer.tenants_known(), 0);
+}
+
+/// To count as another one of a group is told by two numbers, and does what new settings with these would do.
+#[test]
+fn to_count_otherwise_is_as_settings_that_say_so() {
+    let grouped = |ordinal, group_size| Settings { ordinal, group_size, ..settings(Effect::Safe) };
+    let mut beds = [0, 1].map(|_| Bed::new(grouped(0, 1), servers(30), 4));
+    for (ordinal, group_size) in [(3, 20), (4, 21), (0, 1), (7, 440)] {
+        let now = beds[0].now;
+        beds[0].balancer.count_as(now, ordinal, group_size).unwrap();
+        beds[1].balancer.retune(now, grouped(ordinal, group_size), &[Some(0)]).unwrap();
+        for _ in 0..200 {
+            let [one, other] = &mut beds;
+            let (a, b) = (one.request(), other.request());
+            assert_eq!(a, b);
+            let server = sent(&a.1).first().copied();
+            for bed in [one, other] {
+                server.into_iter().for_each(|server| drop(bed.outcome(a.0, server, 0, 10 * MS, Ending::Ok)));
+            }
         }
     }
+    let now = beds[0].now;
+    assert!(beds[0].balancer.count_as(now, 5, 5).is_err());
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -245,7 +311,7 @@
                         heirs.reverse();
                     }
                     let now = bed.now;
-                    let told = bed.balancer.retune(now, two(to, attempts, swapped), &classes(&heirs)).unwrap();
+                    let told = bed.balancer.retune(now, two(to, attempts, swapped), &heirs).unwrap();
                     prop_assert_ne!(told[0], told[1]);
                     places = if swapped { [told[1], told[0]] } else { [told[0], told[1]] };
                     continue;
--- a/crates/corkhollow/src/commands/check.rs
+++ b/crates/corkhollow/src/commands/check.rs
@@ -13,7 +13,7 @@
         let Source::Watch(path) = &pool.source else { continue };
         let text = std::fs::read_to_string(path)
             .map_err(|error| Failure::Unreadable { path: path.clone(), error })?;
-        if let Err(faults) = read_servers(&text, &plan) {
+        if let Err(faults) = read_servers(&text, plan.zone, &plan.zones) {
             super::print(path, &faults);
             return Err(Failure::Faulty { path: path.clone(), count: faults.len() });
         }
--- a/crates/corkhollow/src/commands/membership.rs
+++ b/crates/corkhollow/src/commands/membership.rs
@@ -10,6 +10,7 @@
 use std::cell::Cell;
 use std::net::{SocketAddr, UdpSocket};
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 
 /// Descriptors that the node of a fleet takes: its socket and what its thread waits with.
@@ -58,23 +59,22 @@
 
 impl Membership {
     /// Joins the fleet that the plan names, and counts by it from the first request on.
-    pub async fn join(&self, plan: &mut Plan, figures: &Figures, seed: u64) -> Result<(), StartError> {
-        let Some(told) = plan.fleet.clone() else { return Ok(()) };
+    pub async fn join(&self, plan: &Plan, figures: &Figures, seed: u64) -> Result<(), StartError> {
+        let Some(told) = &plan.fleet else { return Ok(()) };
         let open = |error| StartError::Listen { address: told.listen, error };
         let socket = UdpSocket::bind(told.listen).map_err(open)?;
-        let config = config(plan, &told, reached(&told, &socket).map_err(open)?)?;
+        let config = config(plan, told, reached(told, &socket).map_err(open)?)?;
         let mut fleet = start(config, socket, seed, figures)?;
         let name = told.node.clone();
         fleet.joined().await.map_err(|by| StartError::Name { name, by })?;
         let group = fleet.view().snapshot.group;
         self.group.set(Some(group));
-        plan.group(group.ordinal, group.size);
         self.place.put(fleet);
         Ok(())
     }
 
     /// Takes another process's place in the fleet once that one has let go of it, and counts as that one did until then.
-    pub async fn succeed(self, plan: Rc<Plan>, from: Option<FleetHandover>, figures: Figures, seed: u64) {
+    pub async fn succeed(self, plan: Arc<Plan>, from: Option<FleetHandover>, figures: Figures, seed: u64) {
         let Some(told) = &plan.fleet else { return };
         let socket = loop {
             match UdpSocket::bind(told.listen) {
@@ -123,7 +123,7 @@
     /// Lets the pools count so.
     pub fn regroup(&self, current: &Current, group: Group, pace: &mut Pace) {
         self.group.set(Some(group));
-        match current.get().regroup(group.ordinal, group.size) {
+        match current.get().regroup(group) {
             Ok(()) => pace.log(format_args!("fleet: counts as number {} of {}", group.ordinal, group.size)),
             Err(why) => pace.log(format_args!("fleet: {why}")),
         }
@@ -136,21 +136,18 @@
         let (incarnation, members) = view.heritage;
         Some(FleetHandover { ordinal, size, incarnation, members })
     }
+}
 
-    /// What a new file says of the fleet, if all of it can be taken over.
-    pub fn reload(&self, old: &Plan, new: &mut Plan) -> Result<Option<Config>, StartError> {
-        if let Some(group) = self.group.get() {
-            new.group(group.ordinal, group.size);
-        }
-        match (&old.fleet, &new.fleet) {
-            (None, None) => Ok(None),
-            (Some(was), Some(told)) => match was.fixed(told) {
-                Some(key) => Err(StartError::Fixed { key: format!("fleet.{key}") }),
-                // Its own address is for good, and not looked at again.
-                None => config(new, told, told.advertise.unwrap_or(told.listen)).map(Some),
-            },
-            _ => Err(StartError::Fixed { key: "fleet".to_owned() }),
-        }
+/// What a new file says of the fleet, if all of it can be taken over.
+pub fn reloaded(old: &Plan, new: &Plan) -> Result<Option<Config>, StartError> {
+    match (&old.fleet, &new.fleet) {
+        (None, None) => Ok(None),
+        (Some(was), Some(told)) => match was.fixed(told) {
+            Some(key) => Err(StartError::Fixed { key: format!("fleet.{key}") }),
+            // Its own address is for good, and not looked at again.
+            None => config(new, told, told.advertise.unwrap_or(told.listen)).map(Some),
+        },
+        _ => Err(StartError::Fixed { key: "fleet".to_owned() }),
     }
 }
 
--- a/crates/corkhollow/src/commands/mod.rs
+++ b/crates/corkhollow/src/commands/mod.rs
@@ -5,6 +5,7 @@
 pub mod explain;
 pub mod fleet;
 mod membership;
+mod reload;
 pub mod run;
 
 use corkhollow_plan::file::{self, Checked, Fault};
--- a/crates/corkhollow/src/commands/run.rs
+++ b/crates/corkhollow/src/commands/run.rs
@@ -1,15 +1,17 @@
 //! `corkhollow run`: runtime, listeners, signals, reload.
 
 use super::membership::{self, Membership};
-use super::{load, Failure};
+use super::reload::{read, Reloads, Target, Told};
+use super::Failure;
 use crate::cli::RunArgs;
 use crate::succession::{self, Neighbours};
 use corkhollow_engine::{log, Clock, Pace};
 use corkhollow_fleet::Group;
 use corkhollow_operate::{Control, Figures, FiguresError, FleetHandover, Handover};
 use corkhollow_plan::limits::Budget;
-use corkhollow_plan::plan::{Plan, Source};
-use corkhollow_plan::platform::{Config, ConfigError, Shape};
+use corkhollow_plan::plan::Plan;
+use corkhollow_plan::platform::{Config, ConfigError};
+use corkhollow_proxy::background;
 use corkhollow_proxy::fleet::Place;
 use corkhollow_proxy::http1::{Clients, Service};
 use corkhollow_proxy::operator::Operator;
@@ -18,7 +20,7 @@
 use std::cell::Cell;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
-use std::path::{Path, PathBuf};
+use std::path::PathBuf;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
@@ -40,6 +42,8 @@
 const LEARN_WITHIN: Duration = Duration::from_millis(500);
 /// How often it looks.
 const LOOK: Duration = Duration::from_millis(10);
+/// How often tenants that have been idle for long are forgotten.
+const FORGET: Duration = Duration::from_secs(60);
 /// How often a draining node looks for connections without a request.
 const EMPTY: Duration = Duration::from_millis(20);
 
@@ -66,14 +70,6 @@
     Figures(#[from] FiguresError),
 }
 
-/// Where the plan comes from, now and at each reload.
-enum Told {
-    /// An operator's file, and the operator's address where the command line gives another one.
-    File(PathBuf, Option<SocketAddr>),
-    /// The platform's file; what it held when it was last taken.
-    Platform(Shape),
-}
-
 /// Serves until SIGTERM.
 pub fn run(args: RunArgs) -> Result<(), Failure> {
     if args.until_stdin_ends {
@@ -88,9 +84,10 @@
         None => {
             let mut config = Config::load().map_err(StartError::from)?;
             config.operator = args.operator.or(config.operator);
-            (Told::Platform(config.shape.clone()), config.plan())
+            (Told::Platform(Box::new(config.shape.clone())), config.plan())
         }
     };
+    background::hush();
     let neighbours = neighbours(&handed);
     let runtime =
         tokio::runtime::Builder::new_current_thread().enable_all().build().map_err(StartError::from)?;
@@ -110,12 +107,6 @@
     Ok(())
 }
 
-/// Reads an operator's file.
-fn read(path: &Path, operator: Option<SocketAddr>) -> Result<Plan, Failure> {
-    let plan = load(path)?.plan;
-    Ok(Plan { operator: operator.or(plan.operator), ..plan })
-}
-
 /// Finds the other processes on the sockets that this one has been handed. Without a folder to meet in, it is alone.
 fn neighbours(handed: &[std::net::TcpListener]) -> Option<Neighbours> {
     // The smallest address stands for all: a process's sockets may come in any order.
@@ -154,7 +145,7 @@
 
 /// All listeners, by name.
 #[derive(Default)]
-struct Listeners {
+pub struct Listeners {
     open: BTreeMap<String, Open>,
     /// Sockets of listeners that somebody else holds.
     handed: Vec<std::net::TcpListener>,
@@ -162,7 +153,7 @@
 
 impl Listeners {
     /// Opens those of a plan that are not open yet; nothing is accepted before `start`.
-    fn bind(&mut self, plan: &Plan) -> Result<Vec<(String, SocketAddr, TcpListener)>, StartError> {
+    pub fn bind(&mut self, plan: &Plan) -> Result<Vec<(String, SocketAddr, TcpListener)>, StartError> {
         let open = &self.open;
         let new = plan.listeners.iter().filter(|l| open.get(&l.name).is_none_or(|o| o.told != l.address));
         let mut handed = std::mem::take(&mut self.handed);
@@ -183,7 +174,7 @@
     }
 
     /// Takes connections on new listeners, and none on those that a plan no longer has.
-    fn start(
+    pub fn start(
         &mut self,
         plan: &Plan,
         bound: Vec<(String, SocketAddr, TcpListener)>,
@@ -232,8 +223,8 @@
 }
 
 async fn serve(
-    mut told: Told,
-    mut plan: Plan,
+    told: Told,
+    plan: Plan,
     handed: Vec<std::net::TcpListener>,
     neighbours: Option<Neighbours>,
 ) -> Result<(), StartError> {
@@ -258,10 +249,11 @@
         tokio::select! {
             // Nothing has been taken yet.
             _ = terminate.recv() => return Ok(()),
-            joined = member.join(&mut plan, &figures, seed) => joined?,
+            joined = member.join(&plan, &figures, seed) => joined?,
         }
     }
-    let site = Site::start(plan, None, &shared, seed)?;
+    let site = Site::start(plan, &shared, seed, member.group.get())?;
+    figures.in_force(&site.plan.version.to_string(), None);
     let current = Current::new(site.clone());
     let service = Rc::new(Service {
         site: current.clone(),
@@ -289,8 +281,9 @@
                     member.regroup(&current, group, &mut Pace::new(1, 0.0));
                 }
                 if succeeds {
-                    let (plan, figures) = (Rc::new(site.plan.clone()), figures.clone());
-                    spawn_local(member.clone().succeed(plan, from, figures, seed));
+                    if let Some(plan) = site.plan.share() {
+                        spawn_local(member.clone().succeed(plan, from, figures.clone(), seed));
+                    }
                 }
             }
         }
@@ -320,17 +313,22 @@
     spawn_local(sweep(current.clone(), clients.clone()));
     spawn_local(empty(clients.clone(), control.clone(), clock, changed));
 
+    let mut reloads = Reloads::new(told);
     loop {
         tokio::select! {
             _ = terminate.recv() => break,
-            _ = hang_up.recv() => {
-                match reload(&mut told, &current, &mut listeners, &clients, &shared, seed, &member) {
-                    Ok(()) => figures.applied.inc(),
-                    Err(why) => {
-                        figures.rejected.inc();
-                        log(format_args!("not reloaded: {why}"));
-                    }
-                }
+            _ = hang_up.recv() => reloads.begin(&current, &figures),
+            ready = reloads.compiled() => {
+                let target = Target {
+                    current: &current,
+                    listeners: &mut listeners,
+                    clients: &clients,
+                    shared: &shared,
+                    seed,
+                    place: &member.place,
+                    group: member.group.get(),
+                };
+                reloads.finish(ready, target, &figures);
             }
         }
     }
@@ -359,53 +357,6 @@
     Ok(())
 }
 
-/// Takes over a whole new file between two requests, or none of it.
-fn reload(
-    told: &mut Told,
-    current: &Current,
-    listeners: &mut Listeners,
-    clients: &Rc<Clients>,
-    shared: &Shared,
-    seed: u64,
-    member: &Membership,
-) -> Result<(), Failure> {
-    let old = current.get();
-    let (mut plan, shape) = match told {
-        Told::File(path, operator) => (read(path, *operator)?, None),
-        Told::Platform(shape) => {
-            let config = Config::reload(shape).map_err(StartError::from)?;
-            (config.plan_beside(&old.plan).map_err(StartError::from)?, Some(config.shape))
-        }
-    };
-    let fleet = member.reload(&old.plan, &mut plan)?;
-    let bound = listeners.bind(&plan)?;
-    let site = Site::start(plan, Some(&old), shared, seed).map_err(StartError::from)?;
-    let (now, then) = (&site.plan.limits, &old.plan.limits);
-    if (now.descriptors, now.memory) != (then.descriptors, then.memory) {
-        log(format_args!("`limits.descriptors` and `limits.memory` change with a restart only"));
-    }
-    if site.plan.operator != old.plan.operator {
-        log(format_args!("the operator's address changes with a restart only"));
-    }
-    current.put(site.clone());
-    if let (Some(node), Some(told)) = (member.place.get(), fleet) {
-        node.retune(told);
-    }
-    if let (Told::Platform(old), Some(new)) = (told, shape) {
-        *old = new;
-    }
-    listeners.start(&site.plan, bound, clients).map_err(StartError::from)?;
-    let plan = &site.plan;
-    for pool in &plan.pools {
-        if let Source::Discovery(from) = &pool.source {
-            log(format_args!("reloaded: discovery at {}", from.address));
-        }
-    }
-    let (routes, pools) = (plan.routes.routes().len(), plan.pools.len());
-    log(format_args!("reloaded: listeners: {}, routes: {routes}, pools: {pools}", plan.listeners.len()));
-    Ok(())
-}
-
 /// Keeps the figures and the node's readiness up to date, for good. It is not ready before its listeners are open.
 async fn watch(
     current: Rc<Current>,
@@ -526,6 +477,7 @@
 
 /// Closes what stands still, for good.
 async fn sweep(current: Rc<Current>, clients: Rc<Clients>) {
+    let mut forgotten = tokio::time::Instant::now();
     loop {
         for _ in 0..5 {
             tokio::time::sleep(Duration::from_millis(200)).await;
@@ -534,5 +486,9 @@
         }
         clients.sweep();
         current.get().pools.iter().for_each(|p| p.upstreams.sweep());
+        if forgotten.elapsed() > FORGET {
+            forgotten = tokio::time::Instant::now();
+            current.get().pools.iter().for_each(|p| p.engine.forget_idle());
+        }
     }
 }
--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -8,7 +8,7 @@
 use crate::message::{Answer, AttemptId, Message, Progress};
 use crate::requests::{Command, ListCall, Load, Requests, Verdict};
 use corkhollow_balance::interface::{
-    Ending, Heirs, ListKind, Nanos, Request, RequestId, Server, ServerId, Settings, SettingsError,
+    Ending, ListKind, Nanos, Quotas, Request, RequestId, Server, ServerId, Settings, SettingsError,
 };
 use corkhollow_balance::Knowledge;
 use corkhollow_operate::PoolFigures;
@@ -244,10 +244,31 @@
     ///
     /// # Errors
     /// Where no node could act on the settings; the old ones stay in force.
-    pub fn retune(&self, settings: Settings, heirs: &Heirs<'_>) -> Result<Vec<u16>, SettingsError> {
+    pub fn retune(&self, settings: Settings, heirs: &[Option<u16>]) -> Result<Vec<u16>, SettingsError> {
         self.requests.borrow_mut().retune(self.clock.now(), settings, heirs)
     }
 
+    /// Counts as this node of so many from here on: see [`Balancer::count_as`](corkhollow_balance::Balancer::count_as).
+    ///
+    /// # Errors
+    /// Where there is no such number in such a group; nothing is changed then.
+    pub fn count_as(&self, ordinal: u32, group_size: u32) -> Result<(), SettingsError> {
+        self.requests.borrow_mut().count_as(self.clock.now(), ordinal, group_size)
+    }
+
+    /// Goes by other shares of tenants: see [`Balancer::keep_quotas`](corkhollow_balance::Balancer::keep_quotas).
+    ///
+    /// # Errors
+    /// Where a share is no rate; the old ones stay in force.
+    pub fn keep_quotas(&self, quotas: Quotas) -> Result<(), SettingsError> {
+        self.requests.borrow_mut().keep_quotas(quotas)
+    }
+
+    /// Forgets tenants that have been idle for long.
+    pub fn forget_idle(&self) {
+        self.requests.borrow_mut().forget_idle(self.clock.now());
+    }
+
     /// What the module has learnt; of classes, those at these places.
     pub fn knowledge(&self, places: &[u16]) -> Knowledge {
         self.requests.borrow_mut().knowledge(self.clock.now(), places)
--- a/crates/engine/src/requests.rs
+++ b/crates/engine/src/requests.rs
@@ -3,7 +3,7 @@
 
 use crate::message::AttemptId;
 use corkhollow_balance::interface::{
-    Action, Ending, Event, Heirs, ListKind, Nanos, Request, RequestId, Server, ServerId, Settings,
+    Action, Ending, Event, ListKind, Nanos, Quotas, Request, RequestId, Server, ServerId, Settings,
     SettingsError,
 };
 use corkhollow_balance::{Balancer, Knowledge};
@@ -322,7 +322,7 @@
         &mut self,
         now: Nanos,
         settings: Settings,
-        heirs: &Heirs<'_>,
+        heirs: &[Option<u16>],
     ) -> Result<Vec<u16>, SettingsError> {
         let most_attempts = settings.max_attempts as usize;
         let places = self.balancer.retune(now, settings, heirs)?;
@@ -330,6 +330,27 @@
         Ok(places)
     }
 
+    /// Counts as this node of so many from here on: see [`Balancer::count_as`].
+    ///
+    /// # Errors
+    /// Where there is no such number in such a group; nothing is changed then.
+    pub fn count_as(&mut self, now: Nanos, ordinal: u32, group_size: u32) -> Result<(), SettingsError> {
+        self.balancer.count_as(now, ordinal, group_size)
+    }
+
+    /// Goes by other shares of tenants: see [`Balancer::keep_quotas`].
+    ///
+    /// # Errors
+    /// Where a share is no rate; the old ones stay in force.
+    pub fn keep_quotas(&mut self, quotas: Quotas) -> Result<(), SettingsError> {
+        self.balancer.keep_quotas(quotas)
+    }
+
+    /// Forgets tenants that have been idle for long: see [`Balancer::forget_idle`].
+    pub fn forget_idle(&mut self, now: Nanos) {
+        self.balancer.forget_idle(now);
+    }
+
     /// What the module has learnt; of classes, those at these places.
     pub fn knowledge(&mut self, now: Nanos, places: &[u16]) -> Knowledge {
         self.balancer.knowledge(now, places)
--- a/crates/laboratory/tests/admission.rs
+++ b/crates/laboratory/tests/admission.rs
@@ -1,6 +1,6 @@
 //! Worth decides who yields, and nobody yields to nobody: many nodes over one fleet, at all loads.
 
-use corkhollow_balance::interface::{Heirs, Nanos};
+use corkhollow_balance::interface::Nanos;
 use corkhollow_laboratory::fleet::{classes, Count, Model, Stream};
 
 const MS: Nanos = 1_000_000;
@@ -120,7 +120,7 @@
     let swapped = classes(&[1.0, 9.0], AIM / 2, AIM);
     let heirs = [Some(0), Some(1)];
     let now = model.now;
-    let places = model.nodes[0].retune(now, swapped, &Heirs { classes: &heirs, tenants: &[] }).unwrap();
+    let places = model.nodes[0].retune(now, swapped, &heirs).unwrap();
     for (stream, place) in model.streams.iter_mut().zip(&places) {
         stream.0 = *place;
     }
--- a/crates/operate/src/figures.rs
+++ b/crates/operate/src/figures.rs
@@ -58,6 +58,12 @@
     pub applied: IntCounter,
     /// Files that SIGHUP brought and that were turned down.
     pub rejected: IntCounter,
+    /// Which file is in force.
+    version: IntGaugeVec,
+    /// How long the steps of the last change took, in seconds.
+    steps: GaugeVec,
+    /// Pools that it has touched.
+    touched: IntGauge,
 }
 
 /// Where the attempts of one pool are counted.
@@ -132,6 +138,8 @@
             "answer_seconds",
             "From a request's last byte to its answer's first, if served.",
         );
+        let version = Opts::new("config_version", "The file in force, by its digest: 1.");
+        let steps = Opts::new("reload_seconds", "How long the steps of the last change of the file took.");
         let age = Opts::new("list_age_seconds", "Time since discovery last told of servers.");
         Ok(Figures {
             succeeded: counters("succeeded", "Requests served.", &[CLASS])?,
@@ -152,10 +160,25 @@
             ejected: gauge("ejected", "Listed servers that are avoided for their failures.")?,
             applied: counter("sighup_applied", "Files that SIGHUP brought and that were taken.")?,
             rejected: counter("sighup_rejected", "Files that SIGHUP brought and that were turned down.")?,
+            version: listed(&registry, IntGaugeVec::new(version, &["version"])?)?,
+            steps: listed(&registry, GaugeVec::new(steps, &["step"])?)?,
+            touched: gauge("reload_pools", "Pools that the last change of the file has touched.")?,
             registry,
         })
     }
 
+    /// This file is in force. Where it took another one's place: how long reading and checking, comparing and putting it in force
+    /// took, in seconds, and how many pools that touched.
+    pub fn in_force(&self, version: &str, change: Option<([f64; 3], usize)>) {
+        self.version.reset();
+        self.version.with_label_values(&[version]).set(1);
+        let Some((times, touched)) = change else { return };
+        for (step, time) in ["read", "compare", "swap"].into_iter().zip(times) {
+            self.steps.with_label_values(&[step]).set(time);
+        }
+        self.touched.set(touched as i64);
+    }
+
     /// Where requests of a class are counted; from here on the class is shown.
     pub fn class(&self, name: &str) -> ClassFigures {
         ClassFigures {
--- a/crates/plan/src/file/mod.rs
+++ b/crates/plan/src/file/mod.rs
@@ -4,10 +4,12 @@
 pub mod guide;
 pub mod model;
 pub mod reader;
+mod routes;
 pub mod schema;
 pub mod values;
 
 use crate::plan::{Plan, Server};
+use crate::version::Version;
 pub use reader::{Fault, Severity};
 use std::path::Path;
 
@@ -28,8 +30,10 @@
 /// Every fault that was found, by its place in the file; at least one of them is an error.
 pub fn read(text: &str, folder: &Path) -> Result<Checked, Vec<Fault>> {
     let mut reader = reader::Reader::read(text, &schema::FILE);
-    let built = parse::<model::File>(text, &mut reader)
-        .and_then(|file| compile::compile(&file, folder, &mut reader).map(|plan| (plan, file)));
+    let built = parse::<model::File>(text, &mut reader).and_then(|file| {
+        let plan = compile::compile(&file, folder, Version::of(text.as_bytes()), &mut reader)?;
+        Some((plan, file))
+    });
     let failed = reader.failed();
     let mut faults = reader.faults;
     faults.sort_by_key(|f| (f.line, f.column));
@@ -39,14 +43,14 @@
     }
 }
 
-/// Reads a file that a pool watches; zones are looked up among the plan's.
+/// Reads a file that a pool watches. Zones are looked up among the plan's; a server without one stands in the program's own.
 ///
 /// # Errors
 /// Every fault that was found.
-pub fn read_servers(text: &str, plan: &Plan) -> Result<Vec<Server>, Vec<Fault>> {
+pub fn read_servers(text: &str, zone: u8, zones: &[String]) -> Result<Vec<Server>, Vec<Fault>> {
     let mut reader = reader::Reader::read(text, &schema::SERVERS_FILE);
     let servers = parse::<model::ServersFile>(text, &mut reader)
-        .map(|file| compile::servers(&file.servers, "servers", plan.zone, &plan.zones, &mut reader));
+        .map(|file| compile::servers(&file.servers, "servers", zone, zones, &mut reader));
     match servers {
         Some(servers) if !reader.failed() => Ok(servers),
         _ => Err(reader.faults),
--- a/crates/plan/src/file/reader.rs
+++ b/crates/plan/src/file/reader.rs
@@ -51,6 +51,8 @@
 #[derive(Debug)]
 pub struct Reader<'t> {
     text: &'t str,
+    /// Where each line begins.
+    lines: Vec<usize>,
     /// By the path of the key, the place of its value; for a list of tables, of each table.
     places: BTreeMap<String, Range<usize>>,
     /// What is wrong, in the order in which it was found.
@@ -60,7 +62,8 @@
 impl<'t> Reader<'t> {
     /// Reads a text and holds it against a schema.
     pub fn read(text: &'t str, schema: &Table) -> Self {
-        let mut reader = Reader { text, places: BTreeMap::new(), faults: Vec::new() };
+        let lines = std::iter::once(0).chain(text.match_indices('\n').map(|(at, _)| at + 1)).collect();
+        let mut reader = Reader { text, lines, places: BTreeMap::new(), faults: Vec::new() };
         let (document, errors) = DeTable::parse_recoverable(text);
         for error in &errors {
             let (line, column) = reader.position(error.span().map_or(0, |s| s.start));
@@ -81,9 +84,9 @@
         while !self.text.is_char_boundary(at) {
             at -= 1;
         }
-        let before = &self.text[..at];
-        let start = before.rfind('\n').map_or(0, |n| n + 1);
-        (before.matches('\n').count() + 1, before[start..].chars().count() + 1)
+        let line = self.lines.partition_point(|start| *start <= at);
+        let start = self.lines[line - 1];
+        (line, self.text[start..at].chars().count() + 1)
     }
 
     /// Notes a fault at a key that is, or should be, there. It stands at the nearest key that is.
--- a/crates/plan/src/hosts.rs
+++ b/crates/plan/src/hosts.rs
@@ -7,7 +7,7 @@
 pub const LONGEST_LIST: usize = 8 << 20;
 
 /// One line of discovery.
-#[derive(Clone, Debug, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Deserialize)]
 pub struct HostList {
     /// Its version.
     pub seq: u64,
@@ -19,7 +19,7 @@
 }
 
 /// One server, as discovery words it.
-#[derive(Clone, Debug, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Deserialize)]
 pub struct Host {
     /// The same at every node.
     pub host: String,
@@ -45,7 +45,7 @@
 }
 
 /// Where a server stands in its life, in discovery's words.
-#[derive(Clone, Copy, Debug, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize)]
 #[serde(rename_all = "lowercase")]
 pub enum Health {
     /// Takes work.
--- a/crates/plan/src/lib.rs
+++ b/crates/plan/src/lib.rs
@@ -1,5 +1,6 @@
 //! What the program has been told to do, and how much it may hold: no sockets, no clock.
 
+pub mod change;
 pub mod file;
 pub mod hosts;
 pub mod limits;
@@ -8,6 +9,8 @@
 pub mod pools;
 pub mod routes;
 mod shape;
+pub mod tenants;
+pub mod version;
 
 /// A stable hash: FNV-1a with its bits mixed, so that its low ones are as good as its high ones.
 pub fn mix(bytes: &[u8]) -> u64 {
--- a/crates/plan/src/plan.rs
+++ b/crates/plan/src/plan.rs
@@ -2,15 +2,20 @@
 
 use crate::hosts::HostList;
 use crate::routes::{PathRules, RouteTable, Target};
+use crate::tenants::Tenants;
+use crate::version::Version;
 use corkhollow_balance::interface::{Class, Nanos, Settings};
 use http::header::{HeaderName, HeaderValue};
 use http::Method;
 use std::net::SocketAddr;
 use std::path::PathBuf;
+use std::sync::Arc;
 
 /// All that the program does, as told by the operator's file.
 #[derive(Clone, Debug)]
 pub struct Plan {
+    /// Which file it was made of.
+    pub version: Version,
     /// The zone it stands in, as an index into [`Plan::zones`].
     pub zone: u8,
     /// Zones by their index.
@@ -30,7 +35,7 @@
     /// Who requests are made for.
     pub tenants: Tenants,
     /// Pools of servers.
-    pub pools: Vec<Pool>,
+    pub pools: Vec<Arc<Pool>>,
     /// Which request goes where.
     pub routes: RouteTable,
     /// Settles random draws; none takes one of the moment.
@@ -139,7 +144,7 @@
 }
 
 /// Where clients connect.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Listener {
     /// Its name.
     pub name: String,
@@ -162,7 +167,7 @@
 }
 
 /// A class of requests with its name.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct RequestClass {
     /// Its name.
     pub name: String,
@@ -172,19 +177,8 @@
     pub methods: Vec<Method>,
 }
 
-/// Who requests are made for.
-#[derive(Clone, Debug)]
-pub struct Tenants {
-    /// The header that names the tenant.
-    pub header: HeaderName,
-    /// Names and shares in requests a second.
-    pub shares: Vec<(String, f64)>,
-    /// Part of its worth that a request over its tenant's share keeps.
-    pub over_share_worth: f64,
-}
-
 /// Servers that do the same work.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Pool {
     /// Its name.
     pub name: String,
@@ -192,7 +186,7 @@
     pub source: Source,
     /// How its servers speak.
     pub dialect: Dialect,
-    /// What its decision module is told.
+    /// What its decision module is told, but for the tenants' shares, which are the plan's.
     pub settings: Settings,
     /// A connection that is not up after this has failed.
     pub connect_timeout: Nanos,
@@ -209,7 +203,7 @@
 }
 
 /// Who a pool's servers are.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq)]
 pub enum Source {
     /// These.
     Static(Vec<Server>),
@@ -220,7 +214,7 @@
 }
 
 /// The platform's discovery, and in whose words it speaks.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Discovery {
     /// Where it answers.
     pub address: SocketAddr,
@@ -269,9 +263,14 @@
 }
 
 impl Pool {
-    /// Whether two are the same but for who their servers are and what their decision modules are told.
-    pub fn same_but_told(&self, other: &Pool) -> bool {
+    /// Whether a pool can go on as another one: with another list of servers, with other settings for its decision module,
+    /// with other times for its connections, at most.
+    pub fn goes_on_as(&self, other: &Pool) -> bool {
+        let kind = |source: &Source| std::mem::discriminant(source);
+        let fixed = |s: &Settings| (s.zone, s.backup_zone, s.must_subscribe);
         self.name == other.name
+            && kind(&self.source) == kind(&other.source)
+            && fixed(&self.settings) == fixed(&other.settings)
             && self.dialect == other.dialect
             && (self.max_connections, self.max_waiting) == (other.max_connections, other.max_waiting)
             && self.cold == other.cold
@@ -279,14 +278,17 @@
     }
 }
 
-impl Plan {
-    /// Every pool counts the node as one of so many, from here on.
-    pub fn group(&mut self, ordinal: u32, size: u32) {
-        for pool in &mut self.pools {
-            (pool.settings.ordinal, pool.settings.group_size) = (ordinal, size.max(ordinal + 1));
+impl Source {
+    /// The servers that the file names by itself.
+    pub fn servers(&self) -> &[Server] {
+        match self {
+            Source::Static(servers) => servers,
+            Source::Watch(_) | Source::Discovery(_) => &[],
         }
     }
+}
 
+impl Plan {
     /// The class of a request: that of its route, or the one for its method. The last class stands for all methods
     /// that no class names.
     pub fn class_of(&self, route: Option<usize>, method: &Method) -> usize {
@@ -294,12 +296,6 @@
         route.or_else(by_method).unwrap_or(self.classes.len() - 1)
     }
 
-    /// The tenant that a header's value names.
-    pub fn tenant(&self, value: Option<&HeaderValue>) -> Option<usize> {
-        let value = value?.as_bytes();
-        self.tenants.shares.iter().position(|(name, _)| name.as_bytes() == value)
-    }
-
     /// Why a request goes where it goes, in lines for the operator.
     pub fn explain(&self, target: &Target<'_>) -> Vec<String> {
         let mut lines = Vec::new();
--- a/crates/plan/src/platform.rs
+++ b/crates/plan/src/platform.rs
@@ -3,17 +3,18 @@
 pub use crate::shape::Shape;
 
 use crate::hosts::HostList;
-use crate::plan::{
-    Dialect, Discovery, Limits as Holding, Listener, Plan, Pool, RequestClass, Source, Tenants,
-};
+use crate::plan::{Dialect, Discovery, Limits as Holding, Listener, Plan, Pool, RequestClass, Source};
 use crate::routes::{Outcome, PathPattern, PathRules, Route, RouteTable};
-use corkhollow_balance::interface::{Nanos, Settings};
+use crate::tenants::Tenants;
+use crate::version::Version;
+use corkhollow_balance::interface::{Nanos, Quotas, Settings};
 use corkhollow_balance::settings::{self, Pairs};
 use http::header::HeaderName;
 use serde::Deserialize;
 use serde_json::Value;
 use std::net::SocketAddr;
 use std::path::Path;
+use std::sync::Arc;
 
 /// Bodies of requests up to this part of the memory limit are kept until they are answered.
 const KEPT_PART: u64 = 16;
@@ -103,6 +104,8 @@
     pub zones: Vec<String>,
     /// Kinds of machines by their index.
     pub kinds: Vec<String>,
+    /// Which file it was.
+    pub version: Version,
     /// What the file held.
     pub shape: Shape,
 }
@@ -175,6 +178,7 @@
             limits: file.limits,
             known: file.known,
             settings,
+            version: Version::of(bytes),
             shape,
         })
     }
@@ -263,8 +267,9 @@
             outcome: Outcome::Forward { pool: 0, rewrite: Box::default() },
         };
         let longest = settings.classes.iter().map(|c| c.give_up).max().unwrap_or(LONGEST_COUNTED);
-        let shares = self.tenants.iter().cloned().zip(settings.tenant_quota.iter().copied()).collect();
+        let shares = self.tenants.iter().cloned().zip(settings.tenant_quota.iter().map(|(_, share)| share));
         Plan {
+            version: self.version,
             zone: settings.zone,
             zones: self.zones.clone(),
             drain_timeout: longest.min(LONGEST_COUNTED) + MORE,
@@ -292,8 +297,8 @@
                 paths: as_they_come,
             }],
             classes: self.classes.iter().enumerate().map(class).collect(),
-            tenants: Tenants { header: TENANT, shares, over_share_worth: settings.over_share_worth },
-            pools: vec![Pool {
+            tenants: Tenants::new(TENANT, shares, settings.over_share_worth),
+            pools: vec![Arc::new(Pool {
                 name: "platform".to_owned(),
                 source: Source::Discovery(Box::new(Discovery {
                     address: self.discovery,
@@ -302,14 +307,14 @@
                     known: self.known.clone(),
                 })),
                 dialect: Dialect::Platform,
-                settings: settings.clone(),
+                settings: Settings { tenant_quota: Quotas::default(), ..settings.clone() },
                 connect_timeout: self.connect_timeout,
                 idle_timeout: self.conn_idle,
                 max_connections: None,
                 max_waiting: 0,
                 cold: true,
                 check: None,
-            }],
+            })],
             routes: RouteTable::new(self.classes.iter().enumerate().map(route).collect(), 1),
             seed: Some(self.seed),
         }
--- a/crates/plan/src/routes/fields.rs
+++ b/crates/plan/src/routes/fields.rs
@@ -1,9 +1,9 @@
 //! Conditions on headers and on the query.
 
-use regex::Regex;
+use super::expression::Expression;
 
 /// A condition on the values that stand under one name.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct FieldMatch {
     /// The name: of a header in small letters, of a query parameter as it is.
     pub name: String,
@@ -12,7 +12,7 @@
 }
 
 /// What has to hold for the values under a name. Of several, one has to fit.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq)]
 pub enum FieldTest {
     /// There is one.
     Present,
@@ -23,7 +23,7 @@
     /// It begins with this.
     Begins(String),
     /// The whole of it matches.
-    Matches(Regex),
+    Matches(Expression),
 }
 
 impl FieldMatch {
--- a/crates/plan/src/routes/path.rs
+++ b/crates/plan/src/routes/path.rs
@@ -4,7 +4,7 @@
 //! characters are undone, other escapes written in capitals, `.` and `..` segments taken out, runs of slashes made
 //! one. What could still be read in two ways is turned away: an escaped slash or backslash, or NUL.
 
-use regex::Regex;
+use super::expression::Expression;
 use std::borrow::Cow;
 
 /// What is made of paths that some servers read in one way and some in another.
@@ -124,14 +124,14 @@
 }
 
 /// Paths that a route is for. Letters count as they are, small or capital.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq)]
 pub enum PathPattern {
     /// This path and no other.
     Exact(String),
     /// This path and all below it: `/a` stands for `/a`, `/a/` and `/a/b`, not for `/ab`.
     Prefix(String),
     /// The whole path matches.
-    Regex(Regex),
+    Regex(Expression),
 }
 
 impl PathPattern {
@@ -158,7 +158,10 @@
     /// Where it is no regular expression, or compiles to more than 1 MiB.
     pub fn regex(text: &str) -> Result<Self, regex::Error> {
         let whole = format!("^(?:{text})$");
-        regex::RegexBuilder::new(&whole).size_limit(1 << 20).build().map(PathPattern::Regex)
+        regex::RegexBuilder::new(&whole)
+            .size_limit(1 << 20)
+            .build()
+            .map(|regex| PathPattern::Regex(regex.into()))
     }
 
     /// Whether a path in its one form is one of these.
--- a/crates/plan/src/routes/rewrite.rs
+++ b/crates/plan/src/routes/rewrite.rs
@@ -1,11 +1,11 @@
 //! What a route changes in a request and in its answer, and where it sends a client instead.
 
+use super::expression::Expression;
 use http::header::{HeaderMap, HeaderName, HeaderValue};
 use http::uri::PathAndQuery;
-use regex::Regex;
 
 /// Changes to headers, made in this order: removed, set, added.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct HeaderEdits {
     /// Taken out, all values.
     pub remove: Vec<HeaderName>,
@@ -31,7 +31,7 @@
 }
 
 /// How a path is written anew.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq)]
 pub enum PathRewrite {
     /// This path, whatever it was.
     Whole(String),
@@ -45,14 +45,14 @@
     /// The first match gives way to a text in which `$1` or `${name}` stands for a group.
     Regex {
         /// What is looked for.
-        find: Regex,
+        find: Expression,
         /// What stands there instead.
         with: String,
     },
 }
 
 /// What a route changes in a request on its way to a server, and in the answer on its way back.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct Rewrite {
     /// The path.
     pub path: Option<PathRewrite>,
@@ -96,7 +96,7 @@
 }
 
 /// Sends the client elsewhere.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Redirect {
     /// 301, 302, 303, 307 or 308.
     pub status: u16,
@@ -184,8 +184,10 @@
         assert_eq!(rewritten(prefix("/v2"), "/api/x", Some("q=1")).unwrap(), "/v2/x?q=1");
         assert_eq!(rewritten(prefix(""), "/api", None).unwrap(), "/");
         assert_eq!(rewritten(prefix(""), "/api/x", None).unwrap(), "/x");
-        let swap =
-            |with: &str| PathRewrite::Regex { find: Regex::new("^/u/([^/]+)").unwrap(), with: with.into() };
+        let swap = |with: &str| PathRewrite::Regex {
+            find: regex::Regex::new("^/u/([^/]+)").unwrap().into(),
+            with: with.into(),
+        };
         assert_eq!(rewritten(swap("/user/$1/home"), "/u/ann/x", None).unwrap(), "/user/ann/home/x");
         assert_eq!(rewritten(swap("/a b"), "/u/ann", None), Err(BadRewrite));
         assert_eq!(rewritten(PathRewrite::Whole("/one".into()), "/two", Some("a")).unwrap(), "/one?a");
--- a/crates/plan/src/routes/table.rs
+++ b/crates/plan/src/routes/table.rs
@@ -30,7 +30,7 @@
 }
 
 /// What becomes of a request on a route.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq)]
 pub enum Outcome {
     /// It goes to a server.
     Forward {
@@ -129,6 +129,25 @@
         Some(Miss::Query(missed.to_string()))
     }
 
+    /// The pool that its requests go to, as an index into the plan's.
+    pub fn pool(&self) -> Option<usize> {
+        match self.outcome {
+            Outcome::Forward { pool, .. } => Some(pool),
+            _ => None,
+        }
+    }
+
+    /// Whether it does what another one does, but for its pool, its class and its listeners, which it names by their places.
+    pub(crate) fn does_as(&self, other: &Route) -> bool {
+        let outcome = match (&self.outcome, &other.outcome) {
+            (Outcome::Forward { rewrite, .. }, Outcome::Forward { rewrite: others, .. }) => rewrite == others,
+            (own, others) => own == others,
+        };
+        outcome
+            && (&self.hosts, &self.path, &self.methods) == (&other.hosts, &other.path, &other.methods)
+            && (&self.headers, &self.query) == (&other.headers, &other.query)
+    }
+
     /// Whether every request that `later` takes is taken by this one too. False where that cannot be told from the
     /// conditions as they are written.
     pub fn covers(&self, later: &Route) -> bool {
@@ -214,6 +233,11 @@
         RouteTable { routes, by_listener }
     }
 
+    /// For each route, the first before it that takes all its requests, as far as [`Route::covers`] can tell.
+    pub fn covered(&self) -> Vec<Option<usize>> {
+        super::cover::covered(&self.routes)
+    }
+
     /// The routes, in the order of the file.
     pub fn routes(&self) -> &[Route] {
         &self.routes
--- a/crates/plan/tests/file.rs
+++ b/crates/plan/tests/file.rs
@@ -500,9 +500,9 @@
     let plan = read(&format!("[node]\nzone = \"a\"\nzones = [\"b\"]\n{SMALL}"), Path::new("")).unwrap().plan;
     let list =
         |zone: &str| format!("[[servers]]\naddress = \"127.0.0.1:1\"\nzone = \"{zone}\"\nkind = \"m2\"\n");
-    let servers = read_servers(&list("b"), &plan).unwrap();
+    let servers = read_servers(&list("b"), plan.zone, &plan.zones).unwrap();
     assert_eq!((servers[0].zone, servers[0].kind.as_deref()), (1, Some("m2")));
-    let refused = read_servers(&list("c"), &plan).unwrap_err();
+    let refused = read_servers(&list("c"), plan.zone, &plan.zones).unwrap_err();
     let said = refused[0].to_string();
     assert!(said.starts_with("3:8: error: servers[0].zone") && said.ends_with("allowed: a, b"), "{said}");
 }
--- a/crates/proxy/src/http1/general.rs
+++ b/crates/proxy/src/http1/general.rs
@@ -156,7 +156,7 @@
             let class = site.plan.class_of(route.class, &head.method);
             client.count(&site.figures[class]);
             let sent = sent(rewrite, &path, &head.uri)?;
-            let tenant = site.plan.tenant(head.headers.get(&site.plan.tenants.header));
+            let tenant = site.plan.tenants.number(head.headers.get(&site.plan.tenants.header));
             let mut headers = head.headers;
             let expects = expects(&headers)?;
             told(&mut headers, listener, client, &authority, service);
@@ -198,7 +198,7 @@
             let give_up_at = service.clock.now() + site.plan.classes[class].class.give_up;
             let request = interface::Request {
                 class: places[class],
-                tenant: tenant.map_or(u32::MAX, |t| t as u32),
+                tenant: tenant.unwrap_or(u32::MAX),
                 is_write: !head.method.is_safe(),
                 streamed: matches!(payload, Payload::Stream(_)),
                 ..interface::Request::new(0, give_up_at)
--- a/crates/proxy/src/http1/platform.rs
+++ b/crates/proxy/src/http1/platform.rs
@@ -101,10 +101,10 @@
     let now = service.clock.now();
     let give_up_at = now + wait;
     let number = |name: &str| headers.get(name).and_then(|v| v.to_str().ok()?.trim().parse::<f64>().ok());
-    let tenant = site.plan.tenant(headers.get(&site.plan.tenants.header));
+    let tenant = site.plan.tenants.number(headers.get(&site.plan.tenants.header));
     let request = interface::Request {
         class: site.places[at][class],
-        tenant: tenant.map_or(u32::MAX, |t| t as u32),
+        tenant: tenant.unwrap_or(u32::MAX),
         key: headers.get("x-route-key").map_or(0, |k| route_key(k.as_bytes())),
         work_hint: number("x-cost").filter(|us| *us > 0.0).map(|us| (us * 1000.0) as Nanos),
         is_retry: headers.get("x-retried").is_some_and(|v| v == "1"),
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -1,6 +1,7 @@
 //! Fronts and sockets: clients' connections on one side, servers' connections on the other, the engine between them.
 //! No decision is made here.
 
+pub mod background;
 mod body;
 pub mod fleet;
 mod headers;
--- a/crates/proxy/src/site.rs
+++ b/crates/proxy/src/site.rs
@@ -1,24 +1,60 @@
 //! What a plan becomes at work, and how one plan takes over from another.
 
-use crate::upstream::{Pool, Shared};
-use corkhollow_balance::interface::{Heirs, Settings, SettingsError};
+use crate::background;
+use crate::upstream::{Pool, Shared, Terms};
+use corkhollow_balance::interface::SettingsError;
+use corkhollow_fleet::Group;
 use corkhollow_operate::{ClassFigures, Handover, PoolHandover};
+use corkhollow_plan::change::{Change, PoolChange};
 use corkhollow_plan::plan::Plan;
 use std::cell::RefCell;
+use std::ops::Deref;
 use std::rc::Rc;
+use std::sync::Arc;
+
+/// A plan with more routes and tenants than this is dropped elsewhere: that would hold requests up.
+const LARGE: usize = 1_000;
 
 /// A plan with its pools. A request goes by the site that was in force when its head came, to its end.
 pub struct Site {
     /// What is to be done.
-    pub plan: Plan,
+    pub plan: Held,
     /// The plan's pools, by their index there.
     pub pools: Vec<Rc<Pool>>,
     /// By pool and by class of the plan, the place that the pool's decision module has for the class.
-    pub places: Vec<Vec<u16>>,
+    pub places: Vec<Rc<[u16]>>,
     /// Where requests are counted, by their class in the plan.
     pub figures: Vec<ClassFigures>,
 }
 
+/// A site's plan.
+pub struct Held(Option<Arc<Plan>>);
+
+impl Held {
+    /// A handle on the plan that another thread may have.
+    pub fn share(&self) -> Option<Arc<Plan>> {
+        self.0.clone()
+    }
+}
+
+impl Deref for Held {
+    type Target = Plan;
+
+    fn deref(&self) -> &Plan {
+        self.0.as_ref().expect("it is there until the site is dropped")
+    }
+}
+
+impl Drop for Held {
+    fn drop(&mut self) {
+        let large = |plan: &Arc<Plan>| plan.routes.routes().len() + plan.tenants.len() > LARGE;
+        if let Some(plan) = self.0.take().filter(large) {
+            // Without a thread it is dropped here.
+            let _ = background::begin(move || drop(plan));
+        }
+    }
+}
+
 /// A pool that a plan names cannot be started.
 #[derive(Debug, thiserror::Error)]
 #[error("pool {pool}: {error}")]
@@ -30,55 +66,72 @@
 }
 
 impl Site {
-    /// Starts a plan's pools. Those of the old site that fit go on, with what they have learnt and what is under way.
+    /// Starts a plan's pools. The node counts as one of a group, where it is told so.
     ///
     /// # Errors
-    /// Where a pool cannot be started; the old site is as it was.
-    pub fn start(plan: Plan, old: Option<&Site>, shared: &Shared, seed: u64) -> Result<Rc<Self>, PoolError> {
-        let mut pools = Vec::with_capacity(plan.pools.len());
-        let mut kept = Vec::new();
-        for (at, told) in plan.pools.iter().enumerate() {
-            let former = old.and_then(|site| {
-                let place = site.plan.pools.iter().position(|p| p.name == told.name)?;
-                Some(&site.pools[place]).filter(|pool| pool.fits(&plan, at))
-            });
-            if let Some(pool) = former {
-                kept.push((at, pool.clone()));
-                pools.push(pool.clone());
-            } else {
-                let own = seed ^ corkhollow_plan::mix(told.name.as_bytes());
-                let started = Pool::start(&plan, at, shared, if plan.seed.is_some() { seed } else { own });
-                pools.push(started.map_err(|error| PoolError { pool: told.name.clone(), error })?);
-            }
-        }
-        // A new pool has its classes in the plan's order.
-        let mut places: Vec<Vec<u16>> = vec![(0..plan.classes.len() as u16).collect(); pools.len()];
-        for pool in &plan.pools {
-            pool.settings.validate().map_err(|error| PoolError { pool: pool.name.clone(), error })?;
-        }
-        // Nothing can fail from here on: the settings are sound.
-        for (at, pool) in kept {
-            let name = &plan.pools[at].name;
-            let (classes, tenants) = old.map(|old| old.heirs(&plan, name)).unwrap_or_default();
-            let heirs = Heirs { classes: &classes, tenants: &tenants };
-            places[at] =
-                pool.go_on(&plan, at, &heirs).map_err(|error| PoolError { pool: name.clone(), error })?;
-        }
+    /// Where a pool cannot be started.
+    pub fn start(
+        plan: Plan,
+        shared: &Shared,
+        seed: u64,
+        group: Option<Group>,
+    ) -> Result<Rc<Self>, PoolError> {
+        let terms = Terms { quotas: plan.tenants.quotas().clone(), group };
+        let pools = (0..plan.pools.len()).map(|at| start(&plan, at, shared, seed, &terms));
+        let pools = pools.collect::<Result<Vec<_>, _>>()?;
+        let places: Rc<[u16]> = (0..plan.classes.len() as u16).collect();
+        Ok(Self::of(plan, shared, pools.into_iter().map(|pool| (pool, places.clone())).collect()))
+    }
+
+    fn of(plan: Plan, shared: &Shared, pools: Vec<(Rc<Pool>, Rc<[u16]>)>) -> Rc<Self> {
         let figures = plan.classes.iter().map(|class| shared.figures.class(&class.name)).collect();
-        Ok(Rc::new(Site { plan, pools, places, figures }))
+        let (pools, places) = pools.into_iter().unzip();
+        Rc::new(Site { plan: Held(Some(Arc::new(plan))), pools, places, figures })
     }
 
-    /// By class of another plan, the place that a pool of this site has for the class of that name; by tenant, the
-    /// index of that name.
-    fn heirs(&self, plan: &Plan, pool: &str) -> (Vec<Option<u16>>, Vec<Option<usize>>) {
-        let places = self.plan.pools.iter().position(|p| p.name == pool).map(|at| &self.places[at]);
-        let place = |name: &str| {
-            let at = self.plan.classes.iter().position(|c| c.name == name)?;
-            places?.get(at).copied()
+    /// The site of a plan that follows this one's. Pools that fit go on, with what they have learnt and what is under way; those
+    /// that are the same are not touched.
+    ///
+    /// # Errors
+    /// Where a pool cannot be started or told; this site is as it was.
+    pub fn follow(
+        &self,
+        plan: Plan,
+        change: &Change,
+        shared: &Shared,
+        seed: u64,
+        group: Option<Group>,
+    ) -> Result<Rc<Self>, PoolError> {
+        let terms = Terms { quotas: plan.tenants.quotas().clone(), group };
+        let fault = |at: usize| {
+            let pool: &corkhollow_plan::plan::Pool = &plan.pools[at];
+            move |error| PoolError { pool: pool.name.clone(), error }
         };
-        let tenant = |name: &String| self.plan.tenants.shares.iter().position(|(n, _)| n == name);
-        let tenants = plan.tenants.shares.iter().map(|(name, _)| tenant(name)).collect();
-        (plan.classes.iter().map(|class| place(&class.name)).collect(), tenants)
+        let mut started = Vec::new();
+        for (at, pool) in change.pools.iter().enumerate() {
+            match pool {
+                PoolChange::Starts => started.push(start(&plan, at, shared, seed, &terms)?),
+                PoolChange::GoesOn { .. } => terms.settings(&plan.pools[at]).validate().map_err(fault(at))?,
+            }
+        }
+        // Nothing can fail from here on: the settings are sound.
+        let mut started = started.into_iter();
+        let fresh: Rc<[u16]> = (0..plan.classes.len() as u16).collect();
+        let mut pools = Vec::with_capacity(plan.pools.len());
+        for (at, pool) in change.pools.iter().enumerate() {
+            pools.push(match pool {
+                PoolChange::Starts => (started.next().expect("it has been started"), fresh.clone()),
+                PoolChange::GoesOn { former, differs } => {
+                    let (pool, places) = (&self.pools[*former], &self.places[*former]);
+                    // A class's heir is the one of its name.
+                    let heirs = || change.classes.iter().map(|k| Some(places[(*k)?])).collect::<Vec<_>>();
+                    let told = pool.go_on(&plan, at, *differs, change.quotas, &terms, heirs);
+                    let told = told.map_err(fault(at))?;
+                    (pool.clone(), told.map_or_else(|| places.clone(), Rc::from))
+                }
+            });
+        }
+        Ok(Self::of(plan, shared, pools))
     }
 
     /// Servers in the lists of all pools, and how many of them are ejected.
@@ -114,18 +167,11 @@
     /// The node counts as one of so many in all pools from here on; what they have learnt stays.
     ///
     /// # Errors
-    /// Where a pool turns the settings down; those before it go by them.
-    pub fn regroup(&self, ordinal: u32, size: u32) -> Result<(), PoolError> {
-        let tenants: Vec<_> = (0..self.plan.tenants.shares.len()).map(Some).collect();
+    /// Where a pool turns that down; those before it go by it.
+    pub fn regroup(&self, group: Group) -> Result<(), PoolError> {
         for (at, pool) in self.pools.iter().enumerate() {
-            let classes: Vec<_> = self.places[at].iter().copied().map(Some).collect();
-            let (ordinal, group_size) = (ordinal, size.max(ordinal + 1));
-            let settings = Settings { ordinal, group_size, ..self.plan.pools[at].settings.clone() };
-            let heirs = Heirs { classes: &classes, tenants: &tenants };
-            let name = || self.plan.pools[at].name.clone();
-            let places =
-                pool.engine.retune(settings, &heirs).map_err(|error| PoolError { pool: name(), error })?;
-            debug_assert_eq!(places, self.places[at], "the same classes have the same places");
+            let told = pool.engine.count_as(group.ordinal, group.size.max(group.ordinal + 1));
+            told.map_err(|error| PoolError { pool: self.plan.pools[at].name.clone(), error })?;
         }
         Ok(())
     }
@@ -136,6 +182,14 @@
     }
 }
 
+/// Starts a pool of a plan, with a seed of its own where the plan has none.
+fn start(plan: &Plan, at: usize, shared: &Shared, seed: u64, terms: &Terms) -> Result<Rc<Pool>, PoolError> {
+    let name = &plan.pools[at].name;
+    let own = seed ^ corkhollow_plan::mix(name.as_bytes());
+    let started = Pool::start(plan, at, shared, if plan.seed.is_some() { seed } else { own }, terms);
+    started.map_err(|error| PoolError { pool: name.clone(), error })
+}
+
 /// The site in force.
 pub struct Current(RefCell<Rc<Site>>);
 
--- a/crates/proxy/src/upstream/pool.rs
+++ b/crates/proxy/src/upstream/pool.rs
@@ -5,18 +5,21 @@
 use super::fleet::Entry;
 use super::upstreams::{Sender, Upstreams};
 use corkhollow_balance::interface::{
-    Heirs, ListKind, Nanos, Phase, Server as Told, ServerId, Settings, SettingsError,
+    ListKind, Nanos, Phase, Quotas, Server as Told, ServerId, Settings, SettingsError,
 };
 use corkhollow_engine::{log, Clock, Engine};
+use corkhollow_fleet::Group;
 use corkhollow_operate::Figures;
+use corkhollow_plan::change::Differs;
 use corkhollow_plan::file::read_servers;
 use corkhollow_plan::limits::Budget;
-use corkhollow_plan::plan::{self, Limits, Plan, Source};
+use corkhollow_plan::plan::{self, Plan, Source};
 use corkhollow_plan::pools::{Listed, Roster};
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::rc::{Rc, Weak};
+use std::sync::Arc;
 use std::time::{Duration, SystemTime};
 use tokio::sync::{mpsc, watch};
 use tokio::task::{spawn_local, AbortHandle};
@@ -61,6 +64,26 @@
     }
 }
 
+/// What all pools are told beside their own settings.
+pub struct Terms {
+    /// The tenants' shares, one table for all.
+    pub quotas: Quotas,
+    /// What the node counts as, where that isn't told by the settings.
+    pub group: Option<Group>,
+}
+
+impl Terms {
+    /// What a pool's decision module goes by.
+    pub fn settings(&self, pool: &plan::Pool) -> Settings {
+        let own = &pool.settings;
+        let (ordinal, group_size) = match self.group {
+            Some(Group { ordinal, size }) => (ordinal, size.max(ordinal + 1)),
+            None => (own.ordinal, own.group_size),
+        };
+        Settings { tenant_quota: self.quotas.clone(), ordinal, group_size, ..own.clone() }
+    }
+}
+
 /// See the module's documentation.
 pub struct Pool {
     /// Its requests under way.
@@ -69,10 +92,10 @@
     pub upstreams: Rc<Upstreams>,
     /// It has been told who its servers are.
     pub ready: Rc<watch::Sender<bool>>,
-    told: plan::Pool,
+    /// What it was started with.
+    told: Arc<plan::Pool>,
     /// Until when requests wait for the first list.
     waits_until: Nanos,
-    limits: Limits,
     roster: Rc<RefCell<Roster>>,
     discovery: Option<watch::Sender<SocketAddr>>,
     /// No new plan has it: its timers end with its last request.
@@ -96,12 +119,18 @@
     ///
     /// # Errors
     /// Where the decision module cannot act on its settings.
-    pub fn start(plan: &Plan, at: usize, shared: &Shared, seed: u64) -> Result<Rc<Self>, SettingsError> {
+    pub fn start(
+        plan: &Plan,
+        at: usize,
+        shared: &Shared,
+        seed: u64,
+        terms: &Terms,
+    ) -> Result<Rc<Self>, SettingsError> {
         let told = plan.pools[at].clone();
         let (list_calls, calls) = mpsc::unbounded_channel();
         let upstreams = Upstreams::new(&told, &plan.limits, shared, list_calls);
         let (sender, figures) = (Rc::new(Sender(upstreams.clone())), shared.figures.pool(&told.name));
-        let engine = Engine::new(told.settings.clone(), seed, shared.clock, sender, figures)?;
+        let engine = Engine::new(terms.settings(&told), seed, shared.clock, sender, figures)?;
         shared.engines.add(&engine);
         let retired = Rc::new(Cell::new(false));
         spawn_local(engine.clone().run_timers(retired.clone()));
@@ -140,7 +169,6 @@
             engine,
             upstreams,
             ready,
-            limits: plan.limits,
             roster,
             discovery,
             retired,
@@ -157,30 +185,35 @@
         Ok(pool)
     }
 
-    /// Whether the pool can go on under a new plan: with another list of servers, with other settings for its decision
-    /// module, with other times for its connections, at most.
-    pub fn fits(&self, plan: &Plan, at: usize) -> bool {
-        let new = &plan.pools[at];
-        let kind = |s: &Source| std::mem::discriminant(s);
-        let fixed = |s: &Settings| (s.zone, s.backup_zone, s.must_subscribe);
-        self.limits == plan.limits
-            && kind(&self.told.source) == kind(&new.source)
-            && fixed(&self.told.settings) == fixed(&new.settings)
-            && self.told.same_but_told(new)
-    }
-
-    /// Goes on under a new plan. `heirs`, and what is returned, are as [`Engine::retune`] has them.
+    /// Goes on under a new plan, told of what differs and no more. `heirs`, and what is returned, are as [`Engine::retune`] has
+    /// them; where the classes are the same, none is returned and their places stay.
     ///
     /// # Errors
     /// Where no node could act on the settings; all is as it was.
-    pub fn go_on(&self, plan: &Plan, at: usize, heirs: &Heirs<'_>) -> Result<Vec<u16>, SettingsError> {
-        let places = self.engine.retune(plan.pools[at].settings.clone(), heirs)?;
-        self.upstreams.keep_times(&plan.pools[at]);
-        let source = &plan.pools[at].source;
-        if let (Some(discovery), Source::Discovery(from)) = (&self.discovery, source) {
-            self.move_discovery(discovery, from.address);
-        } else {
-            self.follow(plan, source);
+    pub fn go_on(
+        &self,
+        plan: &Plan,
+        at: usize,
+        differs: Differs,
+        quotas: bool,
+        terms: &Terms,
+        heirs: impl FnOnce() -> Vec<Option<u16>>,
+    ) -> Result<Option<Vec<u16>>, SettingsError> {
+        let told = &plan.pools[at];
+        let mut places = None;
+        if differs.settings {
+            places = Some(self.engine.retune(terms.settings(told), &heirs())?);
+        } else if quotas {
+            self.engine.keep_quotas(terms.quotas.clone())?;
+        }
+        if differs.times {
+            self.upstreams.keep_times(told);
+        }
+        if differs.source {
+            match (&self.discovery, &told.source) {
+                (Some(discovery), Source::Discovery(from)) => self.move_discovery(discovery, from.address),
+                (_, source) => self.follow(plan, source),
+            }
         }
         Ok(places)
     }
@@ -194,7 +227,8 @@
             Source::Static(servers) => self.replace(servers),
             Source::Watch(path) => {
                 let look = Look { path: path.clone(), seen: None };
-                let task = spawn_local(watch_file(self.replacer(), look, plan.clone())).abort_handle();
+                let zones = (plan.zone, plan.zones.clone());
+                let task = spawn_local(watch_file(self.replacer(), look, zones)).abort_handle();
                 // The old list stands until the new one is read.
                 if let Some(old) = self.source.replace(Some(task)) {
                     old.abort();
@@ -296,10 +330,10 @@
 }
 
 /// Reads the file whenever it changes, for good. One that cannot be used leaves the old list in force.
-async fn watch_file(replacer: Replacer, mut look: Look, plan: Plan) {
+async fn watch_file(replacer: Replacer, mut look: Look, (zone, zones): (u8, Vec<String>)) {
     loop {
         if look.changed() {
-            match read_list(&look.path, &plan) {
+            match read_list(&look.path, zone, &zones) {
                 Ok(servers) => replacer.replace(&servers),
                 Err(why) => log(format_args!("{}: not taken over: {why}", look.path.display())),
             }
@@ -308,7 +342,8 @@
     }
 }
 
-fn read_list(path: &Path, plan: &Plan) -> Result<Vec<plan::Server>, String> {
+fn read_list(path: &Path, zone: u8, zones: &[String]) -> Result<Vec<plan::Server>, String> {
     let text = std::fs::read_to_string(path).map_err(|e| e.to_string())?;
-    read_servers(&text, plan).map_err(|faults| faults.first().map(ToString::to_string).unwrap_or_default())
+    read_servers(&text, zone, zones)
+        .map_err(|faults| faults.first().map(ToString::to_string).unwrap_or_default())
 }
