--- a/crates/standin/src/discovery.rs
+++ b/crates/standin/src/discovery.rs
@@ -4,7 +4,7 @@
 use crate::PATIENCE;
 use std::io::Write;
 use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{mpsc, Arc, Mutex};
 use std::thread;
 use std::time::Duration;
@@ -86,6 +86,8 @@
     /// Where it listens.
     pub address: SocketAddr,
     calls: mpsc::Receiver<Call>,
+    closes: Arc<AtomicBool>,
+    listening: thread::JoinHandle<()>,
 }
 
 /// A call that has come. Dropped, its connection is closed.
@@ -98,11 +100,21 @@
 impl Agent {
     /// Takes calls.
     pub fn listen() -> Self {
-        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        Self::listen_at(SocketAddr::from(([127, 0, 0, 1], 0)))
+    }
+
+    /// The same, at this address.
+    pub fn listen_at(address: SocketAddr) -> Self {
+        let listener = TcpListener::bind(address).unwrap();
         let address = listener.local_addr().unwrap();
         let (sender, calls) = mpsc::channel();
-        thread::spawn(move || {
+        let closes = Arc::new(AtomicBool::new(false));
+        let closed = closes.clone();
+        let listening = thread::spawn(move || {
             for mut stream in listener.incoming().flatten() {
+                if closed.load(Ordering::SeqCst) {
+                    return;
+                }
                 if let Some(message) = read(&mut stream) {
                     let target = message.head.split(' ').nth(1).unwrap_or_default().to_owned();
                     if sender.send(Call { target, stream }).is_err() {
@@ -111,7 +123,15 @@
                 }
             }
         });
-        Agent { address, calls }
+        Agent { address, calls, closes, listening }
+    }
+
+    /// Refuses connections from here on, and ends all calls that nobody has taken.
+    pub fn close(self) {
+        self.closes.store(true, Ordering::SeqCst);
+        // It may be waiting for a connection.
+        drop(TcpStream::connect(self.address));
+        self.listening.join().unwrap();
     }
 
     /// The next call.
@@ -147,6 +167,11 @@
         let _ = self.stream.write_all(chunk.as_bytes());
     }
 
+    /// Writes these bytes as they stand.
+    pub fn raw(&mut self, bytes: &[u8]) {
+        let _ = self.stream.write_all(bytes);
+    }
+
     /// Ends it with a reset.
     pub fn reset(self) {
         crate::servers::reset(self.stream);
