--- a/crates/balance/tests/retune.rs
+++ b/crates/balance/tests/retune.rs
@@ -176,8 +176,10 @@
     let quotas: Vec<_> = (0..15_000).map(|tenant| (tenant, 50.0)).collect();
     let beds = || Bed::new(shared(&quotas), servers(8), 1);
     let (mut bed, mut keeps) = (beds(), beds());
-    (0..10).for_each(|k| drop(refused(&mut bed, 20_000 + k)));
-    (0..10).for_each(|k| drop(refused(&mut keeps, 20_000 + k)));
+    for stranger in 20_000..20_010 {
+        refused(&mut bed, stranger);
+        refused(&mut keeps, stranger);
+    }
     assert_eq!(bed.balancer.tenants_known(), 0, "of whom has no share nothing is kept");
     let mut decided = [Vec::new(), Vec::new()];
     for round in 0..40 {
--- a/crates/plan/tests/change.rs
+++ b/crates/plan/tests/change.rs
@@ -11,6 +11,9 @@
 use std::fmt::Write as _;
 use std::path::Path;
 
+/// A pool: its name, attempts, connection times, servers with their weights.
+type Pool = (u8, u8, u8, Vec<(u8, u8)>);
+
 /// A file in few words.
 #[derive(Clone, Debug, PartialEq)]
 struct Site {
@@ -18,8 +21,7 @@
     classes: Vec<(u8, u8)>,
     /// Names and shares.
     tenants: Vec<(u8, u8)>,
-    /// Names, attempts, connection times, servers with their weights.
-    pools: Vec<(u8, u8, u8, Vec<(u8, u8)>)>,
+    pools: Vec<Pool>,
     /// Names, pools, classes, paths.
     routes: Vec<(u8, usize, usize, u8)>,
 }
--- a/crates/proxy/tests/follow.rs
+++ b/crates/proxy/tests/follow.rs
@@ -22,13 +22,15 @@
 use std::rc::Rc;
 use tokio::task::LocalSet;
 
+/// A pool: its name, attempts, whether it waits otherwise, which needs a new pool, and servers with weights and drains.
+type Pool = (u8, u8, bool, Vec<(u8, u8, bool)>);
+
 /// A file in few words: each list by names, of which each stands there once.
 #[derive(Clone, Debug)]
 struct File {
     classes: Vec<(u8, u8)>,
     tenants: Vec<(u8, u8)>,
-    /// Names, attempts, whether they wait otherwise, which needs a new pool, and servers with weights and drains.
-    pools: Vec<(u8, u8, bool, Vec<(u8, u8, bool)>)>,
+    pools: Vec<Pool>,
     /// Names, pools, classes, paths.
     routes: Vec<(u8, usize, usize, u8)>,
 }
