--- a/crates/plan/src/file/mod.rs
+++ b/crates/plan/src/file/mod.rs
@@ -11,7 +11,10 @@
 use crate::plan::{Plan, Server};
 use crate::version::Version;
 pub use reader::{Fault, Severity};
+use serde::de::DeserializeOwned;
 use std::path::Path;
+use toml::de::DeTable;
+use toml::Spanned;
 
 /// A plan with what should be said of its file all the same.
 #[derive(Debug)]
@@ -29,8 +32,8 @@
 /// # Errors
 /// Every fault that was found, by its place in the file; at least one of them is an error.
 pub fn read(text: &str, folder: &Path) -> Result<Checked, Vec<Fault>> {
-    let mut reader = reader::Reader::read(text, &schema::FILE);
-    let built = parse::<model::File>(text, &mut reader).and_then(|file| {
+    let (mut reader, document) = reader::Reader::read(text, &schema::FILE);
+    let built = parse::<model::File>(document, &mut reader).and_then(|file| {
         let plan = compile::compile(&file, folder, Version::of(text.as_bytes()), &mut reader)?;
         Some((plan, file))
     });
@@ -48,8 +51,8 @@
 /// # Errors
 /// Every fault that was found.
 pub fn read_servers(text: &str, zone: u8, zones: &[String]) -> Result<Vec<Server>, Vec<Fault>> {
-    let mut reader = reader::Reader::read(text, &schema::SERVERS_FILE);
-    let servers = parse::<model::ServersFile>(text, &mut reader)
+    let (mut reader, document) = reader::Reader::read(text, &schema::SERVERS_FILE);
+    let servers = parse::<model::ServersFile>(document, &mut reader)
         .map(|file| compile::servers(&file.servers, "servers", zone, zones, &mut reader));
     match servers {
         Some(servers) if !reader.failed() => Ok(servers),
@@ -57,11 +60,11 @@
     }
 }
 
-fn parse<T: serde::de::DeserializeOwned>(text: &str, reader: &mut reader::Reader<'_>) -> Option<T> {
+fn parse<T: DeserializeOwned>(document: Spanned<DeTable<'_>>, reader: &mut reader::Reader<'_>) -> Option<T> {
     if reader.failed() {
         return None;
     }
-    match toml::from_str(text) {
+    match T::deserialize(toml::Deserializer::from(document)) {
         Ok(value) => Some(value),
         // The schema lets through only what serde reads; should they differ, the operator hears of it all the same.
         Err(error) => {
--- a/crates/plan/src/file/reader.rs
+++ b/crates/plan/src/file/reader.rs
@@ -60,8 +60,8 @@
 }
 
 impl<'t> Reader<'t> {
-    /// Reads a text and holds it against a schema.
-    pub fn read(text: &'t str, schema: &Table) -> Self {
+    /// Reads a text and holds it against a schema. What it holds comes with it, as far as it could be read.
+    pub fn read(text: &'t str, schema: &Table) -> (Self, Spanned<DeTable<'t>>) {
         let lines = std::iter::once(0).chain(text.match_indices('\n').map(|(at, _)| at + 1)).collect();
         let mut reader = Reader { text, lines, places: BTreeMap::new(), faults: Vec::new() };
         let (document, errors) = DeTable::parse_recoverable(text);
@@ -75,7 +75,7 @@
         if errors.is_empty() {
             reader.table("", document.span(), document.get_ref(), schema);
         }
-        reader
+        (reader, document)
     }
 
     /// Line and column of a byte.
