--- a/crates/bench/benches/scale/node.rs
+++ b/crates/bench/benches/scale/node.rs
@@ -104,6 +104,11 @@
     }
     put("memory at rest, MB", node.memory() as f64 / 1e6);
 
+    let begun = Instant::now();
+    let page = node.call("GET", "/-/metrics").expect("it answers");
+    put("the operator's page, ms", begun.elapsed().as_secs_f64() * 1e3);
+    put("the operator's page, KB", page.body.len() as f64 / 1e3);
+
     if told.requests > 0 {
         let direct =
             timed(Client::new(servers.addresses[0], "direct", "/").expect("a server"), told.requests);
