--- a/crates/bench/benches/scale/main.rs
+++ b/crates/bench/benches/scale/main.rs
@@ -52,6 +52,9 @@
         /// How long they rest, in seconds
         #[arg(long, default_value_t = 20)]
         rest: u64,
+        /// The part of the size that their configuration has
+        #[arg(long, default_value_t = 0.01)]
+        part: f64,
     },
     /// Writes a configuration down
     Write {
@@ -152,18 +155,20 @@
             };
             Count::ALL.iter().try_for_each(|count| measure(&run, one(count), ""))
         }
-        Command::Members { nodes, processes, rest } => {
+        Command::Members { nodes, processes, rest, part } => {
             build();
             let nodes = nodes.unwrap_or(size.nodes as usize);
-            let counts = size.counts(0.01);
+            let counts = size.counts(part);
             let servers = Hollow::start(counts.servers)?;
             let frame = Frame {
                 head: "[operator]\nlisten = \"127.0.0.1:0\"\n[[listener]]\nname = \"web\"\naddress = \"127.0.0.1:0\"\n",
                 pool: "",
                 address: &|k| servers.addresses[k as usize % servers.addresses.len()],
             };
-            let text = Generated::new(counts, 1).text(&frame);
-            let figures = members::play(nodes, processes, Duration::from_secs(rest), &text)?;
+            let site = Generated::new(counts, 1);
+            let host = format!("{}.example.org", site.pools[0].name);
+            let rest = Duration::from_secs(rest);
+            let figures = members::play(nodes, processes, rest, &site.text(&frame), &host)?;
             let row = Row {
                 program: "members".to_owned(),
                 size: nodes.to_string(),
--- a/crates/bench/benches/scale/members.rs
+++ b/crates/bench/benches/scale/members.rs
@@ -1,5 +1,6 @@
 //! The fleet's own view at full size: some real processes among hollow nodes, which run the same code without traffic.
 
+use crate::load::{Client, Watch};
 use crate::node::Figures;
 use crate::process;
 use corkhollow_fleet::{Additions, Config, Timing};
@@ -68,8 +69,15 @@
     nodes.iter().map(of).sum()
 }
 
-/// Plays so many nodes, of which so many are processes. `text` is the rest of each process's file.
-pub fn play(size: usize, processes: usize, rest: Duration, text: &str) -> std::io::Result<Figures> {
+/// Plays so many nodes, of which so many are processes. `text` is the rest of each process's file; `host` is one whose requests it
+/// serves.
+pub fn play(
+    size: usize,
+    processes: usize,
+    rest: Duration,
+    text: &str,
+    host: &str,
+) -> std::io::Result<Figures> {
     let mut figures = Figures::new();
     let mut put = |name: &str, figure: f64| {
         figures.insert(name.to_owned(), figure);
@@ -94,6 +102,7 @@
     std::thread::sleep(Duration::from_secs(5));
 
     let count = nodes.len() as f64;
+    let watch = Watch::start(Client::new(nodes[0].address, host, "/for-the-rest")?);
     let now = || {
         let thread: f64 = nodes.iter().map(|node| process::threads(node.id(), "fleet")).sum();
         let all: f64 = nodes.iter().map(|node| process::processor(node.id())).sum();
@@ -105,6 +114,9 @@
         std::thread::sleep(seconds.saturating_sub(before.0.elapsed()));
         let after = now();
         let time = (after.0 - before.0).as_secs_f64() * count;
+        let (longest, lost) = watch.longest(before.0, after.0);
+        put(&format!("{what}: longest request, ms"), longest * 1e3);
+        put(&format!("{what}: requests not served"), lost as f64);
         put(&format!("{what}: % of a core for the view"), 100.0 * (after.1 - before.1) / time);
         put(&format!("{what}: % of a core in all"), 100.0 * (after.2 - before.2) / time);
         put(&format!("{what}: bytes sent a node and second"), (after.3 - before.3) / time);
--- a/crates/laboratory/tests/scale.rs
+++ b/crates/laboratory/tests/scale.rs
@@ -122,3 +122,27 @@
     assert_eq!(Fit::of(&[(1.0, 1.0), (2.0, 2.0)]), None);
     assert_eq!(Fit::of(&points(|_| 0.0)), None);
 }
+
+/// The page goes by the size that the run goes by.
+#[test]
+fn the_page_has_the_size_of_the_file() {
+    let path = concat!(env!("CARGO_MANIFEST_DIR"), "/../../docs/CAPACITY.md");
+    let page = std::fs::read_to_string(path).expect("the page is there");
+    let (mut group, mut told) = (String::new(), 0);
+    for line in Size::TEXT.lines().filter(|line| !line.starts_with('#') && !line.is_empty()) {
+        if let Some(name) = line.strip_prefix('[') {
+            group = name.replace(']', ".");
+            continue;
+        }
+        let (name, figure) = line.split_once(" = ").expect("a figure");
+        let row = format!("| {group}{name} | {figure} |");
+        assert!(page.lines().any(|line| line.starts_with(&row)), "{row} is not in the page");
+        told += 1;
+    }
+    // No other figure stands in the table.
+    let rows = page
+        .split("| --- | --- | --- |\n")
+        .nth(1)
+        .map_or(0, |t| t.lines().take_while(|l| l.starts_with('|')).count());
+    assert_eq!(rows, told);
+}
