Read what is no file as it comes

Read again after the change to settled files: a configuration that comes by a pipe (`corkhollow check /dev/stdin`) has no length and can be read once; it was read as empty. What is no regular file is now read as before. The test gives a pipe; without the change it gets nothing.

--- a/crates/plan/src/settled.rs
+++ b/crates/plan/src/settled.rs
@@ -15,11 +15,14 @@
     (meta.ino(), meta.len(), meta.mtime(), meta.mtime_nsec())
 }
 
-/// Reads a file that is the same before and after.
+/// Reads a file that is the same before and after. What is no file, a pipe for one, is read as it comes.
 ///
 /// # Errors
 /// Where it cannot be read, or changes with each try.
 pub fn read(path: &Path) -> io::Result<Vec<u8>> {
+    if !std::fs::metadata(path)?.is_file() {
+        return std::fs::read(path);
+    }
     read_by(|| std::fs::metadata(path).map(|meta| state(&meta)), || std::fs::read(path))
 }
 
@@ -42,6 +45,18 @@
 mod tests {
     use super::*;
 
+    /// A pipe has no length and can be read once.
+    #[test]
+    fn what_is_no_file_is_read_as_it_comes() {
+        use std::io::Write;
+        use std::os::fd::AsRawFd;
+        let (reader, mut writer) = std::io::pipe().unwrap();
+        writer.write_all(b"some text").unwrap();
+        drop(writer);
+        let path = format!("/proc/self/fd/{}", reader.as_raw_fd());
+        assert_eq!(read(Path::new(&path)).unwrap(), b"some text");
+    }
+
     #[test]
     fn what_changes_is_read_again() {
         // Each read finds a byte more, until the fifth.
