Let requests go on between pools when the fleet's view changes

Cause: Site::regroup told 410 pools in one step, and each ranks its servers anew. What one pool counts is nothing to another, so the thread that serves goes on between any two. A file put in force in the middle takes the new view for all that it starts; pools that go on are told by the step under way.

--- a/crates/corkhollow/src/commands/membership.rs
+++ b/crates/corkhollow/src/commands/membership.rs
@@ -112,7 +112,7 @@
         loop {
             let group = fleet.view().snapshot.group;
             if self.group.get() != Some(group) {
-                self.regroup(&current, group, &mut pace);
+                self.regroup(&current, group, &mut pace).await;
             }
             if !fleet.changed().await {
                 return;
@@ -121,9 +121,9 @@
     }
 
     /// Lets the pools count so.
-    pub fn regroup(&self, current: &Current, group: Group, pace: &mut Pace) {
+    pub async fn regroup(&self, current: &Current, group: Group, pace: &mut Pace) {
         self.group.set(Some(group));
-        match current.get().regroup(group) {
+        match current.get().regroup(group).await {
             Ok(()) => pace.log(format_args!("fleet: counts as number {} of {}", group.ordinal, group.size)),
             Err(why) => pace.log(format_args!("fleet: {why}")),
         }
--- a/crates/corkhollow/src/commands/run.rs
+++ b/crates/corkhollow/src/commands/run.rs
@@ -301,7 +301,7 @@
             from = learn(neighbours, &site, clock, &control) => {
                 if let Some(from) = &from {
                     let group = Group { ordinal: from.ordinal, size: from.size };
-                    member.regroup(&current, group, &mut Pace::new(1, 0.0));
+                    member.regroup(&current, group, &mut Pace::new(1, 0.0)).await;
                 }
                 if succeeds {
                     if let Some(plan) = site.plan.share() {
--- a/crates/proxy/src/site.rs
+++ b/crates/proxy/src/site.rs
@@ -167,14 +167,16 @@
         known
     }
 
-    /// The node counts as one of so many in all pools from here on; what they have learnt stays.
+    /// The node counts as one of so many in all pools from here on; what they have learnt stays. Pools are told one after another, and
+    /// requests go on in between: what one pool counts is nothing to another.
     ///
     /// # Errors
     /// Where a pool turns that down; those before it go by it.
-    pub fn regroup(&self, group: Group) -> Result<(), PoolError> {
+    pub async fn regroup(&self, group: Group) -> Result<(), PoolError> {
         for (at, pool) in self.pools.iter().enumerate() {
             let told = pool.engine.count_as(group.ordinal, group.size.max(group.ordinal + 1));
             told.map_err(|error| PoolError { pool: self.plan.pools[at].name.clone(), error })?;
+            tokio::task::yield_now().await;
         }
         Ok(())
     }
--- a/crates/proxy/tests/follow.rs
+++ b/crates/proxy/tests/follow.rs
@@ -196,13 +196,17 @@
             for (file, parts, view, late) in &files {
                 let file = last.with(file, *parts);
                 // A view that changes while a file is being compiled is what counts when that is put in force.
-                let regroup = |site: &Rc<Site>| group(*view).map(|group| site.regroup(group).unwrap());
+                let regroup = async |site: &Rc<Site>| {
+                    if let Some(group) = group(*view) {
+                        site.regroup(group).await.unwrap();
+                    }
+                };
                 if !late {
-                    regroup(&site);
+                    regroup(&site).await;
                 }
                 let (plan, change) = file.plan().follow(&site.plan);
                 if *late {
-                    regroup(&site);
+                    regroup(&site).await;
                 }
                 counts = if *view > 0 { *view } else { counts };
                 let before: Vec<_> = site.pools.iter().map(Rc::as_ptr).collect();
