Decide in one place whether an attempt may be sent, repeated or begun

Cause: what may be sent again was decided in three places (the module's again and inside, the engine's send, may_begin), and nothing checked one by the other at run time. Change: engine::rules decides on the engine's own record of attempts, when one is proposed and right before its first byte; what it denies is not done, and is counted (gw_denied by pool, place and reason). A proposal that no working module makes is logged as a fault, and breaks a random history.

--- a/crates/balance/src/balancer/attempts.rs
+++ b/crates/balance/src/balancer/attempts.rs
@@ -2,7 +2,7 @@
 
 use super::cold::EARLY;
 use super::{Attempt, Balancer, Sink};
-use crate::interface::{Action, Effect, Ending, Group, Nanos, Phase, RequestId, ServerId};
+use crate::interface::{Action, Effect, Ending, Group, Nanos, RequestId};
 
 impl Balancer {
     pub(super) fn send(&mut self, now: Nanos, id: RequestId, i: usize, sink: Sink) {
@@ -106,13 +106,6 @@
         self.send(now, id, i, sink)
     }
 
-    /// Whether an attempt may still begin, as it could when it was decided on: connecting takes time.
-    pub fn may_begin(&self, now: Nanos, id: RequestId, server: ServerId) -> bool {
-        let ready = |i: usize| self.nodes[i].server.phase == Phase::Ready;
-        let open = self.pending.get(&id).filter(|p| !p.answered);
-        open.zip(self.by_id.get(&server)).is_some_and(|(p, &i)| ready(i) && self.inside(now, i, p))
-    }
-
     /// A second copy for a request that is slow to come back, within the budget.
     pub(super) fn hedge(&mut self, now: Nanos, id: RequestId, sink: Sink) {
         let Some(p) = self.pending.remove(&id) else { return };
--- a/crates/balance/src/balancer/mod.rs
+++ b/crates/balance/src/balancer/mod.rs
@@ -190,6 +190,11 @@
         self.arm(now, sink);
     }
 
+    /// A server as it was last listed, for as long as it is remembered.
+    pub fn server(&self, id: ServerId) -> Option<&Server> {
+        self.by_id.get(&id).map(|&i| &self.nodes[i].server)
+    }
+
     /// How many servers it remembers, with those that have left.
     pub fn remembered(&self) -> usize {
         self.nodes.len()
--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -5,13 +5,15 @@
 
 use crate::body::Pieces;
 use crate::clock::Clock;
+use crate::log::log;
 use crate::message::{Answer, AttemptId, Message, Progress};
 use crate::requests::{Command, ListCall, Load, Requests, Verdict};
+use crate::rules::Denial;
 use corkhollow_balance::interface::{
     Ending, ListKind, Nanos, Quotas, Request, RequestId, Server, ServerId, Settings, SettingsError,
 };
 use corkhollow_balance::Knowledge;
-use corkhollow_operate::PoolFigures;
+use corkhollow_operate::{PoolFigures, Proposed};
 use http::header::{HeaderMap, HeaderValue};
 use http::StatusCode;
 use std::cell::{Cell, RefCell};
@@ -157,7 +159,8 @@
             }
             Command::Ask(call) => self.carrier.ask(call),
             Command::Log { server, text } => self.carrier.log(server, &text),
-            Command::Ended(ending) => self.figures.ended(ending),
+            Command::Ended { ending, .. } => self.figures.ended(ending),
+            Command::Denied { request, denial } => self.denied(request, Proposed::Send, denial),
             Command::Repeated { hedge: true } => self.figures.hedges.inc(),
             Command::Repeated { hedge: false } => self.figures.retries.inc(),
         }
@@ -227,7 +230,20 @@
 
     /// Whether an attempt may still be written: see [`Requests::may_begin`].
     pub fn may_begin(&self, id: AttemptId) -> bool {
-        self.requests.borrow().may_begin(self.clock.now(), id)
+        let allowed = self.requests.borrow().may_begin(self.clock.now(), id);
+        if let Err(denial) = allowed {
+            self.denied(id.request, Proposed::Begin, denial);
+        }
+        allowed.is_ok()
+    }
+
+    /// Counts what the rules have denied. A proposal of the decision module that would have broken a rule is a fault of the program:
+    /// it goes into the log.
+    fn denied(&self, request: RequestId, proposed: Proposed, denial: Denial) {
+        self.figures.denied(proposed, denial.name());
+        if proposed == Proposed::Send && !denial.is_expected() {
+            log(format_args!("request {request}: proposed and denied: {}; this is a fault", denial.name()));
+        }
     }
 
     fn client_gone(self: &Rc<Self>, request: RequestId) {
--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -10,6 +10,7 @@
 mod log;
 mod message;
 mod requests;
+pub mod rules;
 
 pub use body::Pieces;
 pub use clock::Clock;
--- a/crates/engine/src/requests.rs
+++ b/crates/engine/src/requests.rs
@@ -2,6 +2,7 @@
 //! writes down what is to be done. The shell around it carries that out on sockets, a test on a simulated network.
 
 use crate::message::AttemptId;
+use crate::rules::{self, AttemptState, Denial, RequestFacts, SentAttempt, Terms};
 use corkhollow_balance::interface::{
     Action, Ending, Event, ListKind, Nanos, Quotas, Request, RequestId, Server, ServerId, Settings,
     SettingsError,
@@ -81,20 +82,30 @@
         text: String,
     },
     /// For the figures: an attempt has ended.
-    Ended(Ending),
+    Ended {
+        /// Which one.
+        id: AttemptId,
+        /// How.
+        ending: Ending,
+    },
     /// For the figures: an attempt follows on another one, of which one is still out or none.
     Repeated {
         /// It is a second copy.
         hedge: bool,
     },
+    /// For the figures: the decision module has proposed what the rules deny, and it is not done.
+    Denied {
+        /// Of this request.
+        request: RequestId,
+        /// Why.
+        denial: Denial,
+    },
 }
 
 struct Attempt {
-    server: ServerId,
-    sent_at: Nanos,
+    record: SentAttempt,
     /// How long its server took to answer, once the answer's head is there.
     took: Option<Nanos>,
-    open: bool,
     sent: bool,
 }
 
@@ -108,8 +119,8 @@
     /// The client waits for an answer.
     owed: bool,
     attempts: Vec<Attempt>,
-    /// More are not sent, whatever the settings say by now.
-    most_attempts: usize,
+    /// What the settings allowed for it when it was taken.
+    terms: Option<Terms>,
     /// A server's own answer that tells of a failure: the client's, unless a later attempt brings a better one.
     fallback: Option<A>,
 }
@@ -124,7 +135,6 @@
 /// The requests of one pool, its balancer and its timers. `N` names requests, `L` is what is carried, `A` a server's answer.
 /// Equal settings, seed, times and events give equal commands.
 pub struct Requests<N, L, A> {
-    most_attempts: usize,
     balancer: Balancer,
     /// Bounded by the clients' connections: each carries one request, and attempts outlive it by a deadline.
     live: HashMap<RequestId, Live<N, L, A>>,
@@ -148,7 +158,6 @@
     /// Where no node could act on the settings.
     pub fn new(now: Nanos, settings: Settings, seed: u64) -> Result<Self, SettingsError> {
         Ok(Requests {
-            most_attempts: settings.max_attempts as usize,
             balancer: Balancer::new(settings, seed)?,
             live: HashMap::new(),
             names: HashSet::new(),
@@ -195,6 +204,8 @@
         }
         let (id, give_up_at) = (self.next_id, request.give_up_at.min(self.ends_at));
         self.next_id = id.wrapping_add(1);
+        let settings = self.balancer.settings();
+        let class = settings.classes.get(usize::from(request.class));
         let live = Live {
             name,
             load,
@@ -202,7 +213,7 @@
             patience: give_up_at.saturating_sub(now),
             owed: true,
             attempts: Vec::new(),
-            most_attempts: self.most_attempts,
+            terms: class.map(|class| Terms::of(class, settings)),
             fallback: None,
         };
         self.live.insert(id, live);
@@ -232,7 +243,7 @@
 
     fn is_open(&self, id: AttemptId) -> bool {
         let attempt = self.live.get(&id.request).and_then(|l| l.attempts.get(usize::from(id.number)));
-        attempt.is_some_and(|a| a.open)
+        attempt.is_some_and(|a| a.record.is_open())
     }
 
     /// An attempt has brought the client's answer, or the beginning of it. False where it comes too late to be
@@ -282,10 +293,33 @@
     /// Whether an attempt may still be written. To be asked right before its first byte goes: opening a connection takes
     /// time, in which its client may leave, its request be answered, its server be told to drain, or what must not run
     /// twice be forgotten by those who would have known it again.
-    pub fn may_begin(&self, now: Nanos, id: AttemptId) -> bool {
-        let live = self.live.get(&id.request).filter(|live| live.owed && now < self.due(live));
-        let attempt = live.and_then(|live| live.attempts.get(usize::from(id.number)));
-        attempt.is_some_and(|a| a.open && self.balancer.may_begin(now, id.request, a.server))
+    ///
+    /// # Errors
+    /// Why it may not.
+    pub fn may_begin(&self, now: Nanos, id: AttemptId) -> Result<(), Denial> {
+        let number = usize::from(id.number);
+        let live = self.live.get(&id.request).ok_or(Denial::RequestOver)?;
+        let attempt = live.attempts.get(number).filter(|attempt| attempt.record.is_open());
+        let attempt = attempt.ok_or(Denial::RequestOver)?;
+        let others = live.attempts.iter().enumerate().filter(|(at, _)| *at != number);
+        let others = others.map(|(_, other)| &other.record);
+        let server = self.balancer.server(attempt.record.server.id);
+        rules::may_send(now, self.facts(live)?, others, server)
+    }
+
+    fn facts(&self, live: &Live<N, L, A>) -> Result<RequestFacts, Denial> {
+        let terms = live.terms.ok_or(Denial::RequestOver)?;
+        Ok(RequestFacts { terms, awaited: live.owed, due: self.due(live) })
+    }
+
+    /// Whether the attempt that the decision module proposes may be sent.
+    fn may_send(&self, now: Nanos, live: &Live<N, L, A>, server: ServerId) -> Result<(), Denial> {
+        let earlier = live.attempts.iter().map(|attempt| &attempt.record);
+        rules::may_send(now, self.facts(live)?, earlier, self.balancer.server(server))?;
+        match live.load.spent() {
+            true => Err(Denial::BodySpent),
+            false => Ok(()),
+        }
     }
 
     /// The client is gone: nothing more is owed.
@@ -301,7 +335,7 @@
     /// Calls off what has not been written of a request that is over, whatever the settings say of cancelling.
     fn withdraw(&self, request: RequestId, sink: &mut Vec<Command<L, A>>) {
         let attempts = self.live.get(&request).map_or(&[][..], |live| &live.attempts);
-        let open = attempts.iter().enumerate().filter(|(_, attempt)| attempt.open);
+        let open = attempts.iter().enumerate().filter(|(_, attempt)| attempt.record.is_open());
         sink.extend(open.map(|(k, _)| Command::Withdraw(AttemptId { request, number: k as u8 })));
     }
 
@@ -324,10 +358,7 @@
         settings: Settings,
         heirs: &[Option<u16>],
     ) -> Result<Vec<u16>, SettingsError> {
-        let most_attempts = settings.max_attempts as usize;
-        let places = self.balancer.retune(now, settings, heirs)?;
-        self.most_attempts = most_attempts;
-        Ok(places)
+        self.balancer.retune(now, settings, heirs)
     }
 
     /// Counts as this node of so many from here on: see [`Balancer::count_as`].
@@ -420,15 +451,18 @@
 
     fn conclude(&mut self, now: Nanos, id: AttemptId, ending: Ending, sink: &mut Vec<Command<L, A>>) {
         let Some(live) = self.live.get_mut(&id.request) else { return };
-        let Some(attempt) = live.attempts.get_mut(usize::from(id.number)).filter(|a| a.open) else { return };
-        attempt.open = false;
-        sink.push(Command::Ended(ending));
+        let Some(attempt) = live.attempts.get_mut(usize::from(id.number)).filter(|a| a.record.is_open())
+        else {
+            return;
+        };
+        attempt.record.state = AttemptState::Ended(ending);
+        sink.push(Command::Ended { id, ending });
         let event = Event::Outcome {
             request: id.request,
-            server: attempt.server,
+            server: attempt.record.server.id,
             attempt: id.number,
             finished: !live.owed,
-            took: attempt.took.unwrap_or(now.saturating_sub(attempt.sent_at)),
+            took: attempt.took.unwrap_or(now.saturating_sub(attempt.record.sent_at)),
             ending,
             spent: live.load.spent(),
             report: None,
@@ -442,7 +476,7 @@
 
     /// Drops a request that is answered and has no attempt out.
     fn forget(&mut self, request: RequestId) {
-        let over = |l: &Live<N, L, A>| !l.owed && l.attempts.iter().all(|a| !a.open);
+        let over = |l: &Live<N, L, A>| !l.owed && l.attempts.iter().all(|a| !a.record.is_open());
         if self.live.get(&request).is_some_and(over) {
             if let Some(name) = self.live.remove(&request).and_then(|live| live.name) {
                 self.names.remove(&name);
@@ -462,9 +496,7 @@
     fn carry_out(&mut self, now: Nanos, action: Action, sink: &mut Vec<Command<L, A>>) {
         match action {
             Action::Send { request, server, timeout } => self.send(now, request, server, timeout, sink),
-            Action::Refuse { request, retry_after } => {
-                self.answer(request, Verdict::Refused { retry_after }, sink);
-            }
+            Action::Refuse { request, retry_after } => self.refuse(request, retry_after, sink),
             Action::Fail { request } => {
                 let late = self.live.get(&request).is_some_and(|live| live.give_up_at <= now);
                 self.answer(request, Verdict::Failed { late }, sink);
@@ -491,15 +523,19 @@
         timeout: Nanos,
         sink: &mut Vec<Command<L, A>>,
     ) {
+        let Some(live) = self.live.get(&request) else { return };
+        let allowed = self.may_send(now, live, server);
+        let listed = self.balancer.server(server).copied().unwrap_or(Server::warm(server));
         let Some(live) = self.live.get_mut(&request) else { return };
         let id = AttemptId { request, number: live.attempts.len() as u8 };
-        let sent = live.owed && live.attempts.len() < live.most_attempts;
         live.fallback = None;
         if !live.attempts.is_empty() {
-            sink.push(Command::Repeated { hedge: live.attempts.iter().any(|a| a.open) });
+            sink.push(Command::Repeated { hedge: live.attempts.iter().any(|a| a.record.is_open()) });
         }
-        live.attempts.push(Attempt { server, sent_at: now, took: None, open: true, sent });
-        if !sent {
+        let record = SentAttempt { server: listed, sent_at: now, state: AttemptState::Open };
+        live.attempts.push(Attempt { record, took: None, sent: allowed.is_ok() });
+        if let Err(denial) = allowed {
+            sink.push(Command::Denied { request, denial });
             return self.conclude(now, id, Ending::NotSent, sink);
         }
         sink.push(Command::Send { id, server, load: live.load.clone() });
@@ -509,6 +545,20 @@
         }
     }
 
+    /// Refuses a request, or fails it where a repeat might do harm.
+    fn refuse(&mut self, request: RequestId, retry_after: Nanos, sink: &mut Vec<Command<L, A>>) {
+        let attempts = |live: &Live<N, L, A>| {
+            live.terms.is_none_or(|terms| {
+                rules::may_refuse(terms, live.attempts.iter().map(|attempt| &attempt.record))
+            })
+        };
+        if self.live.get(&request).is_none_or(attempts) {
+            return self.answer(request, Verdict::Refused { retry_after }, sink);
+        }
+        sink.push(Command::Denied { request, denial: Denial::RefusalNotHarmless });
+        self.answer(request, Verdict::Failed { late: false }, sink);
+    }
+
     fn answer(&mut self, request: RequestId, verdict: Verdict<A>, sink: &mut Vec<Command<L, A>>) {
         if let Some(live) = self.live.get_mut(&request) {
             let verdict = live.fallback.take().map_or(verdict, Verdict::Given);
--- a/crates/laboratory/src/histories.rs
+++ b/crates/laboratory/src/histories.rs
@@ -272,7 +272,14 @@
                     self.breaks(format!("request {request} is answered after its time"));
                 }
             }
-            Command::Ask(_) | Command::Log { .. } | Command::Ended(_) | Command::Repeated { .. } => {}
+            Command::Denied { request, denial } if !denial.is_expected() => {
+                self.breaks(format!(
+                    "request {request}: the module proposes what is denied: {}",
+                    denial.name()
+                ));
+            }
+            Command::Denied { .. } => {}
+            Command::Ask(_) | Command::Log { .. } | Command::Ended { .. } | Command::Repeated { .. } => {}
         }
     }
 
@@ -316,7 +323,7 @@
         if self.dead.contains(&server) {
             return self.after(MS, Step::End(key, 1));
         }
-        if self.fault != Fault::BegunUnasked && !self.requests.may_begin(self.now, id) {
+        if self.fault != Fault::BegunUnasked && self.requests.may_begin(self.now, id).is_err() {
             return self.end(key, 5);
         }
         self.out.entry(key).and_modify(|out| out.written = true);
--- a/crates/operate/src/figures.rs
+++ b/crates/operate/src/figures.rs
@@ -27,6 +27,24 @@
     (Ending::NotSent, "not-sent"),
 ];
 
+/// What the decision module proposed or a connection was about to do.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Proposed {
+    /// To send an attempt or to give a final answer.
+    Send,
+    /// To write an attempt's first byte.
+    Begin,
+}
+
+impl Proposed {
+    fn name(self) -> &'static str {
+        match self {
+            Proposed::Send => "send",
+            Proposed::Begin => "begin",
+        }
+    }
+}
+
 /// All figures. Cheap to clone; written by the serving thread, read by any.
 #[derive(Clone, Debug)]
 pub struct Figures {
@@ -39,6 +57,7 @@
     attempts: IntCounterVec,
     retries: IntCounterVec,
     hedges: IntCounterVec,
+    denied: IntCounterVec,
     list_age: GaugeVec,
     /// Connections of clients.
     pub clients: Held,
@@ -77,6 +96,8 @@
     pub hedges: IntCounter,
     /// How long ago discovery has last told of servers, in seconds.
     pub list_age: Gauge,
+    denied: IntCounterVec,
+    pool: String,
 }
 
 impl PoolFigures {
@@ -86,6 +107,11 @@
             self.attempts[at].inc();
         }
     }
+
+    /// The rules have denied what was proposed, for this reason.
+    pub fn denied(&self, proposed: Proposed, reason: &str) {
+        self.denied.with_label_values(&[self.pool.as_str(), proposed.name(), reason]).inc();
+    }
 }
 
 /// The node's view of its fleet.
@@ -150,6 +176,11 @@
             attempts: counters("attempts", "Attempts, by how they ended.", &[POOL, "ending"])?,
             retries: counters("retries", "Attempts that follow one that has ended.", &[POOL])?,
             hedges: counters("hedges", "Attempts beside one that is still out.", &[POOL])?,
+            denied: counters(
+                "denied",
+                "Attempts and answers that the rules denied.",
+                &[POOL, "at", "reason"],
+            )?,
             list_age: listed(&registry, GaugeVec::new(age, &[POOL])?)?,
             clients: held("client_connections", "Connections of clients")?,
             servers: held("server_connections", "Connections to servers")?,
@@ -198,6 +229,8 @@
             retries: self.retries.with_label_values(&[name]),
             hedges: self.hedges.with_label_values(&[name]),
             list_age: self.list_age.with_label_values(&[name]),
+            denied: self.denied.clone(),
+            pool: name.to_owned(),
         }
     }
 
--- a/crates/operate/src/lib.rs
+++ b/crates/operate/src/lib.rs
@@ -8,7 +8,7 @@
 mod succession;
 mod tally;
 
-pub use figures::{Figures, FleetFigures, Held, PoolFigures};
+pub use figures::{Figures, FleetFigures, Held, PoolFigures, Proposed};
 pub use fleet_page::{FleetMember, FleetPage};
 pub use prometheus::{Error as FiguresError, IntCounter};
 
