Decide closes in one place, tell their reasons, and keep the last events in memory

Cause: whether a client's connection may be closed was spread over five functions, and neither logs nor figures told why a connection was closed, an attempt repeated or a request refused, or which attempts a client's id had had. Decisions are the same.

--- a/crates/adapter/src/wire.rs
+++ b/crates/adapter/src/wire.rs
@@ -314,7 +314,7 @@
                 server(&mut r, 9, to);
                 put(&mut r, 15, &timeout.to_be_bytes());
             }
-            Action::Refuse { request, retry_after } => {
+            Action::Refuse { request, retry_after, .. } => {
                 r[0] = 40;
                 put(&mut r, 5, &request.to_be_bytes());
                 put(&mut r, 9, &retry_after.to_be_bytes());
--- a/crates/balance/src/balancer/admission.rs
+++ b/crates/balance/src/balancer/admission.rs
@@ -1,7 +1,7 @@
 //! What is let in, and what is refused at once.
 
 use super::{Balancer, Job, Pending, Sink};
-use crate::interface::{Action, Effect, Nanos, Request, RequestId};
+use crate::interface::{Action, Effect, Nanos, Refusal, Request, RequestId};
 use std::cmp::Reverse;
 
 /// A second copy goes out when this part of the aim is over.
@@ -61,9 +61,9 @@
                 return;
             }
             place.refused += 1;
-            return self.refuse(request.id, wait, sink);
+            return self.refuse(request.id, wait, Refusal::TooSlow, sink);
         }
-        self.refuse(request.id, self.longest as f64, sink);
+        self.refuse(request.id, self.longest as f64, Refusal::NoServer, sink);
     }
 
     /// Whether a tenant already gets its share here. What is let in counts: clients that ask again after a
@@ -110,10 +110,10 @@
         (aims * wanted).min(left) * (own / best).powf(WORTH_POWER * delayed)
     }
 
-    pub(super) fn refuse(&mut self, id: RequestId, wait: f64, sink: Sink) {
+    pub(super) fn refuse(&mut self, id: RequestId, wait: f64, reason: Refusal, sink: Sink) {
         let spread = 0.5 + self.chance();
         let advice = (wait * spread).min(self.settings.max_retry_after as f64) as Nanos;
         let retry_after = if self.settings.retry_after { advice } else { 0 };
-        sink.push(Action::Refuse { request: id, retry_after });
+        sink.push(Action::Refuse { request: id, reason, retry_after });
     }
 }
--- a/crates/balance/src/balancer/attempts.rs
+++ b/crates/balance/src/balancer/attempts.rs
@@ -2,7 +2,7 @@
 
 use super::cold::EARLY;
 use super::{Attempt, Balancer, Sink};
-use crate::interface::{Action, Effect, Ending, Group, Nanos, RequestId};
+use crate::interface::{Action, Effect, Ending, Group, Nanos, Refusal, RequestId};
 
 impl Balancer {
     pub(super) fn send(&mut self, now: Nanos, id: RequestId, i: usize, sink: Sink) {
@@ -95,7 +95,7 @@
         if next.is_none() {
             p.answered = true;
             if harmless && !rejected && now < p.request.give_up_at {
-                self.refuse(id, self.places[class].typical, sink);
+                self.refuse(id, self.places[class].typical, Refusal::AttemptsFailed, sink);
             } else {
                 sink.push(Action::Fail { request: id });
             }
--- a/crates/balance/src/interface.rs
+++ b/crates/balance/src/interface.rs
@@ -457,6 +457,31 @@
     },
 }
 
+/// Why a request is refused.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Refusal {
+    /// No server may be sent to: none is listed and ready, or all are ejected or paced.
+    NoServer,
+    /// The best server's answer is expected too late.
+    TooSlow,
+    /// Its attempts have failed without effect, and no other one is allowed.
+    AttemptsFailed,
+}
+
+impl Refusal {
+    /// All there are, in the order of their numbers.
+    pub const ALL: [Refusal; 3] = [Refusal::NoServer, Refusal::TooSlow, Refusal::AttemptsFailed];
+
+    /// Its name in metrics and events.
+    pub fn name(self) -> &'static str {
+        match self {
+            Refusal::NoServer => "no-server",
+            Refusal::TooSlow => "too-slow",
+            Refusal::AttemptsFailed => "attempts-failed",
+        }
+    }
+}
+
 /// What a balancer asks its node to do.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Action {
@@ -473,6 +498,8 @@
     Refuse {
         /// The request.
         request: RequestId,
+        /// Why, for whoever looks for the cause.
+        reason: Refusal,
         /// Advice when to come back; 0 for none.
         retry_after: Nanos,
     },
--- a/crates/balance/tests/replay.rs
+++ b/crates/balance/tests/replay.rs
@@ -22,7 +22,7 @@
             Action::Send { request, server, timeout } => {
                 [1, u64::from(*request), number(*server), *timeout].into_iter().for_each(|w| self.add(w));
             }
-            Action::Refuse { request, retry_after } => {
+            Action::Refuse { request, retry_after, .. } => {
                 [2, u64::from(*request), *retry_after].into_iter().for_each(|w| self.add(w));
             }
             Action::Fail { request } => [3, u64::from(*request)].into_iter().for_each(|w| self.add(w)),
--- a/crates/corkhollow/src/commands/run.rs
+++ b/crates/corkhollow/src/commands/run.rs
@@ -284,6 +284,7 @@
         budget: budget.clone(),
         control: control.clone(),
         ids: Cell::new(seed),
+        figures: figures.clone(),
     });
     let clients = Clients::new(service.clone());
     let changed = Arc::new(Notify::new());
--- a/crates/corkhollow/tests/operator.rs
+++ b/crates/corkhollow/tests/operator.rs
@@ -266,3 +266,38 @@
     assert_eq!(node.figure("gw_aborted{service=\"read\"}"), Some(0.0));
     shows(&node, "gw_discovered", 1.0);
 }
+
+/// The events of one request, found by its client's own id, tell each attempt with its server and how it ended, and why the
+/// request was answered as it was; those of connections tell why they were closed.
+#[test]
+fn events_tell_the_way_of_a_request() {
+    let servers = Servers::new(2, |n, _| if n == 0 { Reply::Reset } else { ok("fine") });
+    let (node, _discovery) = Node::with(&servers);
+    let request = String::from_utf8(get("/safe/1", "")).unwrap();
+    let id = request.split_once("X-Request-ID: ").unwrap().1.split_once('\r').unwrap().0;
+    assert_eq!(node.raw(request.as_bytes()).unwrap().body, b"fine");
+    let page = || String::from_utf8(node.call("GET", "/-/events").unwrap().body).unwrap();
+    until("its connection is closed", || page().contains(" closed reason=client"));
+    let page = page();
+    let taken = page.lines().find(|line| line.ends_with(&format!("taken id={id}"))).expect("it was taken");
+    let subject = taken.split(' ').skip(1).take(2).collect::<Vec<_>>().join(" ");
+    let way: Vec<_> =
+        page.lines().filter_map(|l| l.split_once(&format!("{subject} "))).map(|l| l.1).collect();
+    let servers: Vec<_> =
+        way.iter().filter_map(|event| event.split_once("server=")).map(|e| &e.1[..3]).collect();
+    assert!(servers == ["s-0", "s-1"] || servers == ["s-1", "s-0"], "{way:?}");
+    let without_servers = way.iter().map(|event| event.replace("s-0", "s").replace("s-1", "s"));
+    assert_eq!(
+        without_servers.collect::<Vec<_>>(),
+        [
+            &format!("taken id={id}"),
+            "sent attempt=0 server=s hedge=false",
+            "ended attempt=0 as=Reset",
+            "sent attempt=1 server=s hedge=false",
+            "answered reason=by-server",
+            "ended attempt=1 as=Ok",
+        ]
+    );
+    shows(&node, "gw_retries_after{ending=\"reset\",pool=\"platform\"}", 1.0);
+    shows(&node, "gw_rule_violations{rule=\"dropped-request\"}", 0.0);
+}
--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -13,12 +13,13 @@
     Ending, ListKind, Nanos, Quotas, Request, RequestId, Server, ServerId, Settings, SettingsError,
 };
 use corkhollow_balance::Knowledge;
-use corkhollow_operate::{PoolFigures, Proposed};
+use corkhollow_operate::{ClientId, Event, PoolFigures, Proposed, Subject};
 use http::header::{HeaderMap, HeaderValue};
 use http::StatusCode;
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::rc::Rc;
+use std::sync::Arc;
 use tokio::sync::{oneshot, Notify};
 
 /// The side that holds the connections to servers. It is called while the engine is at work and must not call back
@@ -36,6 +37,9 @@
     /// Asks discovery.
     fn ask(&self, call: ListCall);
 
+    /// The name by which lists know this server.
+    fn name(&self, server: ServerId) -> Option<Arc<str>>;
+
     /// Writes a line of the module's, about this server.
     fn log(&self, server: Option<ServerId>, text: &str);
 }
@@ -132,6 +136,10 @@
     fn carry_out(self: &Rc<Self>, command: Told) {
         match command {
             Command::Send { id, server, load } => {
+                if let Some(server) = self.carrier.name(server) {
+                    let hedge = self.running.borrow().keys().any(|other| other.request == id.request);
+                    self.record(id.request, Event::AttemptSent { attempt: id.number, server, hedge });
+                }
                 let running = self.carrier.send(self, id, server, load);
                 self.running.borrow_mut().insert(id, running);
             }
@@ -148,9 +156,13 @@
                 }
             }
             Command::Answer { request, verdict } => {
+                self.record(request, Event::Answered(verdict.name()));
                 let answer = match verdict {
                     Verdict::Given(answer) => answer,
-                    Verdict::Refused { retry_after } => Answer::Refused { retry_after },
+                    Verdict::Refused { retry_after, reason } => {
+                        self.figures.refused(reason);
+                        Answer::Refused { retry_after }
+                    }
                     Verdict::Failed { late } => Answer::Failed { late },
                 };
                 if let Some(reply) = self.replies.borrow_mut().remove(&request) {
@@ -159,10 +171,13 @@
             }
             Command::Ask(call) => self.carrier.ask(call),
             Command::Log { server, text } => self.carrier.log(server, &text),
-            Command::Ended { ending, .. } => self.figures.ended(ending),
+            Command::Ended { id, ending } => {
+                self.figures.ended(ending);
+                self.record(id.request, Event::AttemptEnded { attempt: id.number, ending });
+            }
             Command::Denied { request, denial } => self.denied(request, Proposed::Send, denial),
-            Command::Repeated { hedge: true } => self.figures.hedges.inc(),
-            Command::Repeated { hedge: false } => self.figures.retries.inc(),
+            Command::Repeated { after: None } => self.figures.hedges.inc(),
+            Command::Repeated { after: Some(ending) } => self.figures.retried(ending),
         }
     }
 
@@ -175,10 +190,12 @@
         message: Message,
     ) -> Option<Ticket> {
         let (reply, answer) = oneshot::channel();
+        let client_id = name.as_ref().map_or(ClientId::new(b"-"), |id| ClientId::new(id.as_bytes()));
         // It may be answered before the step is over.
         let id = self.requests.borrow().next_id();
         self.replies.borrow_mut().insert(id, reply);
         let request = Request { give_up_at: message.give_up_at, ..request };
+        self.record(id, Event::Taken(client_id));
         let taken = self.step(|all, now, sink| all.submit(now, name, request, Rc::new(message), sink));
         if taken.is_none() {
             self.replies.borrow_mut().remove(&id);
@@ -241,12 +258,19 @@
     /// it goes into the log.
     fn denied(&self, request: RequestId, proposed: Proposed, denial: Denial) {
         self.figures.denied(proposed, denial.name());
+        self.record(request, Event::Denied(denial.name()));
         if proposed == Proposed::Send && !denial.is_expected() {
             log(format_args!("request {request}: proposed and denied: {}; this is a fault", denial.name()));
         }
     }
 
+    fn record(&self, request: RequestId, event: Event) {
+        let subject = Subject::Request { pool: self.figures.pool.clone(), number: request };
+        self.figures.recorder.record(self.clock.now(), subject, event);
+    }
+
     fn client_gone(self: &Rc<Self>, request: RequestId) {
+        self.record(request, Event::ClientLeft);
         self.replies.borrow_mut().remove(&request);
         self.step(|all, now, sink| all.client_gone(now, request, sink));
     }
--- a/crates/engine/src/requests.rs
+++ b/crates/engine/src/requests.rs
@@ -4,7 +4,7 @@
 use crate::message::AttemptId;
 use crate::rules::{self, AttemptState, Denial, RequestFacts, SentAttempt, Terms};
 use corkhollow_balance::interface::{
-    Action, Ending, Event, ListKind, Nanos, Quotas, Request, RequestId, Server, ServerId, Settings,
+    Action, Ending, Event, ListKind, Nanos, Quotas, Refusal, Request, RequestId, Server, ServerId, Settings,
     SettingsError,
 };
 use corkhollow_balance::{Balancer, Knowledge};
@@ -40,6 +40,8 @@
     Refused {
         /// When to come back; 0 for no advice.
         retry_after: Nanos,
+        /// Why.
+        reason: Refusal,
     },
     /// Failed, with no word on its effect.
     Failed {
@@ -48,6 +50,18 @@
     },
 }
 
+impl<A> Verdict<A> {
+    /// Its name in events, with the reason where there was a choice.
+    pub fn name(&self) -> &'static str {
+        match self {
+            Verdict::Given(_) => "by-server",
+            Verdict::Refused { reason, .. } => reason.name(),
+            Verdict::Failed { late: true } => "out-of-time",
+            Verdict::Failed { late: false } => "failed",
+        }
+    }
+}
+
 /// What is to be done, in the order in which it is written down.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Command<L, A> {
@@ -88,10 +102,10 @@
         /// How.
         ending: Ending,
     },
-    /// For the figures: an attempt follows on another one, of which one is still out or none.
+    /// For the figures: an attempt follows on another one of its request.
     Repeated {
-        /// It is a second copy.
-        hedge: bool,
+        /// How the one before has ended; none where it is open and this one is a hedge.
+        after: Option<Ending>,
     },
     /// For the figures: the decision module has proposed what the rules deny, and it is not done.
     Denied {
@@ -496,7 +510,9 @@
     fn carry_out(&mut self, now: Nanos, action: Action, sink: &mut Vec<Command<L, A>>) {
         match action {
             Action::Send { request, server, timeout } => self.send(now, request, server, timeout, sink),
-            Action::Refuse { request, retry_after } => self.refuse(request, retry_after, sink),
+            Action::Refuse { request, retry_after, reason } => {
+                self.refuse(request, Verdict::Refused { retry_after, reason }, sink);
+            }
             Action::Fail { request } => {
                 let late = self.live.get(&request).is_some_and(|live| live.give_up_at <= now);
                 self.answer(request, Verdict::Failed { late }, sink);
@@ -529,8 +545,13 @@
         let Some(live) = self.live.get_mut(&request) else { return };
         let id = AttemptId { request, number: live.attempts.len() as u8 };
         live.fallback = None;
-        if !live.attempts.is_empty() {
-            sink.push(Command::Repeated { hedge: live.attempts.iter().any(|a| a.record.is_open()) });
+        if let Some(last) = live.attempts.last() {
+            let hedge = live.attempts.iter().any(|attempt| attempt.record.is_open());
+            let after = match last.record.state {
+                AttemptState::Ended(ending) if !hedge => Some(ending),
+                _ => None,
+            };
+            sink.push(Command::Repeated { after });
         }
         let record = SentAttempt { server: listed, sent_at: now, state: AttemptState::Open };
         live.attempts.push(Attempt { record, took: None, sent: allowed.is_ok() });
@@ -546,14 +567,14 @@
     }
 
     /// Refuses a request, or fails it where a repeat might do harm.
-    fn refuse(&mut self, request: RequestId, retry_after: Nanos, sink: &mut Vec<Command<L, A>>) {
+    fn refuse(&mut self, request: RequestId, refused: Verdict<A>, sink: &mut Vec<Command<L, A>>) {
         let attempts = |live: &Live<N, L, A>| {
             live.terms.is_none_or(|terms| {
                 rules::may_refuse(terms, live.attempts.iter().map(|attempt| &attempt.record))
             })
         };
         if self.live.get(&request).is_none_or(attempts) {
-            return self.answer(request, Verdict::Refused { retry_after }, sink);
+            return self.answer(request, refused, sink);
         }
         sink.push(Command::Denied { request, denial: Denial::RefusalNotHarmless });
         self.answer(request, Verdict::Failed { late: false }, sink);
--- a/crates/operate/src/figures.rs
+++ b/crates/operate/src/figures.rs
@@ -1,15 +1,20 @@
 //! What the node has done and has in hand, in the words of the text format of Prometheus (version 0.0.4).
 
+use crate::events::Recorder;
 use crate::tally::{ClassFigures, Reason};
-use corkhollow_balance::interface::Ending;
+use corkhollow_balance::interface::{Ending, Refusal};
 use prometheus::core::Collector;
 use prometheus::{
     Encoder, Gauge, GaugeVec, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, IntGaugeVec,
     Opts, Registry, TextEncoder,
 };
+use std::sync::Arc;
 
 /// The label that tells the class of requests.
 const CLASS: &str = "service";
+/// Rules that a process can see itself break: a request that was taken whole got no answer, or got it too late.
+const DROPPED_REQUEST: &str = "dropped-request";
+const LATE_ANSWER: &str = "late-answer";
 /// The label that tells the pool.
 const POOL: &str = "pool";
 /// Upper ends of the histogram's parts, in seconds: from a server next door to the longest that clients wait.
@@ -45,6 +50,11 @@
     }
 }
 
+/// The place of an ending in [`ENDINGS`], which has all there are.
+fn place(ending: Ending) -> usize {
+    ENDINGS.iter().position(|(named, _)| *named == ending).unwrap_or(0)
+}
+
 /// All figures. Cheap to clone; written by the serving thread, read by any.
 #[derive(Clone, Debug)]
 pub struct Figures {
@@ -56,8 +66,14 @@
     answered: HistogramVec,
     attempts: IntCounterVec,
     retries: IntCounterVec,
+    retries_after: IntCounterVec,
+    refusals: IntCounterVec,
+    /// The last events of requests and connections.
+    pub recorder: Recorder,
     hedges: IntCounterVec,
     denied: IntCounterVec,
+    closes: IntCounterVec,
+    violations: IntCounterVec,
     list_age: GaugeVec,
     /// Connections of clients.
     pub clients: Held,
@@ -91,26 +107,42 @@
     /// By the ending's place in [`ENDINGS`].
     attempts: [IntCounter; ENDINGS.len()],
     /// Attempts that follow one that has ended.
-    pub retries: IntCounter,
+    retries: IntCounter,
+    /// By the place of that one's ending in [`ENDINGS`].
+    retries_after: [IntCounter; ENDINGS.len()],
+    /// By the reason's place in [`Refusal::ALL`].
+    refusals: [IntCounter; Refusal::ALL.len()],
     /// Attempts beside one that is still out.
     pub hedges: IntCounter,
     /// How long ago discovery has last told of servers, in seconds.
     pub list_age: Gauge,
     denied: IntCounterVec,
-    pool: String,
+    /// The pool's name.
+    pub pool: Arc<str>,
+    /// Where events are kept.
+    pub recorder: Recorder,
 }
 
 impl PoolFigures {
     /// An attempt has ended so.
     pub fn ended(&self, ending: Ending) {
-        if let Some(at) = ENDINGS.iter().position(|(e, _)| *e == ending) {
-            self.attempts[at].inc();
-        }
+        self.attempts[place(ending)].inc();
+    }
+
+    /// An attempt follows one that has ended so.
+    pub fn retried(&self, ending: Ending) {
+        self.retries.inc();
+        self.retries_after[place(ending)].inc();
+    }
+
+    /// A request is refused for this reason.
+    pub fn refused(&self, reason: Refusal) {
+        self.refusals[reason as usize].inc();
     }
 
     /// The rules have denied what was proposed, for this reason.
     pub fn denied(&self, proposed: Proposed, reason: &str) {
-        self.denied.with_label_values(&[self.pool.as_str(), proposed.name(), reason]).inc();
+        self.denied.with_label_values(&[&self.pool, proposed.name(), reason]).inc();
     }
 }
 
@@ -167,7 +199,13 @@
         let version = Opts::new("config_version", "The file in force, by its digest: 1.");
         let steps = Opts::new("reload_seconds", "How long the steps of the last change of the file took.");
         let age = Opts::new("list_age_seconds", "Time since discovery last told of servers.");
+        let violations =
+            counters("rule_violations", "Rules that this process has seen itself break.", &["rule"])?;
+        for rule in [DROPPED_REQUEST, LATE_ANSWER] {
+            violations.with_label_values(&[rule]);
+        }
         Ok(Figures {
+            violations,
             succeeded: counters("succeeded", "Requests served.", &[CLASS])?,
             declined: counters("declined", "Requests refused; trying again is harmless.", &[CLASS])?,
             aborted: counters("aborted", "Requests failed.", &[CLASS])?,
@@ -175,12 +213,24 @@
             answered: listed(&registry, HistogramVec::new(times.buckets(TIMES.to_vec()), &[CLASS])?)?,
             attempts: counters("attempts", "Attempts, by how they ended.", &[POOL, "ending"])?,
             retries: counters("retries", "Attempts that follow one that has ended.", &[POOL])?,
+            retries_after: counters(
+                "retries_after",
+                "Attempts that follow one that has ended, by how that one did.",
+                &[POOL, "ending"],
+            )?,
+            refusals: counters(
+                "refusals",
+                "Requests that the program refused, by reason.",
+                &[POOL, "reason"],
+            )?,
+            recorder: Recorder::default(),
             hedges: counters("hedges", "Attempts beside one that is still out.", &[POOL])?,
             denied: counters(
                 "denied",
                 "Attempts and answers that the rules denied.",
                 &[POOL, "at", "reason"],
             )?,
+            closes: counters("client_closes", "Connections of clients that ended, by reason.", &["reason"])?,
             list_age: listed(&registry, GaugeVec::new(age, &[POOL])?)?,
             clients: held("client_connections", "Connections of clients")?,
             servers: held("server_connections", "Connections to servers")?,
@@ -198,6 +248,19 @@
         })
     }
 
+    /// A client's connection has ended for this reason; whether that dropped a request that was taken whole and not answered.
+    pub fn closed(&self, reason: &str, dropped: bool) {
+        self.closes.with_label_values(&[reason]).inc();
+        if dropped {
+            self.violations.with_label_values(&[DROPPED_REQUEST]).inc();
+        }
+    }
+
+    /// An answer went out after its request's time and the slack that the rules give it.
+    pub fn answered_late(&self) {
+        self.violations.with_label_values(&[LATE_ANSWER]).inc();
+    }
+
     /// This file is in force. Where it took another one's place: how long reading and checking, comparing and putting it in force
     /// took, in seconds, and how many pools that touched.
     pub fn in_force(&self, version: &str, change: Option<([f64; 3], usize)>) {
@@ -230,7 +293,10 @@
             hedges: self.hedges.with_label_values(&[name]),
             list_age: self.list_age.with_label_values(&[name]),
             denied: self.denied.clone(),
-            pool: name.to_owned(),
+            pool: name.into(),
+            recorder: self.recorder.clone(),
+            retries_after: ENDINGS.map(|(_, ending)| self.retries_after.with_label_values(&[name, ending])),
+            refusals: Refusal::ALL.map(|reason| self.refusals.with_label_values(&[name, reason.name()])),
         }
     }
 
--- a/crates/proxy/src/http1/clients.rs
+++ b/crates/proxy/src/http1/clients.rs
@@ -1,5 +1,8 @@
 //! Clients' connections: taken, watched, closed. What is asked on them is answered by the dialect of their listener.
 
+use super::closing::{
+    carry_out, should_close, CloseDecision, CloseLimits, CloseReason, ConnectionState, Stage,
+};
 use super::{general, platform};
 use crate::body::AnswerBody;
 use crate::site::Current;
@@ -7,7 +10,7 @@
 use bytes::Bytes;
 use corkhollow_balance::interface::Nanos;
 use corkhollow_engine::{log, Broken, Clock};
-use corkhollow_operate::{ClassFigures, Control, Tally};
+use corkhollow_operate::{ClassFigures, Control, Event, Figures, Subject, Tally};
 use corkhollow_plan::limits::{Budget, Slot};
 use corkhollow_plan::plan::Dialect;
 use hyper::body::{Body, Frame, Incoming, SizeHint};
@@ -36,20 +39,10 @@
 /// The log tells of full tables this often at most.
 const REPORT_EVERY: Nanos = 5_000_000_000;
 
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(super) enum Stage {
-    /// Between requests, or in a head.
-    Idle,
-    /// In a body.
-    Reading,
-    /// The request is with the service, whose deadline bounds it.
-    Waiting,
-    /// The answer is on its way.
-    Writing,
-}
-
 /// One connection.
 pub(super) struct Client {
+    /// Its number in this process.
+    number: u64,
     pub(super) socket: Rc<Socket>,
     /// The other end.
     pub(super) peer: SocketAddr,
@@ -64,8 +57,8 @@
     still_since: Cell<Nanos>,
     /// It came when there was no place left: it is only told to come back.
     pub(super) surplus: bool,
-    cut: Cell<bool>,
-    closing: Cell<bool>,
+    /// Why it is about to be closed.
+    closing: Cell<Option<CloseReason>>,
     /// The next answer is its last.
     last: Cell<bool>,
     /// All of the request under way is here.
@@ -81,8 +74,15 @@
 }
 
 impl Client {
-    fn idle(&self) -> bool {
-        self.resting() && !self.closing.get() && self.socket.quiet()
+    /// What a decision on its end goes by, as of now.
+    fn state(&self, now: Nanos) -> ConnectionState {
+        let since = |at: Option<Instant>| at.map(|at| at.elapsed());
+        ConnectionState {
+            stage: self.stage.get(),
+            head_for: since(self.socket.heard.get()),
+            silent_for: since(self.fresh_since.get()),
+            still_for: Duration::from_nanos(now.saturating_sub(self.still_since.get())),
+        }
     }
 
     /// Between requests, as far as has been read.
@@ -90,13 +90,6 @@
         self.stage.get() == Stage::Idle && self.socket.heard.get().is_none()
     }
 
-    fn dawdles(&self, longest: Duration) -> bool {
-        let silent = || self.fresh_since.get().filter(|_| self.socket.quiet());
-        let begun = self.socket.heard.get().or_else(silent);
-        let begun = begun.filter(|_| self.stage.get() == Stage::Idle);
-        begun.is_some_and(|at| at.elapsed() > longest) && !self.closing.get()
-    }
-
     /// A request of this class is being read.
     pub(super) fn count(&self, class: &ClassFigures) {
         let mut tally = Tally::new(class.clone());
@@ -126,13 +119,23 @@
         .await
     }
 
-    /// Ends the connection: at once, or when no request is open. The task that serves it sleeps and has to be
-    /// woken, or it holds its descriptor until the client leaves.
-    fn stop(&self, cut: bool) {
-        self.closing.set(true);
-        self.cut.set(cut);
+    /// Has the task that serves the connection close it; that task sleeps and has to be woken, or it holds its descriptor
+    /// until the client leaves.
+    fn close_for(&self, reason: CloseReason) {
+        self.closing.set(Some(reason));
         self.close.notify_one();
     }
+
+    /// Closes the connection for this reason where it may be closed; whether it is.
+    fn close_if(&self, reason: CloseReason, now: Nanos, limits: &CloseLimits) -> bool {
+        // One that is closed behind its answer may still stall.
+        let chosen = self.closing.get().is_some() && reason != CloseReason::Stalled;
+        let closes = !chosen && should_close(reason, &self.state(now), limits, || !self.socket.quiet());
+        if closes {
+            self.close_for(reason);
+        }
+        closes
+    }
 }
 
 /// What all clients' connections work with.
@@ -147,9 +150,27 @@
     pub control: Control,
     /// Numbers requests that bring no id.
     pub ids: Cell<u64>,
+    /// What it has done.
+    pub figures: Figures,
 }
 
 impl Service {
+    /// Counts the end of a connection, and whether it dropped a request.
+    fn closed(&self, client: &Client, reason: &'static str, dropped: bool) {
+        self.figures.closed(reason, dropped);
+        let subject = Subject::Connection(client.number);
+        self.figures.recorder.record(self.clock.now(), subject, Event::Closed(reason));
+    }
+
+    fn close_limits(&self) -> CloseLimits {
+        let limits = self.site.get().plan.limits;
+        CloseLimits {
+            head: Duration::from_nanos(limits.header_timeout),
+            idle: Duration::from_nanos(limits.idle_timeout),
+            stall: Duration::from_nanos(limits.stall_timeout),
+        }
+    }
+
     /// A number that no other request has, spread over all bits.
     pub(super) fn next_id(&self) -> u64 {
         self.ids.set(self.ids.get() + 1);
@@ -218,7 +239,10 @@
     fn open(self: &Rc<Self>, name: &Rc<str>, stream: TcpStream, peer: SocketAddr) {
         let budget = &self.service.budget;
         let surplus = budget.clients_full() && !self.make_room();
+        let id = self.next.get();
+        self.next.set(id + 1);
         let client = Rc::new(Client {
+            number: id,
             socket: Socket::new(stream),
             peer,
             address: HeaderValue::try_from(peer.ip().to_string())
@@ -229,8 +253,7 @@
             fresh_since: Cell::new(Some(Instant::now())),
             still_since: Cell::new(self.service.clock.now()),
             surplus,
-            cut: Cell::new(false),
-            closing: Cell::new(false),
+            closing: Cell::new(None),
             last: Cell::new(false),
             whole: Cell::new(false),
             unread: Cell::new(false),
@@ -239,8 +262,6 @@
             rest: RefCell::default(),
             _slot: budget.client(),
         });
-        let id = self.next.get();
-        self.next.set(id + 1);
         self.open.borrow_mut().insert(id, client.clone());
         let clients = self.clone();
         tokio::task::spawn_local(async move {
@@ -251,10 +272,11 @@
     }
 
     fn make_room(&self) -> bool {
+        let (now, limits) = (self.service.clock.now(), self.service.close_limits());
         let open = self.open.borrow();
         let mut idle: Vec<_> = open.values().filter(|c| c.stage.get() == Stage::Idle).collect();
         idle.sort_unstable_by_key(|c| c.idle_since.get());
-        idle.into_iter().find(|c| c.idle()).inspect(|c| c.stop(false)).is_some()
+        idle.into_iter().any(|client| client.close_if(CloseReason::MakeRoom, now, &limits))
     }
 
     /// Says what the connections are doing that leave no room, now and then.
@@ -277,39 +299,45 @@
         ));
     }
 
+    /// Closes each connection for which this is a reason now.
+    fn close_all(&self, reason: CloseReason) {
+        let (now, limits) = (self.service.clock.now(), self.service.close_limits());
+        for client in self.open.borrow().values() {
+            client.close_if(reason, now, &limits);
+        }
+    }
+
     /// Cuts off those that have been at their head for too long, or have never begun one.
     pub fn cut_heads(&self) {
-        let longest = Duration::from_nanos(self.service.site.get().plan.limits.header_timeout);
-        self.open.borrow().values().filter(|c| c.dawdles(longest)).for_each(|c| c.stop(true));
+        self.close_all(CloseReason::SlowHead);
     }
 
     /// Once a second: closes what stands still. No client may hold a descriptor for good.
     pub fn sweep(&self) {
-        let limits = self.service.site.get().plan.limits;
         let now = self.service.clock.now();
         for client in self.open.borrow().values() {
             if client.socket.moved.replace(false) || client.stage.get() == Stage::Waiting {
                 client.still_since.set(now);
             }
-            let still = now.saturating_sub(client.still_since.get());
-            let resting = client.resting();
-            if resting && still >= limits.idle_timeout && client.socket.quiet() {
-                client.stop(false);
-            } else if !resting && still >= limits.stall_timeout {
-                client.stop(true);
-            }
         }
+        self.close_all(CloseReason::IdleTimeout);
+        self.close_all(CloseReason::Stalled);
     }
 
     /// Closes connections that came to a listener that is no more, each when it is between requests.
     pub fn leave(&self, name: &str) {
-        self.open.borrow().values().filter(|c| &*c.listener == name).for_each(|c| c.stop(false));
+        let open = self.open.borrow();
+        let of_listener = open.values().filter(|client| &*client.listener == name);
+        of_listener.for_each(|client| client.close_for(CloseReason::ListenerRemoved));
     }
 
     /// Closes all connections that have been between requests since this time; the number of those that are left.
     pub fn close_idle(&self, before: Nanos) -> usize {
+        let (now, limits) = (self.service.clock.now(), self.service.close_limits());
         let open = self.open.borrow();
-        open.values().filter(|c| c.idle_since.get() <= before && c.idle()).for_each(|c| c.stop(false));
+        for client in open.values().filter(|client| client.idle_since.get() <= before) {
+            client.close_if(CloseReason::Leaving, now, &limits);
+        }
         open.len()
     }
 }
@@ -336,21 +364,31 @@
                 client.unread.set(unreadable || client.unread.get());
                 break;
             }
-            () = client.leaves(one_at_a_time) => return,
+            () = client.leaves(one_at_a_time) => return service.closed(&client, "client-left", false),
             _ = client.close.notified() => {
-                if client.cut.get() {
-                    return;
-                }
-                if client.resting() && !client.socket.quiet() {
-                    // A request has come since: it is answered. One that does not come to its end is cut like any other.
-                    client.closing.set(false);
-                    client.last.set(true);
-                } else {
-                    connection.as_mut().graceful_shutdown();
+                let Some(reason) = client.closing.get() else { continue };
+                let unread = || !client.socket.quiet();
+                match carry_out(reason, &client.state(service.clock.now()), unread) {
+                    CloseDecision::CloseAfterAnswer => {
+                        client.closing.set(None);
+                        client.last.set(true);
+                    }
+                    CloseDecision::Close => connection.as_mut().graceful_shutdown(),
+                    CloseDecision::Cut => {
+                        let dropped = client.stage.get() == Stage::Waiting && client.whole.get();
+                        service.closed(&client, reason.name(), dropped);
+                        return;
+                    }
                 }
             }
         }
     }
+    let reason = match client.closing.get() {
+        Some(reason) => reason.name(),
+        None if client.unread.get() => "answered",
+        None => "client",
+    };
+    service.closed(&client, reason, false);
     if client.unread.get() {
         tokio::select! {
             () = client.socket.linger(SILENT, LINGER) => {}
--- /dev/null
+++ b/crates/proxy/src/http1/closing.rs
@@ -0,0 +1,133 @@
+//! Whether a client's connection may be closed now, in one place. It is asked when a close is chosen and again when it is carried out:
+//! between the two, bytes may have come.
+
+use std::time::Duration;
+
+/// How far the request under way on a connection is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Stage {
+    /// Between requests, or in a head.
+    Idle,
+    /// In a body.
+    Reading,
+    /// The request is with the service, whose deadline bounds it.
+    Waiting,
+    /// The answer is on its way.
+    Writing,
+}
+
+/// Why the node closes a client's connection.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum CloseReason {
+    /// It has stood idle for too long.
+    IdleTimeout,
+    /// A new connection needs its place.
+    MakeRoom,
+    /// The node drains or ends.
+    Leaving,
+    /// Its listener has been removed.
+    ListenerRemoved,
+    /// A head has not come in time, or none has begun.
+    SlowHead,
+    /// A body or an answer does not move.
+    Stalled,
+}
+
+impl CloseReason {
+    /// Its name in metrics and events.
+    pub fn name(self) -> &'static str {
+        match self {
+            CloseReason::IdleTimeout => "idle-timeout",
+            CloseReason::MakeRoom => "make-room",
+            CloseReason::Leaving => "leaving",
+            CloseReason::ListenerRemoved => "listener-removed",
+            CloseReason::SlowHead => "slow-head",
+            CloseReason::Stalled => "stalled",
+        }
+    }
+}
+
+/// What a decision on a connection needs to know of it, as of now.
+#[derive(Clone, Copy, Debug)]
+pub struct ConnectionState {
+    /// How far its request is.
+    pub stage: Stage,
+    /// How long ago the first byte of the request under way came.
+    pub head_for: Option<Duration>,
+    /// How long ago it was accepted, where nothing has come on it since.
+    pub silent_for: Option<Duration>,
+    /// How long nothing has moved on it.
+    pub still_for: Duration,
+}
+
+impl ConnectionState {
+    /// Between requests, as far as has been read.
+    pub fn is_resting(&self) -> bool {
+        self.stage == Stage::Idle && self.head_for.is_none()
+    }
+}
+
+/// How long a connection may take.
+#[derive(Clone, Copy, Debug)]
+pub struct CloseLimits {
+    /// For a head.
+    pub head: Duration,
+    /// Between requests.
+    pub idle: Duration,
+    /// Without anything moving in a request or an answer.
+    pub stall: Duration,
+}
+
+/// What is done with a connection.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum CloseDecision {
+    /// It is closed once the request under way, if there is one, is answered.
+    Close,
+    /// A request is coming: it is answered, and the connection closed behind it.
+    CloseAfterAnswer,
+    /// It is closed at once, whatever is under way.
+    Cut,
+}
+
+/// Whether a connection is to be closed for this reason, as far as it can be told when the close is chosen. `unread` asks the kernel
+/// whether it has bytes or an end that nobody has read; it is asked only where that counts.
+pub fn should_close(
+    reason: CloseReason,
+    state: &ConnectionState,
+    limits: &CloseLimits,
+    unread: impl FnOnce() -> bool,
+) -> bool {
+    let resting = state.is_resting();
+    match reason {
+        CloseReason::MakeRoom | CloseReason::Leaving => resting && !unread(),
+        CloseReason::IdleTimeout => resting && state.still_for >= limits.idle && !unread(),
+        CloseReason::ListenerRemoved => true,
+        CloseReason::SlowHead => {
+            let late = |time: Option<Duration>| time.is_some_and(|time| time > limits.head);
+            let silent = state.head_for.is_none() && late(state.silent_for);
+            state.stage == Stage::Idle && (late(state.head_for) || (silent && !unread()))
+        }
+        CloseReason::Stalled => !resting && state.still_for >= limits.stall,
+    }
+}
+
+/// How a close that was chosen is carried out, now that the connection is in this state.
+pub fn carry_out(
+    reason: CloseReason,
+    state: &ConnectionState,
+    unread: impl FnOnce() -> bool,
+) -> CloseDecision {
+    match reason {
+        CloseReason::SlowHead | CloseReason::Stalled => CloseDecision::Cut,
+        CloseReason::IdleTimeout
+        | CloseReason::MakeRoom
+        | CloseReason::Leaving
+        | CloseReason::ListenerRemoved => {
+            // A request that has come since is answered. One that does not come to its end is cut like any other.
+            match state.is_resting() && unread() {
+                true => CloseDecision::CloseAfterAnswer,
+                false => CloseDecision::Close,
+            }
+        }
+    }
+}
--- a/crates/proxy/src/http1/general.rs
+++ b/crates/proxy/src/http1/general.rs
@@ -1,6 +1,7 @@
 //! Requests of any HTTP/1.1 client (RFC 9110, RFC 9112): routed, passed on, answered.
 
-use super::clients::{closing, Client, Service, Stage};
+use super::clients::{closing, Client, Service};
+use super::closing::Stage;
 use super::upload::{self, UploadError};
 use crate::body::{AnswerBody, PieceBody};
 use crate::headers::strip;
--- a/crates/proxy/src/http1/platform.rs
+++ b/crates/proxy/src/http1/platform.rs
@@ -1,6 +1,7 @@
 //! Requests in the platform's dialect: its headers, whole bodies, and nothing served that a server could not use.
 
-use super::clients::{closing, Client, Service, Stage};
+use super::clients::{closing, Client, Service};
+use super::closing::Stage;
 use super::upload::{self, Pace, Rules, UploadError};
 use crate::body::{AnswerBody, PieceBody};
 use crate::headers::{strip, ID, TIMEOUT};
@@ -21,6 +22,8 @@
 /// A body that takes longer than this has to keep to the slowest pace, in bytes a second.
 const GRACE: Duration = Duration::from_secs(20);
 const SLOWEST: u64 = 32_000;
+/// An answer that is decided on so long after its request's time has broken the rule on answers (the platform's slack is 500 ms).
+const LATE_ANSWER: Nanos = 500_000_000;
 
 pub(super) async fn answer(
     service: &Rc<Service>,
@@ -95,7 +98,8 @@
         _ => return closing(text(StatusCode::BAD_REQUEST, "X-Timeout-Ms is no whole number\n")),
     };
     client.stage.set(Stage::Waiting);
-    if matches!(payload, Payload::Whole(_)) {
+    let whole_body = matches!(payload, Payload::Whole(_));
+    if whole_body {
         client.taken(service.clock.now());
     }
     let now = service.clock.now();
@@ -130,6 +134,9 @@
         return closing(text(StatusCode::CONFLICT, "a request with this X-Request-ID is open\n"));
     };
     let answer = ticket.answer().await;
+    if whole_body && service.clock.now() > give_up_at + LATE_ANSWER {
+        service.figures.answered_late();
+    }
     // Nobody reads the body any longer, or somebody has read all of it.
     drop(ticket);
     let rest = client.rest.take();
--- a/crates/proxy/src/http1/upload.rs
+++ b/crates/proxy/src/http1/upload.rs
@@ -1,7 +1,8 @@
 //! Bodies of requests: kept where they are short enough to be sent again, passed on as they
 //! come where they are not.
 
-use super::clients::{Client, Stage};
+use super::clients::Client;
+use super::closing::Stage;
 use bytes::Bytes;
 use corkhollow_engine::{Broken, ClientBody, Clock, Payload, Piece, Pieces, Progress, Upload};
 use corkhollow_plan::limits::{Budget, Lease};
--- a/crates/proxy/src/operator.rs
+++ b/crates/proxy/src/operator.rs
@@ -84,7 +84,7 @@
 
     fn answer(&self, method: &Method, path: &str) -> Response<Full<Bytes>> {
         let allowed = match path {
-            "/-/ready" | "/-/metrics" | "/-/fleet" => Method::GET,
+            "/-/ready" | "/-/metrics" | "/-/events" | "/-/fleet" => Method::GET,
             "/-/drain" | "/-/resume" => Method::POST,
             _ => return text(StatusCode::NOT_FOUND, "no such call\n"),
         };
@@ -105,6 +105,7 @@
                 }
                 Err(_) => text(StatusCode::INTERNAL_SERVER_ERROR, "the figures cannot be written\n"),
             },
+            "/-/events" => plain(Bytes::from(self.figures.recorder.page())),
             "/-/fleet" => match self.fleet.get() {
                 Some(fleet) => json(page(fleet)),
                 None => text(StatusCode::NOT_FOUND, "no member of a fleet\n"),
@@ -188,8 +189,13 @@
 }
 
 fn text(status: StatusCode, text: &'static str) -> Response<Full<Bytes>> {
-    let mut response = Response::new(Full::new(Bytes::from_static(text.as_bytes())));
+    let mut response = plain(Bytes::from_static(text.as_bytes()));
     *response.status_mut() = status;
+    response
+}
+
+fn plain(text: Bytes) -> Response<Full<Bytes>> {
+    let mut response = Response::new(Full::new(text));
     response.headers_mut().insert(header::CONTENT_TYPE, HeaderValue::from_static("text/plain"));
     response
 }
--- a/crates/proxy/src/upstream/fleet.rs
+++ b/crates/proxy/src/upstream/fleet.rs
@@ -5,6 +5,7 @@
 use corkhollow_balance::interface::{ListKind, Nanos, Phase, Server, ServerId};
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
+use std::sync::Arc;
 
 /// Servers that left are remembered for this long, for what is still under way to them.
 const MEMORY: Nanos = 60_000_000_000;
@@ -21,7 +22,7 @@
 }
 
 struct Upstream {
-    host: String,
+    host: Arc<str>,
     dial: SocketAddr,
     started_at: Nanos,
     /// Since when it takes nothing new.
@@ -68,7 +69,7 @@
     }
 
     fn id(&self, host: &str) -> ServerId {
-        let free = |id: &ServerId| self.upstreams.get(id).is_none_or(|u| u.host == host);
+        let free = |id: &ServerId| self.upstreams.get(id).is_none_or(|u| &*u.host == host);
         (0..=u8::MAX).map(|round| identity(host, round)).find(free).unwrap_or(identity(host, 0))
     }
 
@@ -79,7 +80,7 @@
             let id = self.id(&entry.host);
             let (dial, started_at) = (entry.dial, entry.server.started_at);
             let upstream = self.upstreams.entry(id).or_insert_with(|| Upstream {
-                host: entry.host,
+                host: entry.host.into(),
                 dial,
                 started_at,
                 closed_at: None,
@@ -105,8 +106,8 @@
     }
 
     /// The name by which lists know it.
-    pub(super) fn name(&self, server: ServerId) -> Option<&str> {
-        self.upstreams.get(&server).map(|u| u.host.as_str())
+    pub(super) fn name(&self, server: ServerId) -> Option<Arc<str>> {
+        self.upstreams.get(&server).map(|u| u.host.clone())
     }
 
     pub(super) fn dial(&self, server: ServerId) -> Option<SocketAddr> {
--- a/crates/proxy/src/upstream/upstreams.rs
+++ b/crates/proxy/src/upstream/upstreams.rs
@@ -12,6 +12,7 @@
 use std::cell::{Cell, RefCell};
 use std::collections::VecDeque;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 use tokio::sync::{mpsc, Notify};
 use tokio::task::AbortHandle;
@@ -206,9 +207,13 @@
         let _ = self.0.list_calls.send(call);
     }
 
+    fn name(&self, server: ServerId) -> Option<Arc<str>> {
+        self.0.fleet(|f| f.name(server))
+    }
+
     fn log(&self, server: Option<ServerId>, text: &str) {
         let pool = &self.0.name;
-        match server.and_then(|id| self.0.fleet(|f| f.name(id).map(str::to_owned))) {
+        match server.and_then(|id| Carrier::name(self, id)) {
             Some(server) => log(format_args!("pool {pool}: server {server}: {text}")),
             None => log(format_args!("pool {pool}: {text}")),
         }
