--- /dev/null
+++ b/crates/soak/src/cluster.rs
@@ -0,0 +1,325 @@
+//! The processes of the program: started, told, ended and started anew, each in a place with an address of its own.
+
+use crate::connection::Connection;
+use crate::discovery::Discovery;
+use crate::ledger::{Ledger, ProcessRecord, Time};
+use corkhollow_standin::{config, get, Node, Options};
+use std::io::{BufRead, BufReader};
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::process::{Child, Command};
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::thread;
+use std::time::{Duration, Instant};
+
+/// Descriptors that a process may hold.
+pub const DESCRIPTORS: u64 = 128;
+/// Far more than a start takes.
+const STARTS_WITHIN: Duration = Duration::from_secs(20);
+/// Words in the log that tell of a fault of the program.
+const FAULTS: [&str; 3] = ["panicked", "this is a fault", "fault of this program"];
+
+/// How a place stands for clients.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Standing {
+    /// Nothing there takes clients.
+    Down,
+    /// It takes clients.
+    Up,
+    /// It was told to end then.
+    Leaving(Time),
+}
+
+#[derive(Debug)]
+struct Running {
+    child: Child,
+    process: usize,
+    config: PathBuf,
+    operator: Arc<Mutex<Option<SocketAddr>>>,
+}
+
+/// A place of a process.
+#[derive(Debug)]
+pub struct Place {
+    running: Mutex<Option<Running>>,
+    standing: Mutex<Standing>,
+    address: Mutex<Option<SocketAddr>>,
+    /// Which of its two agents its configuration names.
+    side: AtomicUsize,
+}
+
+/// All places.
+pub struct Cluster {
+    /// By number.
+    pub places: Vec<Place>,
+    discovery: Arc<Discovery>,
+    ledger: Arc<Ledger>,
+    next_process: AtomicUsize,
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+impl Place {
+    /// Where its process listens.
+    pub fn address(&self) -> Option<SocketAddr> {
+        *lock(&self.address)
+    }
+
+    /// How it stands.
+    pub fn standing(&self) -> Standing {
+        *lock(&self.standing)
+    }
+}
+
+impl Cluster {
+    /// So many empty places.
+    pub fn new(places: usize, discovery: Arc<Discovery>, ledger: Arc<Ledger>) -> Arc<Self> {
+        let place = |_| Place {
+            running: Mutex::default(),
+            standing: Mutex::new(Standing::Down),
+            address: Mutex::default(),
+            side: AtomicUsize::new(0),
+        };
+        let places = (0..places).map(place).collect();
+        Arc::new(Cluster { places, discovery, ledger, next_process: AtomicUsize::new(0) })
+    }
+
+    /// The number of the process in a place.
+    pub fn process(&self, place: usize) -> usize {
+        self.discovery.processes[place].load(Ordering::SeqCst)
+    }
+
+    fn config(&self, place: usize) -> String {
+        let side = self.places[place].side.load(Ordering::SeqCst);
+        let options = Options { sockets: DESCRIPTORS, memory_mb: 64, ..Options::default() };
+        let keyed = r#""classes":[{"name":"keyed","aimNs":1000000000,"giveUpNs":3000000000,"worth":5.0,"effect":"token","group":"all","windowNs":1000000000},"#;
+        let text = config(self.discovery.agent_addresses[place][side], &options);
+        let text = text.replace("\"classes\":[", keyed);
+        match self.places[place].address() {
+            Some(address) => {
+                text.replacen("\"listen\":\"127.0.0.1:0\"", &format!("\"listen\":\"{address}\""), 1)
+            }
+            None => text,
+        }
+    }
+
+    /// Starts a process in an empty place, and waits until it is up where `waits`; a SIGHUP follows the start after this time.
+    pub fn start(self: &Arc<Self>, place: usize, blind: bool, hang_up_after: Option<Duration>) {
+        let process = self.next_process.fetch_add(1, Ordering::SeqCst);
+        self.discovery.processes[place].store(process, Ordering::SeqCst);
+        let started_at = self.ledger.now();
+        let (mut child, config) = Node::spawn(&self.config(place));
+        if let Some(after) = hang_up_after {
+            thread::sleep(after);
+            signal(child.id(), "-HUP");
+        }
+        let lines = BufReader::new(child.stderr.take().expect("its standard error is a pipe")).lines();
+        let operator = Arc::new(Mutex::new(None));
+        let address = Arc::new(Mutex::new(self.places[place].address()));
+        self.follow_log(process, lines, operator.clone(), address.clone());
+        self.ledger.lock().processes.push(ProcessRecord {
+            process,
+            started_at,
+            ready_at: None,
+            started_blind: blind,
+            terminated_at: None,
+            killed_at: None,
+            ended_at: None,
+            failure: None,
+        });
+        *lock(&self.places[place].running) = Some(Running { child, process, config, operator });
+        let cluster = self.clone();
+        thread::spawn(move || cluster.wait_until_up(place, process, &address));
+    }
+
+    fn follow_log(
+        &self,
+        process: usize,
+        lines: impl Iterator<Item = std::io::Result<String>> + Send + 'static,
+        operator: Arc<Mutex<Option<SocketAddr>>>,
+        address: Arc<Mutex<Option<SocketAddr>>>,
+    ) {
+        let ledger = self.ledger.clone();
+        thread::spawn(move || {
+            for line in lines.map_while(Result::ok) {
+                if let Some((_, calls)) = line.split_once("operators call at ") {
+                    *lock(&operator) = calls.parse().ok();
+                }
+                if let Some((_, listens)) = line.split_once("listening on ") {
+                    *lock(&address) = listens.parse().ok();
+                }
+                if FAULTS.iter().any(|fault| line.contains(fault)) {
+                    ledger.lock().confessions.push(format!("process {process}: {line}"));
+                }
+            }
+        });
+    }
+
+    fn wait_until_up(&self, place: usize, process: usize, address: &Mutex<Option<SocketAddr>>) {
+        let begun = Instant::now();
+        while begun.elapsed() < STARTS_WITHIN && self.process(place) == process {
+            if let Some(listens) = *lock(address) {
+                if is_up(listens) {
+                    let now = self.ledger.now();
+                    let mut records = self.ledger.lock();
+                    let record = records.processes.iter_mut().find(|record| record.process == process);
+                    record.expect("it was written down").ready_at.get_or_insert(now);
+                    drop(records);
+                    *lock(&self.places[place].address) = Some(listens);
+                    let mut standing = lock(&self.places[place].standing);
+                    if *standing == Standing::Down && self.process(place) == process {
+                        *standing = Standing::Up;
+                    }
+                    return;
+                }
+            }
+            thread::sleep(Duration::from_millis(20));
+        }
+    }
+
+    /// Has the process in a place stand still for this time, whatever else it is told meanwhile.
+    pub fn pause(&self, place: usize, time: Duration) {
+        // By its id: it may be taken out of its place while it stands still. It is waited for before that id is free again.
+        let Some(id) = lock(&self.places[place].running).as_ref().map(|running| running.child.id()) else {
+            return;
+        };
+        signal(id, "-STOP");
+        thread::sleep(time);
+        signal(id, "-CONT");
+    }
+
+    /// Replaces the configuration of a place by one that names its other agent, or by half of a file.
+    pub fn reload(&self, place: usize, broken: bool) {
+        if !broken {
+            self.places[place].side.fetch_xor(1, Ordering::SeqCst);
+        }
+        let text = self.config(place);
+        let text = if broken { text[..text.len() / 2].to_owned() } else { text };
+        if let Some(running) = &*lock(&self.places[place].running) {
+            let _ = std::fs::write(&running.config, text);
+            signal(running.child.id(), "-HUP");
+        }
+    }
+
+    /// Tells the process in a place to end, and waits until it has, or kills it when it may be.
+    pub fn terminate(&self, place: usize) {
+        let Some(mut running) = lock(&self.places[place].running).take() else { return };
+        let now = self.ledger.now();
+        *lock(&self.places[place].standing) = Standing::Leaving(now);
+        self.note(running.process, |record| record.terminated_at = Some(now));
+        signal(running.child.id(), "-TERM");
+        let begun = Instant::now();
+        let status = loop {
+            if let Ok(Some(status)) = running.child.try_wait() {
+                break Some(status);
+            }
+            if begun.elapsed() > crate::check::KILL_AFTER {
+                break None;
+            }
+            thread::sleep(Duration::from_millis(5));
+        };
+        let ended_at = self.ledger.now();
+        let failure = match status {
+            Some(status) if status.success() => None,
+            Some(status) => Some(status.to_string()),
+            None => Some("it had to be killed".to_owned()),
+        };
+        let _ = running.child.kill();
+        let _ = running.child.wait();
+        self.forget(place, &running, ended_at, failure);
+    }
+
+    /// Kills the process in a place.
+    pub fn kill(&self, place: usize) {
+        let Some(mut running) = lock(&self.places[place].running).take() else { return };
+        let now = self.ledger.now();
+        self.note(running.process, |record| record.killed_at = Some(now));
+        let _ = running.child.kill();
+        let _ = running.child.wait();
+        self.forget(place, &running, now, None);
+    }
+
+    fn forget(&self, place: usize, running: &Running, ended_at: Time, failure: Option<String>) {
+        *lock(&self.places[place].standing) = Standing::Down;
+        self.note(running.process, |record| {
+            record.ended_at = Some(ended_at);
+            record.failure = failure;
+        });
+        let _ = std::fs::remove_file(&running.config);
+    }
+
+    fn note(&self, process: usize, note: impl FnOnce(&mut ProcessRecord)) {
+        let mut records = self.ledger.lock();
+        if let Some(record) = records.processes.iter_mut().find(|record| record.process == process) {
+            note(record);
+        }
+    }
+
+    /// Looks whether processes have ended that nobody told to, and whether they hold more descriptors than they may.
+    pub fn inspect(&self) {
+        for place in &self.places {
+            let mut running = lock(&place.running);
+            let Some(all) = running.as_mut() else { continue };
+            if let Ok(Some(status)) = all.child.try_wait() {
+                let now = self.ledger.now();
+                self.note(all.process, |record| {
+                    record.ended_at = Some(now);
+                    record.failure = Some(status.to_string());
+                });
+                *lock(&place.standing) = Standing::Down;
+                *running = None;
+                continue;
+            }
+            let held = std::fs::read_dir(format!("/proc/{}/fd", all.child.id())).map_or(0, Iterator::count);
+            if held as u64 > DESCRIPTORS {
+                let text = format!("process {}: {held} descriptors of {DESCRIPTORS}", all.process);
+                self.ledger.lock().confessions.push(text);
+            }
+        }
+    }
+
+    /// Asks each process for the rules that it has seen itself break; with `events`, also for its events.
+    pub fn confess(&self, events: bool) -> Vec<(usize, String)> {
+        let mut pages = Vec::new();
+        for place in &self.places {
+            let told = lock(&place.running).as_ref().map(|r| (r.process, *lock(&r.operator)));
+            let Some((process, Some(operator))) = told else { continue };
+            let page = call(operator, "/-/metrics").unwrap_or_default();
+            let bad = |line: &&str| {
+                let rules = line.starts_with("gw_rule_violations{") && !line.ends_with(" 0");
+                let denied = line.starts_with("gw_denied{at=\"send\"")
+                    && !["request-over", "out-of-time", "too-many-attempts", "body-spent"]
+                        .iter()
+                        .any(|expected| line.contains(expected));
+                rules || denied
+            };
+            for line in page.lines().filter(bad) {
+                self.ledger.lock().confessions.push(format!("process {process}: {line}"));
+            }
+            if events {
+                pages.push((process, call(operator, "/-/events").unwrap_or_default()));
+            }
+        }
+        pages
+    }
+}
+
+fn signal(id: u32, name: &str) {
+    let _ = Command::new("kill").args([name, &id.to_string()]).status();
+}
+
+fn is_up(address: SocketAddr) -> bool {
+    let Some(mut connection) = Connection::open(address) else { return false };
+    let until = Instant::now() + Duration::from_secs(2);
+    connection.write(&get("/up", "")) && connection.read(until, false).is_ok_and(|m| m.status() == 200)
+}
+
+fn call(address: SocketAddr, path: &str) -> Option<String> {
+    let mut connection = Connection::open(address)?;
+    connection.write(&get(path, "Connection: close\r\n"));
+    let answer = connection.read(Instant::now() + Duration::from_secs(2), true).ok()?;
+    String::from_utf8(answer.body).ok()
+}
--- /dev/null
+++ b/crates/soak/src/discovery.rs
@@ -0,0 +1,249 @@
+//! Discovery: one registry of servers, and for each place of a process two agents that push it, of which one is in force.
+
+use crate::connection::Connection;
+use crate::ledger::Ledger;
+use corkhollow_standin::{host, list};
+use std::net::{SocketAddr, TcpListener};
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Arc, Condvar, Mutex, MutexGuard, PoisonError};
+use std::thread;
+use std::time::{Duration, Instant};
+
+/// While nothing changes, an empty line comes this often.
+const HEARTBEAT: Duration = Duration::from_secs(2);
+/// How often watches look whether they have been silenced or ended.
+const LOOK: Duration = Duration::from_millis(50);
+
+/// A server as it is listed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Listing {
+    /// Not at all.
+    Absent,
+    /// It takes requests.
+    Active,
+    /// It drains.
+    Leaving,
+}
+
+#[derive(Debug)]
+struct State {
+    version: u64,
+    listings: Vec<Listing>,
+    /// Changes by version, from the first one on.
+    changes: Vec<usize>,
+}
+
+/// What an agent does with calls.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum AgentMode {
+    /// It answers.
+    Up,
+    /// It resets calls, and has ended its watches.
+    Refuses,
+    /// It takes calls and says nothing; its watches have ended.
+    Silent,
+}
+
+#[derive(Debug)]
+struct Agent {
+    mode: Mutex<AgentMode>,
+    /// Watches opened before this one say nothing any more, and stay.
+    silenced: AtomicUsize,
+    watches: AtomicUsize,
+}
+
+/// The registry and its agents.
+pub struct Discovery {
+    state: Mutex<State>,
+    changed: Condvar,
+    servers: Vec<SocketAddr>,
+    agents: Vec<[Agent; 2]>,
+    /// Where the agents of each place listen.
+    pub agent_addresses: Vec<[SocketAddr; 2]>,
+    /// The process that runs in each place.
+    pub processes: Vec<AtomicUsize>,
+    ledger: Arc<Ledger>,
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+impl Discovery {
+    /// Agents for so many places; the first servers are listed.
+    pub fn start(
+        places: usize,
+        servers: Vec<SocketAddr>,
+        listed: usize,
+        ledger: Arc<Ledger>,
+    ) -> std::io::Result<Arc<Self>> {
+        let listing = |server| if server < listed { Listing::Active } else { Listing::Absent };
+        let agent = || Agent {
+            mode: Mutex::new(AgentMode::Up),
+            silenced: AtomicUsize::new(0),
+            watches: AtomicUsize::new(0),
+        };
+        let mut listeners = Vec::new();
+        for _ in 0..places {
+            listeners.push([TcpListener::bind("127.0.0.1:0")?, TcpListener::bind("127.0.0.1:0")?]);
+        }
+        let mut agent_addresses = Vec::new();
+        for [first, second] in &listeners {
+            agent_addresses.push([first.local_addr()?, second.local_addr()?]);
+        }
+        let discovery = Arc::new(Discovery {
+            state: Mutex::new(State {
+                version: 1,
+                listings: (0..servers.len()).map(listing).collect(),
+                changes: Vec::new(),
+            }),
+            changed: Condvar::new(),
+            servers,
+            agents: (0..places).map(|_| [agent(), agent()]).collect(),
+            agent_addresses,
+            processes: (0..places).map(|_| AtomicUsize::new(usize::MAX)).collect(),
+            ledger,
+        });
+        for (place, pair) in listeners.into_iter().enumerate() {
+            for (side, listener) in pair.into_iter().enumerate() {
+                let discovery = discovery.clone();
+                thread::spawn(move || discovery.listen(place, side, &listener));
+            }
+        }
+        Ok(discovery)
+    }
+
+    /// Lists a server so from here on.
+    pub fn set(&self, server: usize, listing: Listing) {
+        let mut state = lock(&self.state);
+        state.version += 1;
+        state.listings[server] = listing;
+        state.changes.push(server);
+        drop(state);
+        self.changed.notify_all();
+    }
+
+    /// Sets what the agents of a place do.
+    pub fn set_mode(&self, place: usize, mode: AgentMode) {
+        for agent in &self.agents[place] {
+            *lock(&agent.mode) = mode;
+        }
+        self.changed.notify_all();
+    }
+
+    /// Silences all watches of a place that are open now.
+    pub fn silence_watches(&self, place: usize) {
+        for agent in &self.agents[place] {
+            agent.silenced.store(agent.watches.load(Ordering::SeqCst), Ordering::SeqCst);
+        }
+    }
+
+    fn listen(self: Arc<Self>, place: usize, side: usize, listener: &TcpListener) {
+        for stream in listener.incoming().flatten() {
+            let discovery = self.clone();
+            let process = self.processes[place].load(Ordering::SeqCst);
+            thread::spawn(move || discovery.serve(place, side, process, Connection::new(stream)));
+        }
+    }
+
+    fn serve(&self, place: usize, side: usize, process: usize, mut connection: Connection) {
+        let Ok(call) = connection.read(Instant::now() + Duration::from_secs(10), false) else { return };
+        let agent = &self.agents[place][side];
+        loop {
+            match *lock(&agent.mode) {
+                AgentMode::Up => break,
+                AgentMode::Refuses => return connection.reset(),
+                AgentMode::Silent => {}
+            }
+            if connection.stirs(Instant::now() + LOOK) {
+                return;
+            }
+        }
+        let watch = agent.watches.fetch_add(1, Ordering::SeqCst);
+        let since =
+            call.head.split_once("since=").and_then(|(_, rest)| rest.split([' ', '&']).next()?.parse().ok());
+        if connection.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n") {
+            self.push(agent, watch, process, since, &mut connection);
+        }
+    }
+
+    /// Says the list, then changes and heartbeats, until the watch ends.
+    fn push(
+        &self,
+        agent: &Agent,
+        watch: usize,
+        process: usize,
+        since: Option<u64>,
+        connection: &mut Connection,
+    ) {
+        let mut told = since;
+        let mut said_at = Instant::now();
+        loop {
+            let state = lock(&self.state);
+            let (state, _) = self
+                .changed
+                .wait_timeout_while(state, LOOK, |state| told == Some(state.version))
+                .unwrap_or_else(PoisonError::into_inner);
+            let news = (told != Some(state.version)).then(|| self.words(&state, told));
+            let (version, listings) = (state.version, state.listings.clone());
+            drop(state);
+            if *lock(&agent.mode) != AgentMode::Up {
+                return;
+            }
+            if agent.silenced.load(Ordering::SeqCst) > watch {
+                // It stays open and says nothing, until its process ends it.
+                let _ = connection.stirs(Instant::now() + Duration::from_secs(60));
+                return;
+            }
+            let line = match news {
+                Some(news) => news,
+                None if said_at.elapsed() >= HEARTBEAT => String::new(),
+                None => continue,
+            };
+            let chunk = format!("{:x}\r\n{line}\n\r\n", line.len() + 1);
+            if !connection.write(chunk.as_bytes()) {
+                return;
+            }
+            said_at = Instant::now();
+            if told != Some(version) {
+                self.note_told(process, &listings);
+                told = Some(version);
+            }
+        }
+    }
+
+    fn words(&self, state: &State, told: Option<u64>) -> String {
+        let entry = |server: usize| {
+            let health = match state.listings[server] {
+                Listing::Active => "active",
+                Listing::Leaving => "leaving",
+                Listing::Absent => "left",
+            };
+            host(&format!("s-{server}"), self.servers[server], health)
+        };
+        match told.filter(|told| *told >= 1 && *told <= state.version) {
+            Some(told) => {
+                let mut changed: Vec<_> = state.changes[told as usize - 1..].to_vec();
+                changed.sort_unstable();
+                changed.dedup();
+                let entries: Vec<_> = changed.into_iter().map(entry).collect();
+                list(state.version, false, &entries)
+            }
+            None => {
+                let listed = (0..self.servers.len()).filter(|s| state.listings[*s] != Listing::Absent);
+                list(state.version, true, &listed.map(entry).collect::<Vec<_>>())
+            }
+        }
+    }
+
+    fn note_told(&self, process: usize, listings: &[Listing]) {
+        let now = self.ledger.now();
+        let mut records = self.ledger.lock();
+        for (server, listing) in listings.iter().enumerate() {
+            match listing {
+                Listing::Active => drop(records.told_draining.remove(&(process, server))),
+                _ => drop(records.told_draining.entry((process, server)).or_insert(now)),
+            }
+        }
+    }
+}
