Show that a process gives its first second answer to another request

Ruled out: the copy is not there yet when the connection is chosen (Fleet::checkout asks the kernel), and the resting time that keeps later ones apart begins only with the first copy that has been seen (Fleet::rest, spoke_at).

--- a/crates/corkhollow/tests/attempts.rs
+++ b/crates/corkhollow/tests/attempts.rs
@@ -38,6 +38,34 @@
     assert!(rests.iter().all(|rest| *rest >= Duration::from_millis(10)), "{rests:?}");
 }
 
+/// The very first second answer that a process meets is nobody's either: nothing has warned it of servers that answer twice. The
+/// answer comes again 5 ms behind the first time, and the client's next request comes at once.
+#[test]
+fn the_first_second_answer_that_a_process_meets_is_nobodys() {
+    for _ in 0..5 {
+        let number = AtomicUsize::new(0);
+        let dial = raw(move |mut stream| {
+            while let Some(message) = read(&mut stream).filter(|m| m.whole) {
+                let answer = response("200 OK", "", &message.body);
+                let _ = stream.write_all(&answer);
+                if number.fetch_add(1, SeqCst) == 0 {
+                    std::thread::sleep(Duration::from_millis(5));
+                    let _ = stream.write_all(&answer);
+                }
+            }
+        });
+        let discovery = Discovery::new(vec![list(1, true, &[host("s-0", dial, "active")])], true);
+        let node = Node::start(discovery.address, &Options::default());
+        node.ready();
+        let mut client = node.connect();
+        for body in [&b"the first"[..], b"the second", b"the third"] {
+            client.write_all(&post("/once/1", body)).unwrap();
+            let answer = read(&mut client).expect("an answer");
+            assert_eq!((answer.status(), &answer.body[..]), (200, body));
+        }
+    }
+}
+
 /// Where second copies are not allowed, an attempt whose error is still on its way is not over: the next one goes when its
 /// connection is closed, not beside it.
 #[test]
