Let platform connections rest before they are used again, from the first request on

Cause: connections rested for 10 ms only after a second answer had been seen (upstream::Fleet::rest, spoke_at), so the first one that a process met, if it crossed a request, was that request's answer: another client's data. Change: on the platform, whose servers may answer twice some milliseconds later, connections always rest; a request waits for one that rests, as before. In the general dialect they rest after evidence, as before: its requests may come without a pause, and a rest would cost a connection for each.

--- a/crates/proxy/src/upstream/fleet.rs
+++ b/crates/proxy/src/upstream/fleet.rs
@@ -34,14 +34,25 @@
 /// The servers that the list has named, by the identity under which the module knows them.
 pub struct Fleet {
     upstreams: BTreeMap<ServerId, Upstream>,
+    /// When connections rest before they are used again.
+    rests: Rests,
     /// When a server last said more than it was asked for.
     spoke_at: Option<Nanos>,
     pub(super) lives: Lives,
 }
 
-/// Some servers answer twice, the second time some milliseconds later. It would be taken for the answer to the next request on
-/// that connection: where this has been seen within such a time, connections rest for a while before they are used again, or
-/// are found to have spoken. A request waits for one that rests: a new one costs the server more, and may not come up.
+/// When a connection rests before it is used again. Some servers answer twice, the second time some milliseconds later: it would be
+/// taken for the answer to the next request on that connection. One that has rested is found to have spoken. A request waits for one
+/// that rests: a new one costs the server more, and may not come up.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Rests {
+    /// Always, where servers are known to do so: the first such answer must not be another client's either.
+    Always,
+    /// For a while after a server has done so. Where requests come without a pause, a rest would cost a connection for each.
+    WhereServersSpeakUnasked,
+}
+
+/// For so long after it has been seen.
 const SPOKEN: Nanos = 60_000_000_000;
 const REST: Nanos = 10_000_000;
 
@@ -55,8 +66,8 @@
 }
 
 impl Fleet {
-    pub fn new(conn_idle: Nanos) -> Self {
-        Fleet { upstreams: BTreeMap::new(), spoke_at: None, lives: Lives::new(Self::keep(conn_idle)) }
+    pub fn new(conn_idle: Nanos, rests: Rests) -> Self {
+        Fleet { upstreams: BTreeMap::new(), rests, spoke_at: None, lives: Lives::new(Self::keep(conn_idle)) }
     }
 
     fn keep(conn_idle: Nanos) -> Nanos {
@@ -135,10 +146,10 @@
     /// How long connections rest before they are used again.
     fn rest(&self, now: Nanos) -> Nanos {
         let spoken = self.spoke_at.is_some_and(|at| now.saturating_sub(at) < SPOKEN);
-        if spoken {
-            REST
-        } else {
-            0
+        match self.rests {
+            Rests::Always => REST,
+            Rests::WhereServersSpeakUnasked if spoken => REST,
+            Rests::WhereServersSpeakUnasked => 0,
         }
     }
 
@@ -225,7 +236,7 @@
     #[tokio::test]
     async fn connections_rest_where_servers_speak_unasked() {
         let (link, _peer, dial) = link().await;
-        let mut fleet = Fleet::new(10_000 * MS);
+        let mut fleet = Fleet::new(10_000 * MS, Rests::WhereServersSpeakUnasked);
         let entry = Entry { host: "s-0".into(), dial, server: Server::warm(ServerId(0)) };
         let server = fleet.follow(0, ListKind::Full, vec![entry])[0].id;
         let put_back = 100 * MS;
@@ -242,6 +253,20 @@
         assert!(fleet.checkout(server, later).is_some(), "that is long ago");
     }
 
+    /// Where servers are known to answer twice, connections rest whether or not one of them has done so yet.
+    #[tokio::test]
+    async fn connections_rest_from_the_start_where_servers_answer_twice() {
+        let (link, _peer, dial) = link().await;
+        let mut fleet = Fleet::new(10_000 * MS, Rests::Always);
+        let entry = Entry { host: "s-0".into(), dial, server: Server::warm(ServerId(0)) };
+        let server = fleet.follow(0, ListKind::Full, vec![entry])[0].id;
+        let put_back = 100 * MS;
+        fleet.checkin(server, dial, Idle { link, opened: 0, since: put_back });
+        assert!(fleet.checkout(server, put_back + REST - 1).is_none());
+        assert_eq!(fleet.rested_at(server, put_back), Some(put_back + REST));
+        assert!(fleet.checkout(server, put_back + REST).is_some());
+    }
+
     /// What has come on a connection while it was kept is not the answer to the next request, and a close there
     /// would lose it. The runtime may not have been told of either yet.
     #[tokio::test]
@@ -249,7 +274,7 @@
         for word in [&b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"[..], b""] {
             let (link, mut peer, dial) = link().await;
             let socket = link.socket.clone();
-            let mut fleet = Fleet::new(10_000 * MS);
+            let mut fleet = Fleet::new(10_000 * MS, Rests::WhereServersSpeakUnasked);
             let entry = Entry { host: "s-0".into(), dial, server: Server::warm(ServerId(0)) };
             let server = fleet.follow(0, ListKind::Full, vec![entry])[0].id;
             fleet.checkin(server, dial, Idle { link, opened: 0, since: 0 });
@@ -275,7 +300,7 @@
                 server: Server::warm(ServerId(0)),
             };
             let entries = dials.iter().enumerate().map(entry).collect();
-            Fleet::new(1).follow(0, ListKind::Full, entries)
+            Fleet::new(1, Rests::Always).follow(0, ListKind::Full, entries)
         };
         let (a, b) = (list(["127.0.0.1:1", "127.0.0.1:2"]), list(["127.0.0.2:9", "127.0.0.1:1"]));
         assert_eq!(a, b);
--- a/crates/proxy/src/upstream/upstreams.rs
+++ b/crates/proxy/src/upstream/upstreams.rs
@@ -1,7 +1,7 @@
 //! The servers of one pool with their connections, and the attempts on these.
 
 use super::attempt::attempt;
-use super::fleet::{Entry, Fleet};
+use super::fleet::{Entry, Fleet, Rests};
 use super::Shared;
 use crate::socket::Socket;
 use corkhollow_balance::interface::{ListKind, Nanos, Server, ServerId};
@@ -93,9 +93,13 @@
         shared: &Shared,
         list_calls: mpsc::UnboundedSender<ListCall>,
     ) -> Rc<Self> {
+        let rests = match pool.dialect {
+            Dialect::Platform => Rests::Always,
+            Dialect::Http => Rests::WhereServersSpeakUnasked,
+        };
         Rc::new(Upstreams {
             name: pool.name.clone(),
-            fleet: RefCell::new(Fleet::new(pool.idle_timeout)),
+            fleet: RefCell::new(Fleet::new(pool.idle_timeout, rests)),
             dialect: pool.dialect,
             budget: shared.budget.clone(),
             clock: shared.clock,
