Date servers' starts by when lists tell them, not by wall clocks alone

Cause: cold_share (balancer/cold.rs) took a start, told by another machine's wall clock, for a time of this process's clock; update (list.rs) knew a restart only by a later start; checkin (proxy, upstream/fleet.rs) compared that start with when a connection came up, so that behind a clock set forward no connection was kept. Change: balancer/start_times.rs dates a start that a list newly tells between when discovery was last heard without it and now; another start is a restart, whichever way its clock went; connections are compared with our own clock. Starts in a process's first list have no such bound: two later ones that are told 5 s or more before they can have been show that our clock is ahead, and date them anew. Module tests: the same requests to the same servers with clocks right, behind and ahead.

--- a/crates/balance/src/balancer/cold.rs
+++ b/crates/balance/src/balancer/cold.rs
@@ -11,7 +11,7 @@
 
 impl Balancer {
     pub(super) fn cold_share(&self, now: Nanos, i: usize) -> f64 {
-        let started = self.nodes[i].server.started_at;
+        let started = self.nodes[i].start.map_or(0, |start| start.at);
         let age = if started == 0 { self.settings.ramp } else { now.saturating_sub(started) };
         let age = age as f64 / self.settings.ramp as f64;
         (self.settings.cold_from + (1.0 - self.settings.cold_from) * age).min(1.0)
--- a/crates/balance/src/balancer/list.rs
+++ b/crates/balance/src/balancer/list.rs
@@ -110,6 +110,7 @@
             jitter: 1.0,
             reach: size,
             left_at: now,
+            start: None,
         };
         // One that was free may be in use again by now.
         let old = std::iter::from_fn(|| free.pop_front()).find(|&i| self.over(now, i));
@@ -125,12 +126,16 @@
     }
 
     pub(super) fn update(&mut self, now: Nanos, i: usize, server: Server) {
-        let restarted = server.started_at > self.nodes[i].server.started_at;
+        // Another start, whichever way the clock has been set that told it.
+        let restarted = server.started_at != self.nodes[i].server.started_at;
         let fresh = self.nodes[i].server.phase != Phase::Ready;
         if server.phase != Phase::Ready || server.zone != self.nodes[i].server.zone {
             self.leave(now, i, server.phase);
         }
         self.nodes[i].server = server;
+        if server.phase == Phase::Ready {
+            self.date_start(now, i);
+        }
         if server.phase == Phase::Ready && (fresh || restarted) {
             let node = &mut self.nodes[i];
             (node.lag, node.failures) = (Faded { value: 0.0, at: now }, Faded::default());
--- a/crates/balance/src/balancer/mod.rs
+++ b/crates/balance/src/balancer/mod.rs
@@ -1,7 +1,7 @@
 //! All decisions of one node for one pool. Types, events and actions: `src/interface.rs`.
 //!
 //! One file per concern: `list` (who there is), `ranking` and `order` (accomplishment), `queue` (how long an
-//! answer takes), `choice` (JSQ-DAS), `cold`, `health`, `admission`, `attempts`, `retune`. Constants are
+//! answer takes), `choice` (JSQ-DAS), `start_times` and `cold`, `health`, `admission`, `attempts`, `retune`. Constants are
 //! ratios of settings or of observations.
 
 mod admission;
@@ -14,6 +14,7 @@
 mod queue;
 mod ranking;
 mod retune;
+mod start_times;
 
 use crate::interface::*;
 use order::Order;
@@ -47,6 +48,8 @@
     jitter: f64,
     reach: f64,
     left_at: Nanos,
+    /// When its process last started; none before it has been listed as ready.
+    start: Option<start_times::DatedStart>,
 }
 
 #[derive(Clone, Copy)]
@@ -92,6 +95,7 @@
     pub(crate) ready: Vec<Vec<usize>>,
     ranks: Vec<Order>,
     epoch: Nanos,
+    start_clock: start_times::StartClock,
     pending: BTreeMap<RequestId, Pending>,
     pub(crate) places: Vec<retune::Place>,
     waits: Faded,
@@ -141,6 +145,7 @@
             ready: Vec::new(),
             ranks: Vec::new(),
             epoch: 0,
+            start_clock: start_times::StartClock::default(),
             pending: BTreeMap::new(),
             places: settings.classes.iter().map(retune::Place::new).collect(),
             waits: Faded::default(),
--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -280,6 +280,11 @@
         self.step(|all, now, sink| all.list(now, kind, servers, sink));
     }
 
+    /// Discovery has been heard: see [`Requests::heard`].
+    pub fn heard(&self) {
+        self.requests.borrow_mut().heard(self.clock.now());
+    }
+
     /// Other settings take over: see [`Requests::retune`].
     ///
     /// # Errors
--- a/crates/proxy/src/upstream/fleet.rs
+++ b/crates/proxy/src/upstream/fleet.rs
@@ -24,7 +24,10 @@
 struct Upstream {
     host: Arc<str>,
     dial: SocketAddr,
+    /// When its process started, as the list tells it by another machine's clock: compared with itself alone.
     started_at: Nanos,
+    /// Since when it has been listed with this start, on our own clock; 0 for the first.
+    started_anew_at: Nanos,
     /// Since when it takes nothing new.
     closed_at: Option<Nanos>,
     /// Oldest first: the newest is used first, so that the others can age and close.
@@ -94,11 +97,13 @@
                 host: entry.host.into(),
                 dial,
                 started_at,
+                started_anew_at: 0,
                 closed_at: None,
                 idle: Vec::new(),
             });
             if upstream.dial != dial || upstream.started_at != started_at {
                 (upstream.dial, upstream.started_at) = (dial, started_at);
+                upstream.started_anew_at = now;
                 upstream.idle.clear();
             }
             if entry.server.phase == Phase::Ready {
@@ -166,7 +171,7 @@
 
     pub(super) fn checkin(&mut self, server: ServerId, dial: SocketAddr, idle: Idle) {
         if let Some(u) = self.upstreams.get_mut(&server) {
-            if u.closed_at.is_none() && u.dial == dial && u.started_at <= idle.opened {
+            if u.closed_at.is_none() && u.dial == dial && u.started_anew_at <= idle.opened {
                 u.idle.push(idle);
             }
         }
