--- a/crates/balance/src/balancer/mod.rs
+++ b/crates/balance/src/balancer/mod.rs
@@ -1,8 +1,8 @@
 //! All decisions of one node for one pool. Types, events and actions: `src/interface.rs`.
 //!
 //! One file per concern: `list` (who there is), `ranking` and `order` (accomplishment), `queue` (how long an
-//! answer takes), `choice` (JSQ-DAS), `start_times` and `cold`, `health`, `admission`, `attempts`, `retune`. Constants are
-//! ratios of settings or of observations.
+//! answer takes), `choice` (JSQ-DAS), `start_times` and `cold` (servers that have just started), `health`,
+//! `admission`, `attempts`, `retune`. Constants are ratios of settings or of observations.
 
 mod admission;
 mod attempts;
