--- a/crates/balance/src/balancer/start_times.rs
+++ b/crates/balance/src/balancer/start_times.rs
@@ -1,7 +1,7 @@
-//! When servers started, on the clock of the balancer's own process. Lists tell it by the wall clock of another
-//! machine, and either clock may be set forward or back by any amount. What a wall clock cannot change is that a
-//! server that a list newly names, or names with another start, has started since the list was last heard
-//! without it.
+//! When servers started, on the clock of the balancer's own process. Lists tell it by the wall clock of
+//! another machine, and either clock may be set forward or back by any amount. What a wall clock cannot change
+//! is that a server that a list newly names, or names with another start, has started since the list was last
+//! heard without it.
 
 use super::{Balancer, Node};
 use crate::interface::Nanos;
@@ -57,8 +57,8 @@
         }
     }
 
-    /// Starts that are told long before they can have been show that our clock is ahead: then those in the first
-    /// list, which nothing bounds, are later too.
+    /// Starts that are told long before they can have been show that our clock is ahead: then those in the
+    /// first list, which nothing bounds, are later too.
     fn compare_clocks(&mut self, now: Nanos, told: Nanos, heard_at: Nanos) {
         let clock = &mut self.start_clock;
         if heard_at.saturating_sub(told) < MIN_SKEW {
