Show that SIGHUP during a process's start ends it

Lines: commands/run.rs registers SIGHUP in serve, behind reading the file and meeting other processes; before that the system's default ends the process.

--- /dev/null
+++ b/crates/corkhollow/tests/start.rs
@@ -0,0 +1,89 @@
+//! Signals that come while a process is starting.
+
+use corkhollow_standin::*;
+use std::fs::{File, OpenOptions};
+use std::io::{BufRead, BufReader, Write};
+use std::os::unix::fs::OpenOptionsExt;
+use std::process::{Child, Command, Stdio};
+use std::thread;
+use std::time::{Duration, Instant};
+
+/// `O_NONBLOCK` of Linux.
+const NO_WAIT: i32 = 0o4000;
+
+/// A configuration that is a pipe: the process waits in the middle of its start until a test writes the file into it.
+struct SlowFile {
+    folder: Folder,
+}
+
+impl SlowFile {
+    fn new(name: &str) -> Self {
+        let folder = Folder::new(name);
+        let file = SlowFile { folder };
+        assert!(Command::new("mkfifo").arg(file.path()).status().unwrap().success());
+        file
+    }
+
+    fn path(&self) -> std::path::PathBuf {
+        self.folder.0.join("file")
+    }
+
+    /// Waits until a process reads it; it reads on until what this returns is dropped.
+    fn wait_for_reader(&self) -> File {
+        let mut writer = None;
+        let begun = Instant::now();
+        while writer.is_none() {
+            assert!(begun.elapsed() < Duration::from_secs(20), "nobody reads the file");
+            // Without waiting: that fails as long as nobody reads.
+            writer = OpenOptions::new().write(true).custom_flags(NO_WAIT).open(self.path()).ok();
+            thread::sleep(Duration::from_millis(1));
+        }
+        writer.unwrap()
+    }
+}
+
+fn signal(child: &Child, name: &str) {
+    assert!(Command::new("kill").args([name, &child.id().to_string()]).status().unwrap().success());
+}
+
+fn listens(child: &mut Child) -> bool {
+    let lines = BufReader::new(child.stderr.take().unwrap()).lines();
+    lines.map_while(Result::ok).any(|line| line.contains("listening on "))
+}
+
+/// SIGHUP before the process has read its file: there is nothing to take over yet. It starts with the file, and does not die of
+/// the signal.
+#[test]
+fn a_signal_to_reload_during_the_start_ends_no_process() {
+    let servers = Servers::new(1, |_, _| ok("fine"));
+    let discovery = Discovery::new(vec![servers.list(1)], true);
+    let platform = config(discovery.address, &Options::default());
+    let site = format!(
+        "[[listener]]\nname = \"web\"\naddress = \"127.0.0.1:0\"\n[[pool]]\nname = \"main\"\n\
+         servers = [{{ address = \"{}\" }}]\n[[route]]\nname = \"all\"\npool = \"main\"\n",
+        servers.dials[0]
+    );
+    for (name, text) in [("platform", platform), ("site", site)] {
+        let file = SlowFile::new(&format!("start-{name}"));
+        let mut command = Command::new(program());
+        match name {
+            "platform" => command.arg("run").env("GW_CONFIG", file.path()),
+            _ => command.args(["run", "--config"]).arg(file.path()),
+        };
+        let mut child = command.stderr(Stdio::piped()).spawn().unwrap();
+        let mut writer = file.wait_for_reader();
+        for _ in 0..3 {
+            signal(&child, "-HUP");
+        }
+        thread::sleep(Duration::from_millis(50));
+        let ended = child.try_wait().unwrap();
+        if ended.is_none() {
+            writer.write_all(text.as_bytes()).unwrap();
+        }
+        drop(writer);
+        let listening = ended.is_none() && listens(&mut child);
+        let _ = child.kill();
+        let _ = child.wait();
+        assert!(listening, "{name}: it does not listen; it had ended with {ended:?} by then");
+    }
+}
