Take SIGHUP from a process's start on

Cause: run registered SIGHUP in serve, behind reading the configuration and meeting other processes; until then the system's default ended the process (commands/run.rs). Change: SIGHUP is registered before the configuration is read, and kept: a file that was replaced meanwhile is read again once the process serves. SIGTERM ends a process at once until it serves, as before (a test is added). What is left: the first moments of a process, before its first line runs, are the system's.

--- a/crates/balance/src/balancer/start_times.rs
+++ b/crates/balance/src/balancer/start_times.rs
@@ -1,7 +1,7 @@
 //! When servers started, on the clock of the balancer's own process. Lists tell it by the wall clock of
-//! another machine, and either clock may be set forward or back by any amount. What a wall clock cannot change
-//! is that a server that a list newly names, or names with another start, has started since the list was last
-//! heard without it.
+//! another machine, and either clock may be set forward or back by any amount. What a wall clock cannot
+//! change is that a server that a list newly names, or names with another start, has started since the list
+//! was last heard without it.
 
 use super::{Balancer, Node};
 use crate::interface::Nanos;
--- a/crates/corkhollow/src/commands/run.rs
+++ b/crates/corkhollow/src/commands/run.rs
@@ -27,7 +27,7 @@
 use std::sync::Arc;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 use tokio::net::{TcpListener, TcpSocket};
-use tokio::signal::unix::{signal, SignalKind};
+use tokio::signal::unix::{signal, Signal, SignalKind};
 use tokio::sync::Notify;
 use tokio::task::{spawn_local, JoinHandle, LocalSet};
 use tokio::time::timeout_at;
@@ -84,6 +84,15 @@
         end_with_stdin()?;
     }
     let handed = succession::handed().map_err(StartError::from)?;
+    let runtime =
+        tokio::runtime::Builder::new_current_thread().enable_all().build().map_err(StartError::from)?;
+    LocalSet::new().block_on(&runtime, start(args, handed))
+}
+
+/// Reads the configuration and serves by it. A SIGHUP that comes while it is read is kept: the file may be newer than what was
+/// read. SIGTERM ends the process at once until then, as nothing has been taken yet.
+async fn start(args: RunArgs, handed: Vec<std::net::TcpListener>) -> Result<(), Failure> {
+    let hang_up = signal(SignalKind::hangup()).map_err(StartError::from)?;
     let (told, plan) = match args.config {
         Some(path) => {
             let plan = first(&path, args.operator)?;
@@ -97,9 +106,7 @@
     };
     background::hush();
     let neighbours = neighbours(&handed);
-    let runtime =
-        tokio::runtime::Builder::new_current_thread().enable_all().build().map_err(StartError::from)?;
-    Ok(LocalSet::new().block_on(&runtime, serve(told, plan, handed, neighbours))?)
+    Ok(serve(hang_up, told, plan, handed, neighbours).await?)
 }
 
 /// The C library gives free memory back to the system once there is more than this of it at an end. Left to itself it raises that to
@@ -246,13 +253,13 @@
 }
 
 async fn serve(
+    mut hang_up: Signal,
     told: Told,
     plan: Plan,
     handed: Vec<std::net::TcpListener>,
     neighbours: Option<Neighbours>,
 ) -> Result<(), StartError> {
     let mut terminate = signal(SignalKind::terminate())?;
-    let mut hang_up = signal(SignalKind::hangup())?;
     let clock = Clock::start();
     let neighbours = neighbours.map(Rc::new);
     let own = if plan.fleet.is_some() { membership::DESCRIPTORS } else { 0 };
--- a/crates/corkhollow/tests/start.rs
+++ b/crates/corkhollow/tests/start.rs
@@ -87,3 +87,22 @@
         assert!(listening, "{name}: it does not listen; it had ended with {ended:?} by then");
     }
 }
+
+/// SIGTERM there ends the process at once: it has taken nothing.
+#[test]
+fn a_signal_to_end_during_the_start_ends_the_process() {
+    let file = SlowFile::new("start-end");
+    let mut child = Command::new(program()).arg("run").env("GW_CONFIG", file.path()).spawn().unwrap();
+    let writer = file.wait_for_reader();
+    signal(&child, "-TERM");
+    let begun = Instant::now();
+    let ended = loop {
+        match child.try_wait().unwrap() {
+            None if begun.elapsed() < Duration::from_secs(5) => thread::sleep(Duration::from_millis(2)),
+            ended => break ended,
+        }
+    };
+    drop(writer);
+    let _ = child.kill();
+    assert!(ended.is_some(), "it still waits for its file");
+}
