Ask again whether a connection may be closed when the close is carried out

Cause: a close is chosen by one task and carried out by the one that serves the connection (http1::clients::serve); a cut asked nothing there, and a close between requests took half a head for none, as hyper does. Change: closing::carry_out goes by the connection's state at that moment: a cut is dropped where bytes have come or the request has gone on, a head that has begun is answered and is the last. The same mistake elsewhere: should_close no longer chooses a cut over bytes that wait in the kernel; what a client sends behind its request is no progress of an answer.

--- a/crates/proxy/src/http1/clients.rs
+++ b/crates/proxy/src/http1/clients.rs
@@ -368,7 +368,9 @@
             _ = client.close.notified() => {
                 let Some(reason) = client.closing.get() else { continue };
                 let unread = || !client.socket.quiet();
-                match carry_out(reason, &client.state(service.clock.now()), unread) {
+                let state = client.state(service.clock.now());
+                match carry_out(reason, &state, &service.close_limits(), unread) {
+                    CloseDecision::Keep => client.closing.set(None),
                     CloseDecision::CloseAfterAnswer => {
                         client.closing.set(None);
                         client.last.set(true);
--- a/crates/proxy/src/http1/closing.rs
+++ b/crates/proxy/src/http1/closing.rs
@@ -81,6 +81,8 @@
 /// What is done with a connection.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum CloseDecision {
+    /// Nothing: the reason is gone.
+    Keep,
     /// It is closed once the request under way, if there is one, is answered.
     Close,
     /// A request is coming: it is answered, and the connection closed behind it.
@@ -103,31 +105,39 @@
         CloseReason::IdleTimeout => resting && state.still_for >= limits.idle && !unread(),
         CloseReason::ListenerRemoved => true,
         CloseReason::SlowHead => {
-            let late = |time: Option<Duration>| time.is_some_and(|time| time > limits.head);
-            let silent = state.head_for.is_none() && late(state.silent_for);
-            state.stage == Stage::Idle && (late(state.head_for) || (silent && !unread()))
+            let begun = state.head_for.or(state.silent_for);
+            let late = state.stage == Stage::Idle && begun.is_some_and(|time| time > limits.head);
+            late && !unread()
+        }
+        CloseReason::Stalled => {
+            let still = !resting && state.still_for >= limits.stall;
+            // Behind a request, what a client sends is not read: it is no progress of its answer.
+            let moves = matches!(state.stage, Stage::Idle | Stage::Reading);
+            still && !(moves && unread())
         }
-        CloseReason::Stalled => !resting && state.still_for >= limits.stall,
     }
 }
 
-/// How a close that was chosen is carried out, now that the connection is in this state.
+/// How a close that was chosen is carried out, now that the connection is in this state: bytes may have come since, and what has begun
+/// with them is owed its answer.
 pub fn carry_out(
     reason: CloseReason,
     state: &ConnectionState,
+    limits: &CloseLimits,
     unread: impl FnOnce() -> bool,
 ) -> CloseDecision {
     match reason {
-        CloseReason::SlowHead | CloseReason::Stalled => CloseDecision::Cut,
+        CloseReason::SlowHead | CloseReason::Stalled => match should_close(reason, state, limits, unread) {
+            true => CloseDecision::Cut,
+            false => CloseDecision::Keep,
+        },
         CloseReason::IdleTimeout
         | CloseReason::MakeRoom
         | CloseReason::Leaving
-        | CloseReason::ListenerRemoved => {
-            // A request that has come since is answered. One that does not come to its end is cut like any other.
-            match state.is_resting() && unread() {
-                true => CloseDecision::CloseAfterAnswer,
-                false => CloseDecision::Close,
-            }
-        }
+        | CloseReason::ListenerRemoved => match state.stage {
+            // A head that does not come to its end is cut like any other.
+            Stage::Idle if !state.is_resting() || unread() => CloseDecision::CloseAfterAnswer,
+            Stage::Idle | Stage::Reading | Stage::Waiting | Stage::Writing => CloseDecision::Close,
+        },
     }
 }
