Time a head from when it came, also where it came behind another request

Cause: Socket::forget dropped all that was known of what had come, and what hyper held of the next request with it: half a head counted as none until its client sent more. Change: the socket counts what it has handed to hyper against the request's head and body; what is over is the beginning of the next request, and its time runs.

--- a/crates/proxy/src/http1/clients.rs
+++ b/crates/proxy/src/http1/clients.rs
@@ -63,6 +63,8 @@
     last: Cell<bool>,
     /// All of the request under way is here.
     whole: Cell<bool>,
+    /// How long the body of the request under way is, where that is known.
+    body_length: Cell<Option<u64>>,
     /// The last answer may have left some of its request unread.
     unread: Cell<bool>,
     close: Notify,
@@ -257,6 +259,7 @@
             last: Cell::new(false),
             whole: Cell::new(false),
             unread: Cell::new(false),
+            body_length: Cell::new(None),
             close: Notify::new(),
             tally: RefCell::default(),
             rest: RefCell::default(),
@@ -434,7 +437,7 @@
         self.client.rest.take();
         self.client.stage.set(Stage::Idle);
         self.client.idle_since.set(self.service.clock.now());
-        self.client.socket.forget();
+        self.client.socket.forget(self.client.body_length.get());
     }
 }
 
@@ -456,6 +459,7 @@
     let listener = site.plan.listeners.iter().position(|l| *l.name == *client.listener);
     let dialect = listener.map_or(Dialect::Http, |l| site.plan.listeners[l].dialect);
     let bodiless = request.body().is_end_stream();
+    client.body_length.set(request.body().size_hint().exact());
     let hides = chunked && !(seen && dialect == Dialect::Http);
     let mut response = match dialect {
         _ if head_length(&request) > site.plan.limits.header_bytes => too_long(),
--- a/crates/proxy/src/socket.rs
+++ b/crates/proxy/src/socket.rs
@@ -39,6 +39,12 @@
     /// What is to go out before anything else of hyper's: one message at most.
     said: RefCell<Vec<u8>>,
     first: RefCell<Vec<u8>>,
+    /// How much has been handed to hyper since the first byte of the request under way, and where its head ends there, once that is
+    /// known.
+    received: Cell<u64>,
+    head_end: Cell<Option<u64>>,
+    /// Where what is kept of that begins.
+    first_at: Cell<u64>,
     /// What the node has read before hyper wanted it.
     ahead: RefCell<Vec<u8>>,
 }
@@ -95,6 +101,9 @@
             flushed: Cell::new(true),
             said: RefCell::default(),
             first: RefCell::default(),
+            received: Cell::default(),
+            head_end: Cell::default(),
+            first_at: Cell::default(),
             ahead: RefCell::default(),
         })
     }
@@ -105,21 +114,33 @@
         if self.heard.get().is_none() {
             self.heard.set(Some(Instant::now()));
             first.clear();
+            self.received.set(0);
+            self.first_at.set(0);
+            self.head_end.set(None);
         }
+        self.received.set(self.received.get() + bytes.len() as u64);
         if !first.ends_with(HEAD_END) {
             let (room, seen) = (FIRST - first.len(), first.len().saturating_sub(HEAD_END.len() - 1));
             first.extend_from_slice(&bytes[..bytes.len().min(room)]);
             // Only the head is kept: a body may say what it likes, and memory is short.
             if let Some(end) = memmem::find(&first[seen..], HEAD_END) {
                 first.truncate(seen + end + HEAD_END.len());
+                let head_end = self.first_at.get() + first.len() as u64;
+                self.head_end.set(self.head_end.get().or(Some(head_end)));
             }
         }
     }
 
-    /// A request is over: what comes next is another's.
-    pub fn forget(&self) {
-        self.heard.set(None);
+    /// A request with a body of this length, where that is known, is over: what comes next is another's. What came behind it in one
+    /// piece is in hyper's hands already, and is the beginning of that one.
+    pub fn forget(&self, body: Option<u64>) {
+        let whole = self.head_end.get().zip(body).map(|(head, body)| head + body);
+        let behind = whole.map_or(0, |whole| self.received.get().saturating_sub(whole));
+        self.heard.set((behind > 0).then(Instant::now));
         self.first.borrow_mut().clear();
+        self.received.set(behind);
+        self.first_at.set(behind);
+        self.head_end.set(None);
     }
 
     /// Whether what came first is the whole head of a request with this method. It is not where the head, or the
--- a/crates/proxy/tests/closing.rs
+++ b/crates/proxy/tests/closing.rs
@@ -154,3 +154,19 @@
         assert_eq!(bench.receive().await, (String::new(), true));
     });
 }
+
+/// Where the rest of that head comes, the request is answered and its connection is kept.
+#[test]
+fn a_head_that_comes_to_its_end_behind_another_request_is_answered_and_its_connection_kept() {
+    play(|| async {
+        let mut bench = Bench::new().await;
+        bench.send(&[REQUEST, &REQUEST[..20]].concat());
+        bench.run().await;
+        bench.send(&REQUEST[20..]);
+        let (answers, ended) = bench.receive().await;
+        assert!(answers.matches("HTTP/1.1 404 ").count() == 2 && !ended, "{answers:?}, ended: {ended}");
+        tokio::time::sleep(2 * HEAD_WITHIN).await;
+        bench.clients.cut_heads();
+        assert_eq!(bench.receive().await, (String::new(), false));
+    });
+}
