Count an answer as under way until its last byte is written

Cause: Outgoing::drop sets the connection to between requests when hyper has taken the answer's end into its buffer (http1/clients.rs). Change: while hyper has something left to write, a decision on the connection's end takes its answer for under way: it is cut when nothing moves for the stall timeout, and no longer counts as a place that can be freed.

--- a/crates/proxy/src/http1/clients.rs
+++ b/crates/proxy/src/http1/clients.rs
@@ -79,8 +79,13 @@
     /// What a decision on its end goes by, as of now.
     fn state(&self, now: Nanos) -> ConnectionState {
         let since = |at: Option<Instant>| at.map(|at| at.elapsed());
+        let stage = match self.stage.get() {
+            // Hyper has the end of the answer, and the client has not taken it.
+            Stage::Idle if !self.socket.has_flushed() => Stage::Writing,
+            stage => stage,
+        };
         ConnectionState {
-            stage: self.stage.get(),
+            stage,
             head_for: since(self.socket.heard.get()),
             silent_for: since(self.fresh_since.get()),
             still_for: Duration::from_nanos(now.saturating_sub(self.still_since.get())),
--- a/crates/proxy/src/socket.rs
+++ b/crates/proxy/src/socket.rs
@@ -183,6 +183,11 @@
         self.written_at.get().map(|at| at.elapsed())
     }
 
+    /// Hyper has nothing left to write.
+    pub fn has_flushed(&self) -> bool {
+        self.flushed.get()
+    }
+
     /// Writes a message of its own between two of hyper's; nothing where hyper is in the middle of one, or where the
     /// peer has not even taken the message before.
     pub fn say(&self, message: &[u8]) {
