Show that a long body is sent on whole for a client that has left

Read in upload::Passing and Client::leaves: a body that goes on as it comes is read once there is a connection, and its client's end, which TCP delivers behind it, is looked for from its last byte on; what reads the end and what writes the last byte race.

--- a/crates/corkhollow/tests/leaving.rs
+++ b/crates/corkhollow/tests/leaving.rs
@@ -75,6 +75,34 @@
     }
 }
 
+/// A body that goes on as it comes is read only once there is a connection for it, and the end of its client is seen only behind it:
+/// the last byte, with which its server would begin, is not sent on.
+#[test]
+fn nothing_whole_is_sent_for_a_client_that_left_behind_a_long_body() {
+    let play = |resets: bool| {
+        let server = Full::new();
+        let discovery = Discovery::new(vec![list(1, true, &[host("s-0", server.dial, "active")])], true);
+        // A sixteenth of the memory, 1 MiB, is kept of a body.
+        let node = Node::of(&patient(discovery.address).replace("\"memory_mb\":192", "\"memory_mb\":16"));
+        node.ready();
+        let request = post("/once/1", &[b'x'; 1_200_000]);
+        let mut client = node.connect();
+        client.write_all(&request).unwrap();
+        until("its connection is coming up", || node.figure("gw_server_connections") == Some(1.0));
+        leave(client, 0, resets);
+        let seen = server.open(COMES);
+        outstanding(&node, 0);
+        // The request goes on with the same length.
+        assert!(seen.len() < request.len(), "resets: {resets}: all {} bytes are sent on", seen.len());
+    };
+    // What reads the end and what writes the last byte race: of so many one loses.
+    std::thread::scope(|all| {
+        for number in 0..24 {
+            all.spawn(move || play(number == 0));
+        }
+    });
+}
+
 #[test]
 fn nor_for_two_hundred_at_once() {
     let server = Full::new();
