Hold back the last byte of a long body whose client has left

Cause: Passing (http1/upload.rs) handed the end of a body on and had its client looked for only then. Change: where the kernel tells, right behind the last byte, that the client has ended or reset its connection, the body breaks off instead: its server never has the whole request.

--- a/crates/proxy/src/http1/upload.rs
+++ b/crates/proxy/src/http1/upload.rs
@@ -146,6 +146,13 @@
 }
 
 impl Passing {
+    /// The last byte has come. Where its client has left behind it, it must not go on: the server would begin with it. False then.
+    fn end(&self) -> bool {
+        let left = self.progress.ended_at.get().is_none() && self.client.socket.has_ended();
+        self.ended(left);
+        !left
+    }
+
     fn ended(&self, failed: bool) {
         if self.progress.ended_at.get().is_none() {
             self.progress.ended_at.set(Some(self.clock.now()));
@@ -225,8 +232,8 @@
                     this.ended(true);
                     return Poll::Ready(Some(Err(Broken)));
                 }
-                if over {
-                    this.ended(false);
+                if over && !this.end() {
+                    return Poll::Ready(Some(Err(Broken)));
                 }
                 Poll::Ready(Some(Ok(frame)))
             }
@@ -234,10 +241,10 @@
                 this.ended(true);
                 Poll::Ready(Some(Err(Broken)))
             }
-            Poll::Ready(None) => {
-                this.ended(false);
-                Poll::Ready(None)
-            }
+            Poll::Ready(None) => match this.end() {
+                true => Poll::Ready(None),
+                false => Poll::Ready(Some(Err(Broken))),
+            },
             Poll::Pending => {
                 if !std::mem::replace(&mut this.waiting, true) {
                     this.timer.as_mut().reset(due(&this.rules, this.begun, this.got));
--- a/crates/proxy/src/socket.rs
+++ b/crates/proxy/src/socket.rs
@@ -261,6 +261,15 @@
         socket2::SockRef::from(&*self.stream.borrow()).peek(&mut byte).is_ok_and(|n| n > 0)
     }
 
+    /// The peer has ended its side or the connection has broken, and there is nothing to read before that. This asks the kernel itself.
+    pub fn has_ended(&self) -> bool {
+        let mut byte = [MaybeUninit::uninit()];
+        match socket2::SockRef::from(&*self.stream.borrow()).peek(&mut byte) {
+            Ok(count) => count == 0 && self.ahead.borrow().is_empty(),
+            Err(error) => !matches!(error.kind(), io::ErrorKind::WouldBlock | io::ErrorKind::Interrupted),
+        }
+    }
+
     /// Nothing has come and the peer has not closed. This asks the kernel itself: what the runtime knows may
     /// be older than a close that would lose the next request.
     pub fn quiet(&self) -> bool {
