Show that a drain is lost where the clock was set back between two starts

The test stands for the process that serves and writes down what it knows; where its clock is an hour behind that of the next one, that one begins cold and takes clients, though the operator drains the node. Line: succession::told compares the older process's times, on its own clock, with when this one joined.

--- a/crates/corkhollow/tests/upgrade.rs
+++ b/crates/corkhollow/tests/upgrade.rs
@@ -1,11 +1,13 @@
 //! One process replaces another under load, on a listening socket that both are handed.
 
+use corkhollow_balance::Knowledge;
+use corkhollow_operate::{Handover, PoolHandover};
 use corkhollow_standin::*;
 use std::io::{Read, Write};
 use std::net::TcpListener;
 use std::sync::atomic::{AtomicBool, Ordering::SeqCst};
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 fn is_ready(node: &Node) -> bool {
     node.call("GET", "/-/ready").is_some_and(|m| m.status() == 200)
@@ -252,3 +254,34 @@
     until("it is ready", || is_ready(&node));
     assert_eq!(node.get("/safe/1", "").unwrap().status(), 200);
 }
+
+/// What a process that is being replaced writes down, with its drain, holds for the next one whichever way the wall clock was set
+/// between their starts: each reads it once, so that their clocks differ by that.
+#[test]
+fn a_drain_is_handed_over_whichever_way_the_clock_was_set_between_the_starts() {
+    const HOUR: i64 = 3_600_000_000_000;
+    let servers = Servers::new(1, |_, _| ok("fine"));
+    let discovery = Discovery::new(vec![servers.list(1)], true);
+    for (name, shift) in [("right", 0), ("behind", -HOUR), ("ahead", HOUR)] {
+        let folder = Folder::new(&format!("upgrade-clock-{name}"));
+        let socket = TcpListener::bind("127.0.0.1:0").unwrap();
+        let path = |kind: &str| folder.0.join(format!("corkhollow-{kind}-{}", socket.local_addr().unwrap()));
+        // This test is the process that serves: it holds the lock, and writes what it knows.
+        let serving = std::fs::File::create(path("serving")).unwrap();
+        serving.lock().unwrap();
+        let next = Node::handed(&socket, &folder.0, discovery.address, &Options::default());
+        let begun = Instant::now();
+        let drains = || next.log.lock().unwrap().iter().any(|line| line.contains("begins drained"));
+        while !drains() {
+            assert!(begun.elapsed() < Duration::from_secs(5), "{name}: {:?}", next.log.lock().unwrap());
+            let now = SystemTime::now().duration_since(UNIX_EPOCH).unwrap().as_nanos() as i64;
+            let knowledge = Knowledge { at: (now + shift) as u64, classes: Vec::new(), servers: Vec::new() };
+            let pool = PoolHandover { name: "platform".into(), classes: Vec::new(), knowledge };
+            let told = Handover { drains: true, fleet: None, pools: vec![pool] };
+            std::fs::write(path("draft"), told.encode().unwrap()).unwrap();
+            std::fs::rename(path("draft"), path("knowledge")).unwrap();
+            std::thread::sleep(Duration::from_millis(50));
+        }
+        assert!(!is_ready(&next), "{name}: it is drained");
+    }
+}
