Date a hand-over by its file's age, not by the older process's clock

Cause: succession::told and Knowledge::is_sound took the older process's times for those of this one's clock; each process reads the wall clock once, at its start. Change: what is handed over is shifted to this process's clock by the age of its file, as the system tells it.

--- a/crates/balance/src/knowledge.rs
+++ b/crates/balance/src/knowledge.rs
@@ -67,6 +67,17 @@
 }
 
 impl Knowledge {
+    /// The same on another clock, which is ahead by this many nanoseconds.
+    pub fn shift(&mut self, ahead: i64) {
+        let shift = |time: &mut Nanos| *time = time.saturating_add_signed(ahead);
+        shift(&mut self.at);
+        for server in &mut self.servers {
+            shift(&mut server.lag_at);
+            shift(&mut server.failures_at);
+            shift(&mut server.blocked_until);
+        }
+    }
+
     /// Whether this can be what a balancer knew shortly before `now`.
     pub fn is_sound(&self, now: Nanos) -> bool {
         let within = |value: f64, most: f64| (0.0..=most).contains(&value);
--- a/crates/balance/tests/knowledge.rs
+++ b/crates/balance/tests/knowledge.rs
@@ -172,3 +172,27 @@
         prop_assert!(served > 90, "{} of the last 100 sent", served);
     }
 }
+
+/// Knowledge of a process whose clock is off by an hour is the same knowledge on another clock.
+#[test]
+fn knowledge_goes_on_on_another_clock() {
+    const HOUR: Nanos = 3_600_000 * MS;
+    let server = ServerKnown {
+        id: server(1),
+        started_at: 5,
+        lag: 1.5,
+        lag_at: 2 * HOUR,
+        score: 1.0,
+        strikes: 2,
+        blocked_until: 2 * HOUR + MS,
+        failures: 0.5,
+        failures_at: 2 * HOUR - MS,
+    };
+    let known = Knowledge { at: 2 * HOUR, classes: Vec::new(), servers: vec![server] };
+    let mut ahead = known.clone();
+    ahead.shift(HOUR as i64);
+    assert_eq!((ahead.at, ahead.servers[0].blocked_until), (3 * HOUR, 3 * HOUR + MS));
+    assert!(ahead.is_sound(3 * HOUR + MS) && !ahead.is_sound(2 * HOUR));
+    ahead.shift(-(HOUR as i64));
+    assert_eq!(ahead, known, "and back; what a server's start was told as is no time of ours");
+}
--- a/crates/corkhollow/src/succession.rs
+++ b/crates/corkhollow/src/succession.rs
@@ -142,18 +142,22 @@
         })
     }
 
-    /// What the older process has learnt, as written since this one joined, `now` on the clock of both. Whatever else is
-    /// found there is passed over.
+    /// What the older process has learnt, as written since this one joined, on this one's clock, which tells `now`. Whatever else is
+    /// found there is passed over. How old the file is, the system tells: it is written anew several times a second, and a clock that
+    /// is set in between costs one of these times.
     pub fn told(&self, now: Nanos) -> Option<Handover> {
         let joined = now.saturating_sub(self.joined.get().elapsed().as_nanos() as Nanos);
         let file = File::open(&self.knowledge_path).ok()?;
+        let age = file.metadata().ok()?.modified().ok()?.elapsed().ok()?;
+        let written_at = now.saturating_sub(age.as_nanos() as Nanos);
         // In a folder that others may write to, only what this user has written counts.
         if file.metadata().ok()?.uid() != std::fs::metadata("/proc/self").ok()?.uid() {
             return None;
         }
         let mut bytes = Vec::new();
         file.take(LONGEST_HANDOVER as u64 + 1).read_to_end(&mut bytes).ok()?;
-        Handover::decode(&bytes).ok().filter(|told| told.written_at().is_some_and(|at| at >= joined))
+        let told = Handover::decode(&bytes).ok().filter(|told| told.written_at().is_some())?;
+        (written_at >= joined).then(|| told.dated(written_at))
     }
 
     /// Its turn has come: what has been told before is nobody's.
