Show that a request that waits in a full process's backlog is told too much time

Read in http1::clients::accept: where clients that stop in their heads hold all places, nothing is accepted for over two seconds, and platform::answer counts a request's time from when it reads it.

--- /dev/null
+++ b/crates/corkhollow/tests/backlog.rs
@@ -0,0 +1,56 @@
+//! Requests that wait in the kernel's backlog, because a process has no place for their connections.
+
+use corkhollow_standin::*;
+use std::io::Write;
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+/// What a server may be told beyond what its client has left.
+const TOLD_SLACK: Duration = Duration::from_millis(150);
+
+/// Clients that stop in their heads hold all places for over two seconds. What waits behind them that long has that much less time: one
+/// whose time is over goes to no server, and a server is told what is left of the other's.
+#[test]
+fn time_in_the_backlog_counts() {
+    let sent_at = Arc::new(Mutex::new(None::<Instant>));
+    let told = Arc::new(Mutex::new(Vec::new()));
+    let (sent, tells) = (sent_at.clone(), told.clone());
+    let servers = Servers::new(1, move |_, message| {
+        let passed = sent.lock().unwrap().map_or(Duration::ZERO, |at| at.elapsed());
+        let told = message.header("x-timeout-ms").unwrap().parse().map(Duration::from_millis).unwrap();
+        tells.lock().unwrap().push((passed, told, message.body.clone()));
+        ok("fine")
+    });
+    let discovery = Discovery::new(vec![servers.list(1)], true);
+    let node = Node::start(discovery.address, &Options { sockets: 64, ..Options::default() });
+    node.ready();
+    // An eighth more than the places for clients is kept for those that are only told to come back.
+    let places = node.figure("gw_client_connections_most").unwrap() as usize;
+    let stopped: Vec<_> = (0..places + places / 8)
+        .map(|_| {
+            let mut client = node.connect();
+            client.write_all(b"GET /safe/1 HTTP/1.1\r\nHost:").unwrap();
+            client
+        })
+        .collect();
+    let all_held = || node.figure("gw_client_connections") == Some(stopped.len() as f64);
+    until("they hold all places", all_held);
+    let ask = |body: &[u8], patience: &str| {
+        let request = String::from_utf8(post("/once/1", body)).unwrap();
+        let mut client = node.connect();
+        client.write_all(request.replace("X-Timeout-Ms: 2500", patience).as_bytes()).unwrap();
+        client
+    };
+    *sent_at.lock().unwrap() = Some(Instant::now());
+    let mut short = ask(b"short", "X-Timeout-Ms: 1000");
+    let mut long = ask(b"long", "X-Timeout-Ms: 2900");
+    let short = read(&mut short).expect("an answer").status();
+    assert!([503, 504].contains(&short), "its time was over: {short}");
+    let long = read(&mut long).expect("an answer").status();
+    assert!([200, 503, 504].contains(&long), "{long}");
+    for (passed, told, body) in told.lock().unwrap().iter() {
+        let patience = Duration::from_millis(if body == b"short" { 1_000 } else { 2_900 });
+        let left = patience.saturating_sub(*passed);
+        assert!(*told <= left + TOLD_SLACK, "{told:?} told, {left:?} left after {passed:?}");
+    }
+}
