Count the time in a full process's backlog against a request's time

Cause: platform::answer counted from when it read a request; Clients::accept accepts nothing while all places are taken. Change: accept remembers since when connections have waited, until the backlog is empty again; the first request of a connection that has waited, if all of it was there when it was accepted, has that much less time. It is an upper bound: what came in the middle of the wait is given up sooner than it need be.

--- a/crates/proxy/src/http1/clients.rs
+++ b/crates/proxy/src/http1/clients.rs
@@ -23,7 +23,6 @@
 use std::collections::HashMap;
 use std::convert::Infallible;
 use std::future::poll_fn;
-use std::io;
 use std::net::SocketAddr;
 use std::pin::{pin, Pin};
 use std::rc::Rc;
@@ -36,6 +35,8 @@
 const SILENT: Duration = Duration::from_millis(500);
 /// and no longer than this.
 const LINGER: Duration = Duration::from_secs(5);
+/// What has waited whole in the backlog is read within this from when its connection is accepted.
+const READ_AT_ONCE: Duration = Duration::from_millis(100);
 /// The log tells of full tables this often at most.
 const REPORT_EVERY: Nanos = 5_000_000_000;
 
@@ -55,6 +56,11 @@
     /// When it connected, until its first request is there.
     fresh_since: Cell<Option<Instant>>,
     still_since: Cell<Nanos>,
+    /// How long its first request may have waited in the backlog, and until when it counts as one that did.
+    waited: Cell<Duration>,
+    waited_until: Instant,
+    /// How long the request under way may have waited there; nothing for all but the first.
+    request_waited: Cell<Duration>,
     /// It came when there was no place left: it is only told to come back.
     pub(super) surplus: bool,
     /// Why it is about to be closed.
@@ -106,6 +112,14 @@
         self.tally.replace(Some(tally));
     }
 
+    /// How long all of the request under way may have waited before it could be read. One whose last byte comes only now has not.
+    pub(super) fn waited(&self) -> Nanos {
+        match Instant::now() < self.waited_until {
+            true => self.request_waited.get().as_nanos() as Nanos,
+            false => 0,
+        }
+    }
+
     /// The last byte of the request has come.
     pub(super) fn taken(&self, now: Nanos) {
         self.whole.set(true);
@@ -209,8 +223,21 @@
     /// Accepts until told to stop, and then what the kernel has accepted for us by then.
     pub async fn accept(self: Rc<Self>, name: Rc<str>, listener: TcpListener, stop: Rc<Notify>) {
         let mut stop = pin!(stop.notified());
+        // Since when connections have waited in the backlog, as none could be accepted; none where it has been empty since.
+        let blocked_since: Cell<Option<Instant>> = Cell::new(None);
+        let next = || {
+            poll_fn(|cx| {
+                let accepted = listener.poll_accept(cx);
+                if accepted.is_pending() {
+                    blocked_since.set(None);
+                }
+                accepted
+            })
+        };
+        let waited = || blocked_since.get().map_or(Duration::ZERO, |since| since.elapsed());
         loop {
             while self.service.budget.clients_exhausted() {
+                blocked_since.set(blocked_since.get().or(Some(Instant::now())));
                 if !self.make_room() {
                     self.report();
                 }
@@ -218,32 +245,31 @@
             }
             tokio::select! {
                 biased;
-                accepted = listener.accept() => self.accepted(&name, accepted).await,
+                accepted = next() => match accepted {
+                    Ok((stream, peer)) => self.open(&name, stream, peer, waited()),
+                    Err(error) if exhausted(&error) => {
+                        blocked_since.set(blocked_since.get().or(Some(Instant::now())));
+                        self.make_room();
+                        tokio::time::sleep(Duration::from_millis(10)).await;
+                    }
+                    // A client that left while it waited: nothing to do with the next one.
+                    Err(_) => tokio::task::yield_now().await,
+                },
                 _ = &mut stop => break,
             }
         }
+        let waited = waited();
         // The kernel itself is asked: a process that has stood still may not have been told of what waits there.
         let Ok(listener) = listener.into_std() else { return };
         while let Ok((stream, peer)) = listener.accept() {
             if let Ok(stream) = stream.set_nonblocking(true).and_then(|()| TcpStream::from_std(stream)) {
-                self.open(&name, stream, peer);
-            }
-        }
-    }
-
-    async fn accepted(self: &Rc<Self>, name: &Rc<str>, accepted: io::Result<(TcpStream, SocketAddr)>) {
-        match accepted {
-            Ok((stream, peer)) => self.open(name, stream, peer),
-            Err(e) if exhausted(&e) => {
-                self.make_room();
-                tokio::time::sleep(Duration::from_millis(10)).await;
+                self.open(&name, stream, peer, waited);
             }
-            // A client that left while it waited: nothing to do with the next one.
-            Err(_) => tokio::task::yield_now().await,
         }
     }
 
-    fn open(self: &Rc<Self>, name: &Rc<str>, stream: TcpStream, peer: SocketAddr) {
+    /// Serves an accepted connection, which may have waited in the backlog for so long.
+    fn open(self: &Rc<Self>, name: &Rc<str>, stream: TcpStream, peer: SocketAddr, waited: Duration) {
         let budget = &self.service.budget;
         let surplus = budget.clients_full() && !self.make_room();
         let id = self.next.get();
@@ -259,6 +285,9 @@
             idle_since: Cell::new(self.service.clock.now()),
             fresh_since: Cell::new(Some(Instant::now())),
             still_since: Cell::new(self.service.clock.now()),
+            waited: Cell::new(waited),
+            waited_until: Instant::now() + READ_AT_ONCE,
+            request_waited: Cell::default(),
             surplus,
             closing: Cell::new(None),
             last: Cell::new(false),
@@ -457,6 +486,7 @@
     client.stage.set(Stage::Reading);
     client.whole.set(false);
     client.fresh_since.set(None);
+    client.request_waited.set(client.waited.take());
     let chunked = request.headers().contains_key(header::TRANSFER_ENCODING);
     let seen = chunked && client.socket.has_head(request.method().as_str());
     // Taken once: a new site takes over between two requests.
--- a/crates/proxy/src/http1/platform.rs
+++ b/crates/proxy/src/http1/platform.rs
@@ -97,6 +97,8 @@
         None if !headers.contains_key(TIMEOUT) => longest,
         _ => return closing(text(StatusCode::BAD_REQUEST, "X-Timeout-Ms is no whole number\n")),
     };
+    // A client's time runs while its connection waits to be accepted.
+    let wait = wait.saturating_sub(client.waited());
     client.stage.set(Stage::Waiting);
     let whole_body = matches!(payload, Payload::Whole(_));
     if whole_body {
