Split clients' connections by concern: client, service, respond, answers, clients

Moves only: one connection and its state, what all share, the answer to one request, parts of answers, and all connections each have a file; none imports one that imports it. Names and behaviour are the same.

--- a/crates/proxy/src/http1/general.rs
+++ b/crates/proxy/src/http1/general.rs
@@ -1,7 +1,9 @@
 //! Requests of any HTTP/1.1 client (RFC 9110, RFC 9112): routed, passed on, answered.
 
-use super::clients::{closing, Client, Service};
+use super::answers::closing;
+use super::client::Client;
 use super::closing::Stage;
+use super::service::Service;
 use super::upload::{self, UploadError};
 use crate::body::{AnswerBody, PieceBody};
 use crate::headers::strip;
--- a/crates/proxy/src/http1/platform.rs
+++ b/crates/proxy/src/http1/platform.rs
@@ -1,7 +1,9 @@
 //! Requests in the platform's dialect: its headers, whole bodies, and nothing served that a server could not use.
 
-use super::clients::{closing, Client, Service};
+use super::answers::closing;
+use super::client::Client;
 use super::closing::Stage;
+use super::service::Service;
 use super::upload::{self, Pace, Rules, UploadError};
 use crate::body::{AnswerBody, PieceBody};
 use crate::headers::{strip, ID, TIMEOUT};
--- /dev/null
+++ b/crates/proxy/src/http1/service.rs
@@ -0,0 +1,51 @@
+//! What all clients' connections of a process share.
+
+use super::client::Client;
+use super::closing::CloseLimits;
+use crate::site::Current;
+use corkhollow_engine::Clock;
+use corkhollow_operate::{Control, Event, Figures, Subject};
+use corkhollow_plan::limits::Budget;
+use std::cell::Cell;
+use std::rc::Rc;
+use std::time::Duration;
+
+/// What all clients' connections work with.
+pub struct Service {
+    /// What is in force.
+    pub site: Rc<Current>,
+    /// The program's clock.
+    pub clock: Clock,
+    /// What it may hold.
+    pub budget: Rc<Budget>,
+    /// Whether it is up, keeps connections and takes new ones.
+    pub control: Control,
+    /// Numbers requests that bring no id.
+    pub ids: Cell<u64>,
+    /// What it has done.
+    pub figures: Figures,
+}
+
+impl Service {
+    /// Counts the end of a connection, and whether it dropped a request.
+    pub(super) fn closed(&self, client: &Client, reason: &'static str, dropped: bool) {
+        self.figures.closed(reason, dropped);
+        let subject = Subject::Connection(client.number);
+        self.figures.recorder.record(self.clock.now(), subject, Event::Closed(reason));
+    }
+
+    pub(super) fn close_limits(&self) -> CloseLimits {
+        let limits = self.site.get().plan.limits;
+        CloseLimits {
+            head: Duration::from_nanos(limits.header_timeout),
+            idle: Duration::from_nanos(limits.idle_timeout),
+            stall: Duration::from_nanos(limits.stall_timeout),
+        }
+    }
+
+    /// A number that no other request has, spread over all bits.
+    pub(super) fn next_id(&self) -> u64 {
+        self.ids.set(self.ids.get() + 1);
+        corkhollow_plan::mix(&self.ids.get().to_le_bytes())
+    }
+}
--- a/crates/proxy/src/http1/upload.rs
+++ b/crates/proxy/src/http1/upload.rs
@@ -1,7 +1,7 @@
 //! Bodies of requests: kept where they are short enough to be sent again, passed on as they
 //! come where they are not.
 
-use super::clients::Client;
+use super::client::Client;
 use super::closing::Stage;
 use bytes::Bytes;
 use corkhollow_engine::{Broken, ClientBody, Clock, Payload, Piece, Pieces, Progress, Upload};
