--- a/crates/soak/src/cluster.rs
+++ b/crates/soak/src/cluster.rs
@@ -183,13 +183,15 @@
 
     /// Has the process in a place stand still for this time, whatever else it is told meanwhile.
     pub fn pause(&self, place: usize, time: Duration) {
-        // By its id: it may be taken out of its place while it stands still. It is waited for before that id is free again.
+        // By its id: it may be taken out of its place while it stands still, and end there.
         let Some(id) = lock(&self.places[place].running).as_ref().map(|running| running.child.id()) else {
             return;
         };
         signal(id, "-STOP");
         thread::sleep(time);
-        signal(id, "-CONT");
+        if is_child(id) {
+            signal(id, "-CONT");
+        }
     }
 
     /// Replaces the configuration of a place by one that names its other agent, or by half of a file.
@@ -323,6 +325,13 @@
     }
 }
 
+/// Whether a process of this id is a child of this one: an id may be free again, or another's.
+fn is_child(id: u32) -> bool {
+    let status = std::fs::read_to_string(format!("/proc/{id}/status")).unwrap_or_default();
+    let parent = status.lines().find_map(|line| line.strip_prefix("PPid:")?.trim().parse::<u32>().ok());
+    parent == Some(std::process::id())
+}
+
 fn signal(id: u32, name: &str) {
     let _ = Command::new("kill").args([name, &id.to_string()]).status();
 }
