Know a hedge by its request's attempts, not by a search over all that run

Reason: Engine::carry_out looked through every attempt that runs, at each one that is sent, to tell an event whether it is a hedge: work that grows with load (found on reading the change again). Change: the state machine, which knows the request's attempts, says so with the command to send. The cost was not measured: the search is gone.

--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -135,9 +135,8 @@
 
     fn carry_out(self: &Rc<Self>, command: Told) {
         match command {
-            Command::Send { id, server, load } => {
+            Command::Send { id, server, load, hedge } => {
                 if let Some(server) = self.carrier.name(server) {
-                    let hedge = self.running.borrow().keys().any(|other| other.request == id.request);
                     self.record(id.request, Event::AttemptSent { attempt: id.number, server, hedge });
                 }
                 let running = self.carrier.send(self, id, server, load);
--- a/crates/engine/src/requests.rs
+++ b/crates/engine/src/requests.rs
@@ -73,6 +73,8 @@
         server: ServerId,
         /// What is carried.
         load: L,
+        /// It goes out beside another attempt of its request.
+        hedge: bool,
     },
     /// Nobody waits for the attempt any longer.
     GiveUp(AttemptId),
@@ -550,8 +552,8 @@
         let Some(live) = self.live.get_mut(&request) else { return };
         let id = AttemptId { request, number: live.attempts.len() as u8 };
         live.fallback = None;
+        let hedge = live.attempts.iter().any(|attempt| attempt.record.is_open());
         if let Some(last) = live.attempts.last() {
-            let hedge = live.attempts.iter().any(|attempt| attempt.record.is_open());
             let after = match last.record.state {
                 AttemptState::Ended(ending) if !hedge => Some(ending),
                 _ => None,
@@ -564,7 +566,7 @@
             sink.push(Command::Denied { request, denial });
             return self.conclude(now, id, Ending::NotSent, sink);
         }
-        sink.push(Command::Send { id, server, load: live.load.clone() });
+        sink.push(Command::Send { id, server, load: live.load.clone(), hedge });
         if timeout > 0 {
             let wake = Wake::AttemptTimeout(request, id.number);
             self.timers.push(Reverse((now.saturating_add(timeout), wake)));
--- a/crates/laboratory/src/histories.rs
+++ b/crates/laboratory/src/histories.rs
@@ -230,7 +230,7 @@
 
     fn carry_out(&mut self, command: Command<Parcel, u32>) {
         match command {
-            Command::Send { id, server, load } => {
+            Command::Send { id, server, load, .. } => {
                 let key = (id.request, id.number);
                 self.request_of.insert(id.request, load.0);
                 self.out.insert(key, Out { server, client: load.0, written: false });
