Hold the parts of fixes that no test held

Change: tests for heartbeats as word that a list stands (the cold servers are listed 11 s behind the first list), for a connection's later requests behind a wait in the backlog, for connections kept whatever clock dates a start, for late answers and denials at an attempt's beginning in the metrics, and for hedges in events; the test of a start writes its file at once, and sees the process's end by its log's.

--- a/crates/corkhollow/tests/attempts.rs
+++ b/crates/corkhollow/tests/attempts.rs
@@ -148,6 +148,8 @@
     until("it is tried again", || node.figure("gw_retries{pool=\"platform\"}") == Some(1.0));
     let seen = second.open(Duration::from_millis(1700));
     assert!(seen.is_empty(), "{}", String::from_utf8_lossy(&seen));
+    let denied = "gw_denied{at=\"begin\",pool=\"platform\",reason=\"window-over\"}";
+    until("that is counted with its reason", || node.figure(denied) == Some(1.0));
     // All servers would know it again, as far as they do: refusing it is harmless, serving it is not.
     assert!(matches!(read(&mut client).unwrap().status(), 502..=504));
     assert_eq!(first.seen(), 1);
--- a/crates/corkhollow/tests/backlog.rs
+++ b/crates/corkhollow/tests/backlog.rs
@@ -43,12 +43,19 @@
     };
     *sent_at.lock().unwrap() = Some(Instant::now());
     let mut short = ask(b"short", "X-Timeout-Ms: 1000");
-    let mut long = ask(b"long", "X-Timeout-Ms: 2900");
+    let mut kept = ask(b"long", "X-Timeout-Ms: 2900");
     let short = read(&mut short).expect("an answer").status();
     assert!([503, 504].contains(&short), "its time was over: {short}");
-    let long = read(&mut long).expect("an answer").status();
+    let long = read(&mut kept).expect("an answer").status();
     assert!([200, 503, 504].contains(&long), "{long}");
+    // Only the first request of a connection has waited with it.
+    kept.write_all(&post("/once/2", b"next")).unwrap();
+    assert_eq!(read(&mut kept).expect("an answer").status(), 200);
     for (passed, told, body) in told.lock().unwrap().iter() {
+        if body == b"next" {
+            assert!(*told > Duration::from_millis(2_400), "{told:?} of 2.5 s");
+            continue;
+        }
         let patience = Duration::from_millis(if body == b"short" { 1_000 } else { 2_900 });
         let left = patience.saturating_sub(*passed);
         assert!(*told <= left + TOLD_SLACK, "{told:?} told, {left:?} left after {passed:?}");
--- a/crates/corkhollow/tests/operator.rs
+++ b/crates/corkhollow/tests/operator.rs
@@ -301,3 +301,38 @@
     shows(&node, "gw_retries_after{ending=\"reset\",pool=\"platform\"}", 1.0);
     shows(&node, "gw_rule_violations{rule=\"dropped-request\"}", 0.0);
 }
+
+/// A hedge goes out half an aim behind the first attempt, which is still open: its event says so, and no retry is counted.
+#[test]
+fn events_and_metrics_tell_hedges_from_retries() {
+    let servers = Servers::new(2, |n, _| if n == 0 { Reply::Silence } else { ok("fine") });
+    let discovery = Discovery::new(vec![servers.list(1)], true);
+    let text = config(discovery.address, &Options::default());
+    let node = Node::of(&text.replace("\"secondCopies\":false", "\"secondCopies\":true"));
+    node.ready();
+    assert_eq!(node.get("/safe/1", "").unwrap().body, b"fine");
+    let page = String::from_utf8(node.call("GET", "/-/events").unwrap().body).unwrap();
+    let hedges: Vec<_> = page.lines().filter_map(|line| line.split_once("hedge=")).map(|l| l.1).collect();
+    assert_eq!(hedges, ["false", "true"], "{page}");
+    shows(&node, "gw_hedges{pool=\"platform\"}", 1.0);
+    shows(&node, "gw_retries{pool=\"platform\"}", 0.0);
+}
+
+/// A process that stands still beyond a request's time answers late, and says of itself that it has.
+#[test]
+fn a_late_answer_is_counted_as_a_broken_rule() {
+    let servers = Servers::new(1, |_, _| Reply::Silence);
+    let (node, _discovery) = Node::with(&servers);
+    shows(&node, "gw_rule_violations{rule=\"late-answer\"}", 0.0);
+    let request = String::from_utf8(post("/once/1", b"body")).unwrap();
+    let mut client = node.connect();
+    client.write_all(request.replace("X-Timeout-Ms: 2500", "X-Timeout-Ms: 1000").as_bytes()).unwrap();
+    until("the request is under way", || servers.seen() == 1);
+    node.signal("-STOP");
+    // Far beyond its time and the half second in which an answer only earns nothing.
+    std::thread::sleep(Duration::from_millis(2_200));
+    node.signal("-CONT");
+    assert_eq!(read(&mut client).unwrap().status(), 504);
+    shows(&node, "gw_rule_violations{rule=\"late-answer\"}", 1.0);
+    shows(&node, "gw_rule_violations{rule=\"dropped-request\"}", 0.0);
+}
--- a/crates/corkhollow/tests/start.rs
+++ b/crates/corkhollow/tests/start.rs
@@ -75,16 +75,13 @@
         for _ in 0..3 {
             signal(&child, "-HUP");
         }
-        thread::sleep(Duration::from_millis(50));
-        let ended = child.try_wait().unwrap();
-        if ended.is_none() {
-            writer.write_all(text.as_bytes()).unwrap();
-        }
+        // A process that has ended reads nothing more, and its log ends with it.
+        let _ = writer.write_all(text.as_bytes());
         drop(writer);
-        let listening = ended.is_none() && listens(&mut child);
+        let listening = listens(&mut child);
         let _ = child.kill();
-        let _ = child.wait();
-        assert!(listening, "{name}: it does not listen; it had ended with {ended:?} by then");
+        let ended = child.wait().unwrap();
+        assert!(listening, "{name}: it does not listen; it has ended with {ended:?}");
     }
 }
 
--- a/crates/corkhollow/tests/terms.rs
+++ b/crates/corkhollow/tests/terms.rs
@@ -249,9 +249,9 @@
 const TIP: f64 = 3.0;
 const FALL: f64 = 2.0;
 
-/// Requests that came to each of the cold servers, in seconds from when they were told, over 6 s; and how many there were in
-/// all. `born_ms` is what the list tells of their start, by the wall clock of now, both in milliseconds.
-fn twenty_processes(born_ms: fn(u128) -> u128) -> (Vec<Vec<f64>>, usize) {
+/// Requests that came to each of the cold servers, in seconds from when they were listed, over 6 s; and which part of all requests was
+/// served. They are listed so long behind the first list, with nothing but heartbeats in between; `born_ms` is what the list tells of their start, by the wall clock of now, both in milliseconds.
+fn twenty_processes(listed_after: Duration, born_ms: fn(u128) -> u128) -> (Vec<Vec<f64>>, f64) {
     // One request at a time: where all are idle, nobody needs a cold one.
     let work = || {
         let core = Mutex::new(());
@@ -295,7 +295,7 @@
             })
         })
         .collect();
-    let over = Duration::from_secs(9);
+    let over = listed_after + Duration::from_secs(6);
     let asked = |node: &Node| {
         let mut client = node.connect();
         let mut served = 0;
@@ -311,7 +311,7 @@
     };
     thread::scope(|all| {
         let clients: Vec<_> = nodes.iter().map(|node| all.spawn(|| asked(node))).collect();
-        thread::sleep(Duration::from_secs(3).saturating_sub(begun.elapsed()));
+        thread::sleep(listed_after.saturating_sub(begun.elapsed()));
         let now = SystemTime::now().duration_since(UNIX_EPOCH).unwrap().as_millis();
         let born = format!("\"born_ms\":{}", born_ms(now));
         let host = |(k, s): (usize, &Servers)| {
@@ -320,11 +320,12 @@
         let hosts: Vec<_> = new.iter().enumerate().map(host).collect();
         let told = Instant::now();
         agents.iter().for_each(|agent| agent.say(list(2, false, &hosts)));
-        let served = clients.into_iter().map(|client| client.join().unwrap()).sum();
+        let served: usize = clients.into_iter().map(|client| client.join().unwrap()).sum();
+        let asked = f64::from(PROCESSES) * RATE * over.as_secs_f64();
         let since = |came: &Arc<Mutex<Vec<Instant>>>| {
             came.lock().unwrap().iter().map(|at| at.duration_since(told).as_secs_f64()).collect()
         };
-        (came.iter().map(since).collect(), served)
+        (came.iter().map(since).collect(), served as f64 / asked)
     })
 }
 
@@ -348,12 +349,12 @@
 /// as long started would.
 #[test]
 fn twenty_processes_push_no_cold_server_over() {
-    let (came, served) = twenty_processes(|now| now);
+    let (came, served) = twenty_processes(Duration::from_secs(3), |now| now);
     let part = nearest(&came);
     assert!(part <= 1.0, "{part} of what pushes it over");
     assert!(came.iter().all(|times| times.len() >= 10), "they are used: {:?}", came.iter().map(Vec::len));
-    assert!(served as f64 > 0.95 * f64::from(PROCESSES) * RATE * 9.0, "{served} are served");
-    let (came, _) = twenty_processes(|_| 0);
+    assert!(served > 0.95, "{served} of all are served");
+    let (came, _) = twenty_processes(Duration::from_secs(3), |_| 0);
     assert!(nearest(&came) > 1.0, "the check finds nothing: {}", nearest(&came));
 }
 
@@ -361,11 +362,11 @@
 /// the same, for the list did not hold them a moment before.
 #[test]
 fn twenty_processes_push_no_cold_server_over_whose_clock_was_set_back() {
-    let (came, served) = twenty_processes(|now| now - 3_600_000);
+    let (came, served) = twenty_processes(Duration::from_secs(11), |now| now - 3_600_000);
     let part = nearest(&came);
     assert!(part <= 1.0, "{part} of what pushes it over");
     assert!(came.iter().all(|times| times.len() >= 10), "they are used: {:?}", came.iter().map(Vec::len));
-    assert!(served as f64 > 0.95 * f64::from(PROCESSES) * RATE * 9.0, "{served} are served");
+    assert!(served > 0.95, "{served} of all are served");
 }
 
 /// Processes are restarted while the others hold as many clients and connections as they can: nine in ten of them take
--- a/crates/proxy/src/upstream/fleet.rs
+++ b/crates/proxy/src/upstream/fleet.rs
@@ -272,6 +272,28 @@
         assert!(fleet.checkout(server, put_back + REST).is_some());
     }
 
+    /// A start is listed by another machine's clock, which may be ahead: connections are kept all the same. Those from before another
+    /// start was listed are not.
+    #[tokio::test]
+    async fn connections_are_kept_whatever_clock_dates_a_start() {
+        let far_ahead = 3_600_000 * MS;
+        let mut fleet = Fleet::new(10_000 * MS, Rests::WhereServersSpeakUnasked);
+        let (first, _peer, dial) = link().await;
+        let list = |started_at| {
+            let server = Server { started_at, ..Server::warm(ServerId(0)) };
+            vec![Entry { host: "s-0".into(), dial, server }]
+        };
+        let server = fleet.follow(100 * MS, ListKind::Full, list(far_ahead))[0].id;
+        fleet.checkin(server, dial, Idle { link: first, opened: 200 * MS, since: 200 * MS });
+        let kept = fleet.checkout(server, 200 * MS).expect("it is kept");
+        fleet.follow(300 * MS, ListKind::Changes, list(far_ahead - MS));
+        fleet.checkin(server, dial, kept);
+        assert!(fleet.checkout(server, 300 * MS).is_none(), "it led to the process before");
+        let (second, _peer, _) = link().await;
+        fleet.checkin(server, dial, Idle { link: second, opened: 400 * MS, since: 400 * MS });
+        assert!(fleet.checkout(server, 400 * MS).is_some());
+    }
+
     /// What has come on a connection while it was kept is not the answer to the next request, and a close there
     /// would lose it. The runtime may not have been told of either yet.
     #[tokio::test]
