--- a/crates/balance/tests/admission.rs
+++ b/crates/balance/tests/admission.rs
@@ -17,17 +17,17 @@
 }
 
 /// One request of a class, alone in an idle fleet, that takes this long.
-fn alone(bed: &mut Bed, request: Request, took: Nanos) -> bool {
+fn alone(test_node: &mut TestNode, request: Request, took: Nanos) -> bool {
     let id = request.id;
-    let actions = bed.feed(Event::Request(request));
+    let actions = test_node.feed(Event::Request(request));
     let Some(server) = sent(&actions, id) else { return false };
-    bed.now += took;
-    bed.outcome(id, server, 0, took, Ending::Ok);
+    test_node.now += took;
+    test_node.outcome(id, server, 0, took, Ending::Ok);
     true
 }
 
-fn bed(settings: Settings, servers: u8) -> Bed {
-    Bed::new(settings, common::servers(servers), 7)
+fn test_node(settings: Settings, servers: u8) -> TestNode {
+    TestNode::new(settings, common::servers(servers), 7)
 }
 
 /// Two classes of one worth, 20 idle servers, one caller at a time: after 200 requests of the quick class the other was
@@ -38,12 +38,12 @@
         [(1, [1.0, 1.0]), (10, [1.0, 1.0]), (100, [5.0, 2.0]), (1_000, [1.0, 1.0]), (1_000, [100.0, 1.0])]
     {
         for learnt in [false, true] {
-            let mut bed = bed(classes(&worths, AIM, 3 * AIM), 20);
+            let mut test_node = test_node(classes(&worths, AIM, 3 * AIM), 20);
             let mut serve = |class: u16, took: Nanos| {
-                bed.now += 5 * MS;
-                let (_, draft) = bed.draft();
-                let request = Request { class, give_up_at: bed.now + 3 * AIM, ..draft };
-                alone(&mut bed, request, took)
+                test_node.now += 5 * MS;
+                let (_, draft) = test_node.draft();
+                let request = Request { class, give_up_at: test_node.now + 3 * AIM, ..draft };
+                alone(&mut test_node, request, took)
             };
             if learnt {
                 (0..30).for_each(|_| assert!(serve(1, 150 * MS)));
@@ -70,17 +70,17 @@
         let mut settings = classes(&worths, AIM, 3 * AIM);
         settings.group_size = nodes;
         (settings.tenant_quota, settings.over_share_worth) = (vec![0.1, 10.0].into(), 0.05);
-        let mut bed = bed(settings, 12);
+        let mut test_node = test_node(settings, 12);
         for (k, gap, tenant, is_retry) in turns {
             let class = k % kinds.len();
-            bed.now += gap * 1_000;
+            test_node.now += gap * 1_000;
             let took = kinds[class].1 * 1_000;
-            let (_, draft) = bed.draft();
+            let (_, draft) = test_node.draft();
             // A retry that has time left for the answer.
             let age = if is_retry { (AIM - took) / 8 } else { 0 };
-            let give_up_at = bed.now + 3 * AIM - age;
+            let give_up_at = test_node.now + 3 * AIM - age;
             let request = Request { class: class as u16, tenant, is_retry, give_up_at, ..draft };
-            prop_assert!(alone(&mut bed, request, took), "class {class}, tenant {tenant}, retry {is_retry}");
+            prop_assert!(alone(&mut test_node, request, took), "class {class}, tenant {tenant}, retry {is_retry}");
         }
     }
 }
@@ -88,17 +88,17 @@
 /// A class that comes once an hour is not known by its last answers alone, and not refused for that.
 #[test]
 fn a_class_seen_once_an_hour_is_served() {
-    let mut bed = bed(classes(&[10.0, 1.0], AIM, 3 * AIM), 8);
+    let mut test_node = test_node(classes(&[10.0, 1.0], AIM, 3 * AIM), 8);
     for hour in 0..24 {
         for k in 0..100 {
-            bed.now += 36_000 * MS;
-            let (_, draft) = bed.draft();
-            let request = Request { give_up_at: bed.now + 3 * AIM, ..draft };
-            assert!(alone(&mut bed, request, (1 + k % 3) * MS));
+            test_node.now += 36_000 * MS;
+            let (_, draft) = test_node.draft();
+            let request = Request { give_up_at: test_node.now + 3 * AIM, ..draft };
+            assert!(alone(&mut test_node, request, (1 + k % 3) * MS));
         }
-        let (_, draft) = bed.draft();
-        let request = Request { class: 1, give_up_at: bed.now + 3 * AIM, ..draft };
-        assert!(alone(&mut bed, request, 400 * MS), "hour {hour}");
+        let (_, draft) = test_node.draft();
+        let request = Request { class: 1, give_up_at: test_node.now + 3 * AIM, ..draft };
+        assert!(alone(&mut test_node, request, 400 * MS), "hour {hour}");
     }
 }
 
@@ -108,10 +108,10 @@
     let mut settings = classes(&[5.0, 1.0], AIM / 2, AIM);
     settings.group_size = 300;
     for class in 0..2 {
-        let mut bed = bed(settings.clone(), 20);
-        let (_, draft) = bed.draft();
-        let request = Request { class, give_up_at: bed.now + AIM, ..draft };
-        assert!(alone(&mut bed, request, 40 * MS), "class {class}");
+        let mut test_node = test_node(settings.clone(), 20);
+        let (_, draft) = test_node.draft();
+        let request = Request { class, give_up_at: test_node.now + AIM, ..draft };
+        assert!(alone(&mut test_node, request, 40 * MS), "class {class}");
     }
 }
 
@@ -121,17 +121,17 @@
     let mut list = common::servers(20);
     let mut settings = classes(&[5.0, 1.0], AIM, 3 * AIM);
     settings.cold_from = 0.15;
-    let mut bed = Bed::new(settings, list.clone(), 7);
+    let mut test_node = TestNode::new(settings, list.clone(), 7);
     for server in list.iter_mut().step_by(2) {
-        server.started_at = bed.now;
+        server.started_at = test_node.now;
     }
-    bed.list(ListKind::Full, list);
+    test_node.list(ListKind::Full, list);
     for k in 0..400 {
-        bed.now += 10 * MS;
-        let (_, draft) = bed.draft();
+        test_node.now += 10 * MS;
+        let (_, draft) = test_node.draft();
         let class = u16::from(k % 4 == 0);
-        let request = Request { class, give_up_at: bed.now + 3 * AIM, ..draft };
-        assert!(alone(&mut bed, request, if class == 0 { 2 * MS } else { 200 * MS }), "request {k}");
+        let request = Request { class, give_up_at: test_node.now + 3 * AIM, ..draft };
+        assert!(alone(&mut test_node, request, if class == 0 { 2 * MS } else { 200 * MS }), "request {k}");
     }
 }
 
@@ -140,21 +140,21 @@
 fn a_key_with_one_server_is_served_by_it() {
     let mut settings = classes(&[5.0, 1.0], AIM, 3 * AIM);
     settings.warm_keys = true;
-    let mut bed = bed(settings, 1);
+    let mut test_node = test_node(settings, 1);
     for k in 0..200 {
-        bed.now += 10 * MS;
-        let (_, draft) = bed.draft();
+        test_node.now += 10 * MS;
+        let (_, draft) = test_node.draft();
         let class = u16::from(k % 4 == 0);
-        let request = Request { class, key: 77, give_up_at: bed.now + 3 * AIM, ..draft };
-        assert!(alone(&mut bed, request, if class == 0 { 2 * MS } else { 300 * MS }), "request {k}");
+        let request = Request { class, key: 77, give_up_at: test_node.now + 3 * AIM, ..draft };
+        assert!(alone(&mut test_node, request, if class == 0 { 2 * MS } else { 300 * MS }), "request {k}");
     }
     let taken = [1, 0].map(|class| {
-        let ask = |bed: &mut Bed| {
-            let (id, draft) = bed.draft();
-            let request = Request { class, key: 77, give_up_at: bed.now + 3 * AIM, ..draft };
-            sent(&bed.feed(Event::Request(request)), id).is_some()
+        let ask = |test_node: &mut TestNode| {
+            let (id, draft) = test_node.draft();
+            let request = Request { class, key: 77, give_up_at: test_node.now + 3 * AIM, ..draft };
+            sent(&test_node.feed(Event::Request(request)), id).is_some()
         };
-        (0..40).filter(|_| ask(&mut bed)).count()
+        (0..40).filter(|_| ask(&mut test_node)).count()
     });
     assert!(taken[0] > 0 && taken[0] < 10 && taken[1] > 10, "{taken:?}");
 }
@@ -163,12 +163,12 @@
 /// cannot be in time is not.
 #[test]
 fn a_hint_of_much_work_is_no_reason_to_yield() {
-    let mut bed = bed(classes(&[5.0, 1.0], AIM, 3 * AIM), 20);
+    let mut test_node = test_node(classes(&[5.0, 1.0], AIM, 3 * AIM), 20);
     let mut serve = |class: u16, hint: Nanos| {
-        bed.now += 5 * MS;
-        let (_, draft) = bed.draft();
-        let request = Request { class, work_hint: Some(hint), give_up_at: bed.now + 3 * AIM, ..draft };
-        alone(&mut bed, request, 5 * MS + hint)
+        test_node.now += 5 * MS;
+        let (_, draft) = test_node.draft();
+        let request = Request { class, work_hint: Some(hint), give_up_at: test_node.now + 3 * AIM, ..draft };
+        alone(&mut test_node, request, 5 * MS + hint)
     };
     for k in 0..2_000u64 {
         assert!(serve(0, (1 + k % 3) * MS) && serve(1, (10 + k % 20 * 20) * MS), "request {k}");
--- a/crates/balance/tests/common/mod.rs
+++ b/crates/balance/tests/common/mod.rs
@@ -22,18 +22,18 @@
     settings
 }
 
-pub struct Bed {
+pub struct TestNode {
     pub balancer: Balancer,
     pub now: Nanos,
     next: RequestId,
 }
 
-impl Bed {
+impl TestNode {
     pub fn new(settings: Settings, list: Vec<Server>, seed: u64) -> Self {
         let balancer = Balancer::new(settings, seed).expect("sound settings");
-        let mut bed = Bed { balancer, now: 1_000_000 * MS, next: 0 };
-        bed.list(ListKind::Full, list);
-        bed
+        let mut test_node = TestNode { balancer, now: 1_000_000 * MS, next: 0 };
+        test_node.list(ListKind::Full, list);
+        test_node
     }
 
     pub fn feed(&mut self, event: Event) -> Vec<Action> {
--- a/crates/balance/tests/fleet.rs
+++ b/crates/balance/tests/fleet.rs
@@ -17,7 +17,7 @@
 
 /// Servers that work through what they get in turn, 30 ms each where they are warm.
 struct World {
-    beds: Vec<Bed>,
+    test_nodes: Vec<TestNode>,
     free_at: BTreeMap<ServerId, Nanos>,
     started: BTreeMap<ServerId, Nanos>,
 }
@@ -33,18 +33,18 @@
     fn play(&mut self, from: Nanos, until: Nanos) -> BTreeMap<ServerId, Vec<Nanos>> {
         let mut sends: BTreeMap<ServerId, Vec<Nanos>> = BTreeMap::new();
         let arrival = |k: usize| Reverse((from + EVERY * k as Nanos / Nanos::from(NODES), k, None));
-        let mut events: BinaryHeap<_> = (0..self.beds.len()).map(arrival).collect();
+        let mut events: BinaryHeap<_> = (0..self.test_nodes.len()).map(arrival).collect();
         while let Some(Reverse((now, k, answer))) = events.pop() {
-            let bed = &mut self.beds[k];
-            bed.now = now;
+            let test_node = &mut self.test_nodes[k];
+            test_node.now = now;
             if let Some((id, server, took)) = answer {
-                bed.outcome(id, server, 0, took, Ending::Ok);
+                test_node.outcome(id, server, 0, took, Ending::Ok);
                 continue;
             }
             if now + EVERY < until {
                 events.push(Reverse((now + EVERY, k, None)));
             }
-            let (id, actions) = bed.request();
+            let (id, actions) = test_node.request();
             if let Some(server) = sent(&actions, id) {
                 sends.entry(server).or_default().push(now);
                 let work = (30.0 * MS as f64 / self.share(server, now)) as Nanos;
@@ -59,13 +59,17 @@
 
 /// 25 nodes that know nothing yet, over warm servers.
 fn world(list: &[Server]) -> World {
-    let bed = |ordinal| {
+    let test_node = |ordinal| {
         let mut s = settings(Effect::Safe);
         (s.ordinal, s.group_size) = (ordinal, NODES);
         (s.ramp, s.cold_from, s.fall, s.tip_multiple) = (RAMP, COLD_FROM, FALL, 3.0);
-        Bed::new(s, list.to_vec(), u64::from(ordinal))
+        TestNode::new(s, list.to_vec(), u64::from(ordinal))
     };
-    World { beds: (0..NODES).map(bed).collect(), free_at: BTreeMap::new(), started: BTreeMap::new() }
+    World {
+        test_nodes: (0..NODES).map(test_node).collect(),
+        free_at: BTreeMap::new(),
+        started: BTreeMap::new(),
+    }
 }
 
 const START: Nanos = 1_000_000 * MS;
@@ -108,9 +112,9 @@
     world.play(START, now);
     let cold = cold(replaced, now);
     let gone = servers(replaced).into_iter().map(|s| Server { phase: Phase::Gone, ..s });
-    for bed in &mut world.beds {
-        bed.now = now;
-        bed.list(ListKind::Changes, gone.clone().chain(cold.clone()).collect());
+    for test_node in &mut world.test_nodes {
+        test_node.now = now;
+        test_node.list(ListKind::Changes, gone.clone().chain(cold.clone()).collect());
     }
     check(&mut world, &cold, now)
 }
--- a/crates/balance/tests/incidents.rs
+++ b/crates/balance/tests/incidents.rs
@@ -7,26 +7,26 @@
 use std::ops::RangeInclusive;
 
 /// Lets all of a fleet answer just before the client's end for two seconds.
-fn jam(bed: &mut Bed) {
+fn jam(test_node: &mut TestNode) {
     for _ in 0..200 {
-        bed.now += 10 * MS;
-        bed.served(780 * MS);
+        test_node.now += 10 * MS;
+        test_node.served(780 * MS);
     }
 }
 
 /// A node that refuses nearly all in a jam has to find out that the jam is over (incidents i2aee08, i42901a).
 #[test]
 fn a_jam_is_forgotten() {
-    let mut bed = Bed::new(settings(Effect::Safe), servers(10), 3);
+    let mut test_node = TestNode::new(settings(Effect::Safe), servers(10), 3);
     for _ in 0..300 {
-        bed.now += 10 * MS;
-        bed.served(100 * MS);
+        test_node.now += 10 * MS;
+        test_node.served(100 * MS);
     }
-    jam(&mut bed);
-    let (id, actions) = bed.request();
+    jam(&mut test_node);
+    let (id, actions) = test_node.request();
     assert!(refused(&actions, id), "in the jam an answer in time is unlikely: {actions:?}");
-    bed.now += 2_000 * MS;
-    let (id, actions) = bed.request();
+    test_node.now += 2_000 * MS;
+    let (id, actions) = test_node.request();
     assert!(sent(&actions, id).is_some(), "the jam is long over: {actions:?}");
 }
 
@@ -38,18 +38,18 @@
         s.second_copies = true;
         // Aims so long that nothing is refused: only the budget decides.
         s.classes[0].aim = 799 * MS;
-        let mut bed = Bed::new(s, servers(10), 3);
+        let mut test_node = TestNode::new(s, servers(10), 3);
         for _ in 0..300 {
-            bed.now += 10 * MS;
-            bed.served(if jammed { 700 * MS } else { 100 * MS });
+            test_node.now += 10 * MS;
+            test_node.served(if jammed { 700 * MS } else { 100 * MS });
         }
         let mut copies = 0;
         for _ in 0..20 {
-            let (id, _) = bed.request();
-            bed.now += 400 * MS;
-            let actions = bed.feed(Event::Timer { token: 0 });
+            let (id, _) = test_node.request();
+            test_node.now += 400 * MS;
+            let actions = test_node.feed(Event::Timer { token: 0 });
             copies += u32::from(sent(&actions, id).is_some());
-            bed.feed(Event::ClientGone { request: id });
+            test_node.feed(Event::ClientGone { request: id });
         }
         copies
     };
@@ -60,35 +60,35 @@
 /// A time-out alone ejects nobody: in an overload it would push the work onto ever fewer servers (round 1).
 #[test]
 fn a_time_out_does_not_eject() {
-    let mut bed = Bed::new(settings(Effect::Unsafe), servers(1), 3);
-    let (id, actions) = bed.request();
+    let mut test_node = TestNode::new(settings(Effect::Unsafe), servers(1), 3);
+    let (id, actions) = test_node.request();
     let server = sent(&actions, id).unwrap();
-    bed.now += 800 * MS;
-    assert!(failed(&bed.outcome(id, server, 0, 800 * MS, Ending::TimedOut), id));
-    bed.now += 10_000 * MS;
-    assert_eq!(bed.served(50 * MS), Some(server));
-    let (id, _) = bed.request();
-    bed.outcome(id, server, 0, MS, Ending::ConnectFailed);
-    assert_eq!(bed.served(50 * MS), None, "a dead one is ejected");
+    test_node.now += 800 * MS;
+    assert!(failed(&test_node.outcome(id, server, 0, 800 * MS, Ending::TimedOut), id));
+    test_node.now += 10_000 * MS;
+    assert_eq!(test_node.served(50 * MS), Some(server));
+    let (id, _) = test_node.request();
+    test_node.outcome(id, server, 0, MS, Ending::ConnectFailed);
+    assert_eq!(test_node.served(50 * MS), None, "a dead one is ejected");
 }
 
 /// An old report fades to the usual queue, so a server unheard of does not look idle (round 7).
 #[test]
 fn an_old_report_does_not_look_idle() {
-    let mut bed = Bed::new(settings(Effect::Safe), servers(2), 3);
+    let mut test_node = TestNode::new(settings(Effect::Safe), servers(2), 3);
     let report = |queued| Some(Report { queued: Some(queued), ..Report::default() });
-    let tell = |bed: &mut Bed, k, queued| {
+    let tell = |test_node: &mut TestNode, k, queued| {
         let (server, report) = (server(k), report(queued));
-        bed.feed(Event::Probed { server, ending: Ending::Ok, took: MS, report });
+        test_node.feed(Event::Probed { server, ending: Ending::Ok, took: MS, report });
     };
     for _ in 0..300 {
-        tell(&mut bed, 0, 4.0);
-        tell(&mut bed, 1, 4.0);
+        tell(&mut test_node, 0, 4.0);
+        tell(&mut test_node, 1, 4.0);
     }
     // Server 0's report grows old while server 1 is known to be shorter than usual.
-    bed.now += 5_000 * MS;
-    tell(&mut bed, 1, 2.0);
-    let (id, actions) = bed.request();
+    test_node.now += 5_000 * MS;
+    tell(&mut test_node, 1, 2.0);
+    let (id, actions) = test_node.request();
     assert_eq!(sent(&actions, id), Some(server(1)));
 }
 
@@ -97,27 +97,27 @@
 fn a_key_keeps_its_server() {
     let mut s = settings(Effect::Safe);
     s.warm_keys = true;
-    let mut bed = Bed::new(s, servers(20), 3);
+    let mut test_node = TestNode::new(s, servers(20), 3);
     let mut homes: BTreeMap<u64, BTreeSet<ServerId>> = BTreeMap::new();
     let mut id = 0;
-    let mut ask = |bed: &mut Bed, key, took: &dyn Fn(ServerId) -> Nanos| {
+    let mut ask = |test_node: &mut TestNode, key, took: &dyn Fn(ServerId) -> Nanos| {
         id += 1;
-        bed.now += 20 * MS;
-        let request = Request { key, ..Request::new(id, bed.now + 800 * MS) };
-        let server = sent(&bed.feed(Event::Request(request)), id).expect("sent");
-        bed.outcome(id, server, 0, took(server), Ending::Ok);
+        test_node.now += 20 * MS;
+        let request = Request { key, ..Request::new(id, test_node.now + 800 * MS) };
+        let server = sent(&test_node.feed(Event::Request(request)), id).expect("sent");
+        test_node.outcome(id, server, 0, took(server), Ending::Ok);
         server
     };
     for round in 0..200u64 {
-        let server = ask(&mut bed, 1 + round % 10, &|_| 100 * MS);
+        let server = ask(&mut test_node, 1 + round % 10, &|_| 100 * MS);
         homes.entry(1 + round % 10).or_default().insert(server);
     }
     assert!(homes.values().all(|h| h.len() == 1), "{homes:?}");
     let slow = *homes[&1].iter().next().unwrap();
     let took = |s| if s == slow { 380 * MS } else { 100 * MS };
     let stays = (0..60u64).filter(|k| {
-        ask(&mut bed, 2 + k % 9, &took);
-        ask(&mut bed, 1, &took) == slow
+        ask(&mut test_node, 2 + k % 9, &took);
+        ask(&mut test_node, 1, &took) == slow
     });
     assert!(stays.count() < 20);
 }
@@ -126,23 +126,26 @@
 /// answers that take long because they were heavy do not make the fleet look jammed (incident i1d8653).
 #[test]
 fn a_heavy_answer_is_no_jam() {
-    let mut bed = Bed::new(settings(Effect::Safe), servers(6), 3);
-    let serve = |bed: &mut Bed, hint: Nanos| {
-        bed.now += 10 * MS;
-        let (id, actions) = bed.hinted(Some(hint));
+    let mut test_node = TestNode::new(settings(Effect::Safe), servers(6), 3);
+    let serve = |test_node: &mut TestNode, hint: Nanos| {
+        test_node.now += 10 * MS;
+        let (id, actions) = test_node.hinted(Some(hint));
         if let Some(server) = sent(&actions, id) {
-            bed.outcome(id, server, 0, 40 * MS + hint, Ending::Ok);
+            test_node.outcome(id, server, 0, 40 * MS + hint, Ending::Ok);
         }
         sent(&actions, id).is_some()
     };
     for k in 0..600 {
-        assert!(serve(&mut bed, if k % 20 == 0 { 200 * MS } else { 20 * MS }), "request {k} fits its aim");
+        assert!(
+            serve(&mut test_node, if k % 20 == 0 { 200 * MS } else { 20 * MS }),
+            "request {k} fits its aim"
+        );
     }
-    assert!(!serve(&mut bed, 2_000 * MS), "no server answers this in time");
+    assert!(!serve(&mut test_node, 2_000 * MS), "no server answers this in time");
     for k in 0..30 {
-        assert!(serve(&mut bed, 200 * MS), "heavy request {k} in a row fits its aim");
+        assert!(serve(&mut test_node, 200 * MS), "heavy request {k} in a row fits its aim");
     }
-    assert!(serve(&mut bed, 20 * MS));
+    assert!(serve(&mut test_node, 20 * MS));
 }
 
 /// With many nodes each ranks its own part of a zone, the parts cover the zone about evenly, and a fleet that
@@ -167,13 +170,13 @@
     for ordinal in 0..nodes {
         let mut s = settings(Effect::Safe);
         (s.ordinal, s.group_size) = (ordinal, nodes);
-        let mut bed = Bed::new(s, servers(fleet), 3);
+        let mut test_node = TestNode::new(s, servers(fleet), 3);
         let mut mine = BTreeSet::new();
         for _ in 0..200 {
             // Answers of uneven length keep the queues from tying, so that all in the part are met.
-            let took = (40 + 37 * (mine.len() as Nanos + bed.now / MS) % 200) * MS;
-            bed.now += 7 * MS;
-            mine.insert(bed.served(took).expect("an idle fleet takes all"));
+            let took = (40 + 37 * (mine.len() as Nanos + test_node.now / MS) % 200) * MS;
+            test_node.now += 7 * MS;
+            mine.insert(test_node.served(took).expect("an idle fleet takes all"));
         }
         assert!(parts.contains(&mine.len()), "node {ordinal} of {nodes} meets {} servers", mine.len());
         mine.into_iter().for_each(|server| *met.entry(server).or_insert(0u32) += 1);
@@ -193,12 +196,12 @@
             server.started_at = 1_000_000 * MS;
         }
         let even = |e: &ServerId| e.0.is_multiple_of(2);
-        let mut bed = Bed::new(s, list, 3);
+        let mut test_node = TestNode::new(s, list, 3);
         let mut met = BTreeSet::new();
         for _ in 0..200 {
-            bed.now += 7 * MS;
-            let took = (40 + 37 * (bed.now / MS) % 200) * MS;
-            met.extend(bed.served(took).filter(|e| !even(e)));
+            test_node.now += 7 * MS;
+            let took = (40 + 37 * (test_node.now / MS) % 200) * MS;
+            met.extend(test_node.served(took).filter(|e| !even(e)));
         }
         met.len()
     };
@@ -213,18 +216,18 @@
     s.tenant_quota = vec![20.0, 20.0].into();
     s.over_share_worth = 0.1;
     let let_in = |waits: bool| {
-        let mut bed = Bed::new(s.clone(), servers(6), 3);
+        let mut test_node = TestNode::new(s.clone(), servers(6), 3);
         let mut next = 10_000;
         let mut let_in = [0u32; 2];
         for step in 0..1_000 {
-            bed.now += 10 * MS;
+            test_node.now += 10 * MS;
             for tenant in (0..2).filter(|&t| t == 0 || step % 10 == 0) {
                 next += 1;
-                let request = Request { tenant, ..Request::new(next, bed.now + 800 * MS) };
-                let actions = bed.feed(Event::Request(request));
+                let request = Request { tenant, ..Request::new(next, test_node.now + 800 * MS) };
+                let actions = test_node.feed(Event::Request(request));
                 if let Some(server) = sent(&actions, next) {
                     let took = if waits && step % 4 > 0 { 150 * MS } else { 70 * MS };
-                    bed.outcome(next, server, 0, took, Ending::Ok);
+                    test_node.outcome(next, server, 0, took, Ending::Ok);
                     let_in[tenant as usize] += 1;
                 }
             }
@@ -243,11 +246,11 @@
     let let_in = |late_worth: f64| {
         let mut s = settings(Effect::Safe);
         s.classes[0].late_worth = late_worth;
-        let mut bed = Bed::new(s, servers(6), 3);
+        let mut test_node = TestNode::new(s, servers(6), 3);
         (0..100)
             .filter(|_| {
-                bed.now += 10 * MS;
-                bed.served(410 * MS).is_some()
+                test_node.now += 10 * MS;
+                test_node.served(410 * MS).is_some()
             })
             .count()
     };
@@ -258,21 +261,21 @@
 /// A fleet that is replaced over and over under new names takes no more memory than one that stays.
 #[test]
 fn servers_that_left_are_forgotten() {
-    let mut bed = Bed::new(settings(Effect::Safe), servers(4), 3);
+    let mut test_node = TestNode::new(settings(Effect::Safe), servers(4), 3);
     let other = |k: u32| ServerId((u64::from(k) + 1) << 32);
     let mut last: Vec<_> = servers(4);
     for round in 0..500 {
-        bed.now += 1_000 * MS;
+        test_node.now += 1_000 * MS;
         let next: Vec<_> = (0..4).map(|k| Server::warm(other(round * 4 + k))).collect();
         let left = last.iter().map(|s| Server { phase: Phase::Gone, ..*s });
-        bed.list(ListKind::Changes, left.chain(next.iter().copied()).collect());
+        test_node.list(ListKind::Changes, left.chain(next.iter().copied()).collect());
         for _ in 0..8 {
-            let server = bed.served(50 * MS).expect("sent");
+            let server = test_node.served(50 * MS).expect("sent");
             assert!(next.iter().any(|s| s.id == server), "round {round}: {server:?} is gone");
         }
         last = next;
     }
-    assert!(bed.balancer.remembered() <= 12, "{} servers", bed.balancer.remembered());
+    assert!(test_node.balancer.remembered() <= 12, "{} servers", test_node.balancer.remembered());
 }
 
 /// Where little comes, a cold server's share of it is next to nothing: it has to be tried all the same, and once it
@@ -283,13 +286,13 @@
     (settings.fall, settings.ramp) = (2_000 * MS, 20_000 * MS);
     for (ramp, wait) in [(20_000, 2_001), (1, 2)] {
         settings.ramp = ramp * MS;
-        let mut bed = Bed::new(settings.clone(), Vec::new(), 3);
-        let cold = Server { started_at: bed.now, ..Server::warm(server(1)) };
-        bed.list(ListKind::Full, vec![cold]);
-        bed.now += wait * MS;
+        let mut test_node = TestNode::new(settings.clone(), Vec::new(), 3);
+        let cold = Server { started_at: test_node.now, ..Server::warm(server(1)) };
+        test_node.list(ListKind::Full, vec![cold]);
+        test_node.now += wait * MS;
         for _ in 0..3 {
-            assert_eq!(bed.served(50 * MS), Some(server(1)), "ramp of {ramp} ms");
-            bed.now += 2_001 * MS;
+            assert_eq!(test_node.served(50 * MS), Some(server(1)), "ramp of {ramp} ms");
+            test_node.now += 2_001 * MS;
         }
     }
 }
@@ -299,17 +302,17 @@
 #[test]
 fn what_fails_fast_does_not_win_where_it_cannot_be_ejected() {
     let list = (0..6).map(|k| Server { zone: u8::from(k >= 2), ..Server::warm(server(k)) }).collect();
-    let mut bed = Bed::new(settings(Effect::Unsafe), list, 3);
+    let mut test_node = TestNode::new(settings(Effect::Unsafe), list, 3);
     let mut sick_share = |rounds: u32, sick_fails: bool| {
         let mut to_sick = 0;
         for _ in 0..rounds {
-            bed.now += 10 * MS;
-            let (id, actions) = bed.request();
+            test_node.now += 10 * MS;
+            let (id, actions) = test_node.request();
             let to = sent(&actions, id).expect("four well servers stand idle");
             let sick = to.0 < 2;
             to_sick += u32::from(sick);
             let (took, ending) = if sick && sick_fails { (MS, Ending::Error) } else { (80 * MS, Ending::Ok) };
-            bed.outcome(id, to, 0, took, ending);
+            test_node.outcome(id, to, 0, took, ending);
         }
         f64::from(to_sick) / f64::from(rounds)
     };
@@ -330,9 +333,9 @@
     s
 }
 
-fn ask(bed: &mut Bed, class: u16) -> (RequestId, Option<ServerId>) {
-    let (id, request) = bed.draft();
-    let actions = bed.feed(Event::Request(Request { class, ..request }));
+fn ask(test_node: &mut TestNode, class: u16) -> (RequestId, Option<ServerId>) {
+    let (id, request) = test_node.draft();
+    let actions = test_node.feed(Event::Request(Request { class, ..request }));
     (id, sent(&actions, id))
 }
 
@@ -340,17 +343,17 @@
 /// the class was refused, beside servers that had nothing to do.
 #[test]
 fn the_least_class_is_let_in_once_it_is_known_to_be_quick() {
-    let mut bed = Bed::new(worthy_and_least(), servers(10), 3);
+    let mut test_node = TestNode::new(worthy_and_least(), servers(10), 3);
     let mut refused = 0;
     for round in 0..600 {
-        bed.now += 20 * MS;
+        test_node.now += 20 * MS;
         // Most answers are quick and some are not, so the fleet seems to be under some pressure.
-        if let (id, Some(server)) = ask(&mut bed, 0) {
-            bed.outcome(id, server, 0, if round % 4 == 0 { 100 * MS } else { 20 * MS }, Ending::Ok);
+        if let (id, Some(server)) = ask(&mut test_node, 0) {
+            test_node.outcome(id, server, 0, if round % 4 == 0 { 100 * MS } else { 20 * MS }, Ending::Ok);
         }
         if round >= 200 {
-            match ask(&mut bed, 1) {
-                (id, Some(server)) => drop(bed.outcome(id, server, 0, 25 * MS, Ending::Ok)),
+            match ask(&mut test_node, 1) {
+                (id, Some(server)) => drop(test_node.outcome(id, server, 0, 25 * MS, Ending::Ok)),
                 (_, None) => refused += u32::from(round >= 400),
             }
         }
@@ -362,19 +365,19 @@
 #[test]
 fn nothing_is_refused_while_another_zone_would_serve_it() {
     let list = (0..8).map(|k| Server { zone: u8::from(k >= 4), ..Server::warm(server(k)) }).collect();
-    let mut bed = Bed::new(worthy_and_least(), list, 3);
+    let mut test_node = TestNode::new(worthy_and_least(), list, 3);
     // The classes are known: what decides is the queue.
     for _ in 0..200 {
-        bed.now += 20 * MS;
+        test_node.now += 20 * MS;
         for class in 0..2 {
-            if let (id, Some(server)) = ask(&mut bed, class) {
-                bed.outcome(id, server, 0, 45 * MS, Ending::Ok);
+            if let (id, Some(server)) = ask(&mut test_node, class) {
+                test_node.outcome(id, server, 0, 45 * MS, Ending::Ok);
             }
         }
     }
     let mut went = [0, 0];
     for _ in 0..30 {
-        let (_, to) = ask(&mut bed, 1);
+        let (_, to) = ask(&mut test_node, 1);
         let to = to.expect("refused beside an idle zone");
         went[usize::from(to.0 >= 4)] += 1;
     }
@@ -387,18 +390,18 @@
 /// two in five requests that a node wanted to refuse went through).
 #[test]
 fn a_node_of_many_does_not_try_a_jam_with_all_it_has() {
-    let mut bed = Bed::new(settings(Effect::Safe), servers(4), 3);
+    let mut test_node = TestNode::new(settings(Effect::Safe), servers(4), 3);
     for _ in 0..40 {
-        bed.served(40 * MS);
+        test_node.served(40 * MS);
     }
     let mut let_by = 0;
     for _ in 0..400 {
-        bed.now += 250 * MS;
+        test_node.now += 250 * MS;
         // Each answer that does come tells of the jam again.
-        let (id, actions) = bed.request();
+        let (id, actions) = test_node.request();
         if let Some(server) = sent(&actions, id) {
             let_by += 1;
-            bed.outcome(id, server, 0, 2_000 * MS, Ending::Ok);
+            test_node.outcome(id, server, 0, 2_000 * MS, Ending::Ok);
         }
     }
     assert!((5..=120).contains(&let_by), "{let_by} of 400 let by");
@@ -408,19 +411,19 @@
 /// how long ago that was.
 #[test]
 fn a_retry_is_as_old_as_its_first_try() {
-    let mut bed = Bed::new(settings(Effect::Safe), servers(4), 3);
+    let mut test_node = TestNode::new(settings(Effect::Safe), servers(4), 3);
     for _ in 0..40 {
-        bed.now += 10 * MS;
-        bed.served(100 * MS);
+        test_node.now += 10 * MS;
+        test_node.served(100 * MS);
     }
     // The aim is 400 ms of 800: asked first 100, 350 and 500 ms ago.
     let mut taken = |is_retry: bool, age: Nanos| {
-        bed.now += 50 * MS;
-        let (id, request) = bed.draft();
+        test_node.now += 50 * MS;
+        let (id, request) = test_node.draft();
         let give_up_at = request.give_up_at - age * MS;
-        let actions = bed.feed(Event::Request(Request { is_retry, give_up_at, ..request }));
+        let actions = test_node.feed(Event::Request(Request { is_retry, give_up_at, ..request }));
         if let Some(server) = sent(&actions, id) {
-            bed.outcome(id, server, 0, 100 * MS, Ending::Ok);
+            test_node.outcome(id, server, 0, 100 * MS, Ending::Ok);
             return true;
         }
         assert!(refused(&actions, id), "refused at once");
--- a/crates/balance/tests/knowledge.rs
+++ b/crates/balance/tests/knowledge.rs
@@ -9,43 +9,43 @@
 use proptest::test_runner::RngSeed;
 
 /// A fleet of ten under load: server 1 is five times as slow as the others, server 0 refuses connections in the end.
-fn taught() -> Bed {
-    let mut bed = Bed::new(settings(Effect::Safe), servers(10), 3);
+fn taught() -> TestNode {
+    let mut test_node = TestNode::new(settings(Effect::Safe), servers(10), 3);
     for round in 0..5_000 {
-        if bed.balancer.census(bed.now) == (10, 1) {
-            return bed;
+        if test_node.balancer.census(test_node.now) == (10, 1) {
+            return test_node;
         }
-        bed.now += 10 * MS;
-        let (id, actions) = bed.request();
+        test_node.now += 10 * MS;
+        let (id, actions) = test_node.request();
         let Some(to) = sent(&actions, id) else { continue };
         match to.0 {
-            0 if round >= 600 => drop(bed.outcome(id, to, 0, MS, Ending::ConnectFailed)),
-            1 => drop(bed.outcome(id, to, 0, 200 * MS, Ending::Ok)),
-            _ => drop(bed.outcome(id, to, 0, 40 * MS, Ending::Ok)),
+            0 if round >= 600 => drop(test_node.outcome(id, to, 0, MS, Ending::ConnectFailed)),
+            1 => drop(test_node.outcome(id, to, 0, 200 * MS, Ending::Ok)),
+            _ => drop(test_node.outcome(id, to, 0, 40 * MS, Ending::Ok)),
         }
     }
     panic!("server 0 is never ejected");
 }
 
 /// How many of a hundred first requests go to each server.
-fn first_hundred(bed: &mut Bed) -> [u32; 10] {
+fn first_hundred(test_node: &mut TestNode) -> [u32; 10] {
     let mut went = [0; 10];
     for _ in 0..100 {
-        bed.now += MS / 10;
-        let (id, actions) = bed.request();
+        test_node.now += MS / 10;
+        let (id, actions) = test_node.request();
         if let Some(to) = sent(&actions, id) {
             went[to.0 as usize] += 1;
-            bed.outcome(id, to, 0, if to.0 == 1 { 200 * MS } else { 40 * MS }, Ending::Ok);
+            test_node.outcome(id, to, 0, if to.0 == 1 { 200 * MS } else { 40 * MS }, Ending::Ok);
         }
     }
     went
 }
 
-fn successor(old: &Bed, list: Vec<Server>) -> Bed {
-    let mut bed = Bed::new(settings(Effect::Safe), list.clone(), 11);
-    bed.now = old.now;
-    bed.list(ListKind::Full, list);
-    bed
+fn successor(old: &TestNode, list: Vec<Server>) -> TestNode {
+    let mut test_node = TestNode::new(settings(Effect::Safe), list.clone(), 11);
+    test_node.now = old.now;
+    test_node.list(ListKind::Full, list);
+    test_node
 }
 
 #[test]
@@ -76,17 +76,23 @@
 fn what_is_learnt_in_a_jam_is_handed_over() {
     let mut s = settings(Effect::Safe);
     s.classes.push(s.classes[0].clone());
-    let mut bed = Bed::new(s, servers(4), 3);
+    let mut test_node = TestNode::new(s, servers(4), 3);
     for round in 0..400 {
-        bed.now += 10 * MS;
+        test_node.now += 10 * MS;
         let class = u16::from(round >= 100 && round % 3 > 0);
-        let (id, request) = bed.draft();
-        let actions = bed.feed(Event::Request(Request { class, ..request }));
+        let (id, request) = test_node.draft();
+        let actions = test_node.feed(Event::Request(Request { class, ..request }));
         if let Some(to) = sent(&actions, id) {
-            bed.outcome(id, to, 0, if class == 1 && round % 7 > 0 { 300 * MS } else { MS / 2 }, Ending::Ok);
+            test_node.outcome(
+                id,
+                to,
+                0,
+                if class == 1 && round % 7 > 0 { 300 * MS } else { MS / 2 },
+                Ending::Ok,
+            );
         }
-        let known = bed.balancer.knowledge(bed.now, &[0, 1]);
-        assert!(known.is_sound(bed.now), "round {round}: {known:?}");
+        let known = test_node.balancer.knowledge(test_node.now, &[0, 1]);
+        assert!(known.is_sound(test_node.now), "round {round}: {known:?}");
     }
 }
 
--- a/crates/balance/tests/mechanism.rs
+++ b/crates/balance/tests/mechanism.rs
@@ -8,14 +8,14 @@
 /// With all queues empty a tie goes to the more accomplished, so nobody outside the accomplished set can win.
 #[test]
 fn ties_go_to_the_accomplished() {
-    let mut bed = Bed::new(settings(Effect::Safe), servers(20), 3);
+    let mut test_node = TestNode::new(settings(Effect::Safe), servers(20), 3);
     let mut counts = BTreeMap::new();
     for k in 0..20 {
         counts.insert(server(k), 0u32);
     }
     for round in 0..400 {
         // A third of the aim is what a new node expects: all queues stay equal.
-        let server = bed.served(400 * MS / 3).expect("an idle fleet takes all");
+        let server = test_node.served(400 * MS / 3).expect("an idle fleet takes all");
         if round > 50 {
             let better = counts.values().filter(|&&c| c > counts[&server]).count();
             assert!(better < 10, "round {round}: {better} servers were more accomplished");
@@ -29,10 +29,10 @@
 /// With four servers all are drawn, and work that stays out goes round in shortest-queue order.
 #[test]
 fn the_shortest_queue_wins() {
-    let mut bed = Bed::new(settings(Effect::Safe), servers(4), 5);
+    let mut test_node = TestNode::new(settings(Effect::Safe), servers(4), 5);
     let mut out = BTreeMap::new();
     for _ in 0..8 {
-        let (id, actions) = bed.request();
+        let (id, actions) = test_node.request();
         let chosen = sent(&actions, id).expect("sent");
         let mine = *out.entry(chosen).or_insert(0u32);
         let least = (0..4).map(|k| out.get(&server(k)).copied().unwrap_or(0)).min().unwrap();
@@ -44,15 +44,15 @@
 /// A server that answers slowly loses its place to quicker ones, and old merit fades.
 #[test]
 fn a_server_turned_slow_sinks() {
-    let mut bed = Bed::new(settings(Effect::Safe), servers(4), 9);
-    let first = bed.served(50 * MS).unwrap();
+    let mut test_node = TestNode::new(settings(Effect::Safe), servers(4), 9);
+    let first = test_node.served(50 * MS).unwrap();
     let mut late = 0;
     for round in 0..600 {
-        bed.now += 20 * MS;
-        let (id, actions) = bed.request();
+        test_node.now += 20 * MS;
+        let (id, actions) = test_node.request();
         let server = sent(&actions, id).expect("sent");
         let took = if server == first { 300 * MS } else { 50 * MS };
-        bed.outcome(id, server, 0, took, Ending::Ok);
+        test_node.outcome(id, server, 0, took, Ending::Ok);
         late += u32::from(round >= 300 && server == first);
     }
     assert!(late < 60, "the slow one still got {late} of the last 300");
@@ -61,19 +61,19 @@
 /// Quick errors must not climb: a server that fails fast has the emptiest queue of all.
 #[test]
 fn fast_errors_do_not_attract() {
-    let mut bed = Bed::new(settings(Effect::Unsafe), servers(8), 11);
-    let bad = bed.served(50 * MS).unwrap();
+    let mut test_node = TestNode::new(settings(Effect::Unsafe), servers(8), 11);
+    let bad = test_node.served(50 * MS).unwrap();
     let mut hits = 0;
     for _ in 0..400 {
-        bed.now += 10 * MS;
-        let (id, actions) = bed.request();
+        test_node.now += 10 * MS;
+        let (id, actions) = test_node.request();
         let server = sent(&actions, id).expect("sent");
         if server == bad {
             hits += 1;
-            let actions = bed.outcome(id, server, 0, MS, Ending::Error);
+            let actions = test_node.outcome(id, server, 0, MS, Ending::Error);
             assert!(failed(&actions, id));
         } else {
-            bed.outcome(id, server, 0, 50 * MS, Ending::Ok);
+            test_node.outcome(id, server, 0, 50 * MS, Ending::Ok);
         }
     }
     assert!(hits <= 8, "{hits} of 400 went to the failing server");
@@ -82,15 +82,15 @@
 /// A server that takes work and stays silent must not look idle.
 #[test]
 fn silence_is_a_long_queue() {
-    let mut bed = Bed::new(settings(Effect::Unsafe), servers(4), 13);
-    let (_, actions) = bed.request();
+    let mut test_node = TestNode::new(settings(Effect::Unsafe), servers(4), 13);
+    let (_, actions) = test_node.request();
     let mute = sent(&actions, 1).unwrap();
     for _ in 0..20 {
-        bed.served(50 * MS);
+        test_node.served(50 * MS);
     }
-    bed.now += 500 * MS;
+    test_node.now += 500 * MS;
     for _ in 0..50 {
-        assert_ne!(bed.served(50 * MS), Some(mute));
+        assert_ne!(test_node.served(50 * MS), Some(mute));
     }
 }
 
@@ -101,29 +101,29 @@
     for s in &mut list[6..] {
         s.zone = 1;
     }
-    let mut bed = Bed::new(settings(Effect::Safe), list.clone(), 17);
+    let mut test_node = TestNode::new(settings(Effect::Safe), list.clone(), 17);
     for _ in 0..100 {
-        assert!(bed.served(50 * MS).unwrap() < server(6));
+        assert!(test_node.served(50 * MS).unwrap() < server(6));
     }
     let gone = list[..6].iter().map(|s| Server { phase: Phase::Gone, ..*s }).collect();
-    bed.list(ListKind::Changes, gone);
-    assert!(bed.served(50 * MS).unwrap() >= server(6));
+    test_node.list(ListKind::Changes, gone);
+    assert!(test_node.served(50 * MS).unwrap() >= server(6));
 }
 
 /// Equal settings, seed and events give equal actions.
 #[test]
 fn the_same_events_give_the_same_actions() {
     let run = |seed| {
-        let mut bed = Bed::new(settings(Effect::Safe), servers(30), seed);
+        let mut test_node = TestNode::new(settings(Effect::Safe), servers(30), seed);
         let mut all = Vec::new();
         for k in 0..300u64 {
-            bed.now += 3 * MS;
-            let (id, actions) = bed.request();
+            test_node.now += 3 * MS;
+            let (id, actions) = test_node.request();
             let server = sent(&actions, id);
             all.extend(actions);
             if let Some(server) = server.filter(|_| k % 3 != 0) {
                 let ending = if k % 7 == 0 { Ending::Error } else { Ending::Ok };
-                all.extend(bed.outcome(id, server, 0, 40 * MS, ending));
+                all.extend(test_node.outcome(id, server, 0, 40 * MS, ending));
             }
         }
         all
@@ -135,30 +135,30 @@
 /// Single resets come with real connections; each must not cost a server for seconds. Two in a row do.
 #[test]
 fn one_reset_marks_and_a_second_ejects() {
-    let mut bed = Bed::new(settings(Effect::Unsafe), servers(1), 19);
+    let mut test_node = TestNode::new(settings(Effect::Unsafe), servers(1), 19);
     for round in 0..2 {
-        let (id, actions) = bed.request();
+        let (id, actions) = test_node.request();
         let server = sent(&actions, id);
         assert!(server.is_some(), "round {round}");
-        bed.outcome(id, server.unwrap(), 0, 5 * MS, Ending::Reset);
+        test_node.outcome(id, server.unwrap(), 0, 5 * MS, Ending::Reset);
     }
-    let (id, actions) = bed.request();
+    let (id, actions) = test_node.request();
     assert!(refused(&actions, id), "{actions:?}");
 }
 
 /// One that rejects whatever it gets would have the emptiest queue of all: only a single one is forgiven.
 #[test]
 fn a_server_that_rejects_all_does_not_attract() {
-    let mut bed = Bed::new(settings(Effect::Safe), servers(8), 11);
-    let bad = bed.served(50 * MS).unwrap();
+    let mut test_node = TestNode::new(settings(Effect::Safe), servers(8), 11);
+    let bad = test_node.served(50 * MS).unwrap();
     let mut hits = 0;
     for _ in 0..400 {
-        bed.now += 10 * MS;
-        let (id, actions) = bed.request();
+        test_node.now += 10 * MS;
+        let (id, actions) = test_node.request();
         let server = sent(&actions, id).expect("sent");
         hits += u32::from(server == bad);
         let ending = if server == bad { Ending::Rejected } else { Ending::Ok };
-        bed.outcome(id, server, 0, if server == bad { MS } else { 50 * MS }, ending);
+        test_node.outcome(id, server, 0, if server == bad { MS } else { 50 * MS }, ending);
     }
     assert!(hits <= 8, "{hits} of 400 went to the server that rejects all");
 }
@@ -167,15 +167,15 @@
 #[test]
 fn a_server_works_from_the_last_byte_on() {
     for written in [false, true] {
-        let mut bed = Bed::new(settings(Effect::Safe), servers(1), 1);
-        let (id, request) = bed.draft();
-        let late = bed.now + 60_000 * MS;
-        bed.feed(Event::Request(Request { streamed: true, give_up_at: late, ..request }));
+        let mut test_node = TestNode::new(settings(Effect::Safe), servers(1), 1);
+        let (id, request) = test_node.draft();
+        let late = test_node.now + 60_000 * MS;
+        test_node.feed(Event::Request(Request { streamed: true, give_up_at: late, ..request }));
         if written {
-            bed.feed(Event::Written { request: id, attempt: 0 });
+            test_node.feed(Event::Written { request: id, attempt: 0 });
         }
-        bed.now += 5_000 * MS;
-        let (_, actions) = bed.request();
+        test_node.now += 5_000 * MS;
+        let (_, actions) = test_node.request();
         let sent = actions.iter().any(|a| matches!(a, Action::Send { .. }));
         assert_eq!(sent, !written, "{actions:?}");
     }
--- a/crates/balance/tests/retune.rs
+++ b/crates/balance/tests/retune.rs
@@ -16,8 +16,14 @@
     actions.iter().filter_map(server).collect()
 }
 
-fn ends(bed: &mut Bed, id: RequestId, server: ServerId, attempt: u8, ending: Ending) -> Vec<Action> {
-    bed.feed(Event::Outcome {
+fn ends(
+    test_node: &mut TestNode,
+    id: RequestId,
+    server: ServerId,
+    attempt: u8,
+    ending: Ending,
+) -> Vec<Action> {
+    test_node.feed(Event::Outcome {
         request: id,
         server,
         attempt,
@@ -29,65 +35,65 @@
     })
 }
 
-fn again(bed: &mut Bed, class: u16) -> (RequestId, Vec<Action>) {
-    let (id, request) = bed.draft();
-    (id, bed.feed(Event::Request(Request { class, ..request })))
+fn again(test_node: &mut TestNode, class: u16) -> (RequestId, Vec<Action>) {
+    let (id, request) = test_node.draft();
+    (id, test_node.feed(Event::Request(Request { class, ..request })))
 }
 
 #[test]
 fn an_open_request_keeps_its_effect_and_its_attempts() {
     for (old, new) in [(Effect::Unsafe, Effect::Safe), (Effect::Safe, Effect::Unsafe)] {
-        let mut bed = Bed::new(settings(old), servers(8), 1);
-        let (id, actions) = bed.request();
+        let mut test_node = TestNode::new(settings(old), servers(8), 1);
+        let (id, actions) = test_node.request();
         let first = sent(&actions)[0];
         let few = Settings { max_attempts: 1, ..settings(new) };
-        let now = bed.now;
-        let places = bed.balancer.retune(now, few, &[Some(0)]).unwrap();
+        let now = test_node.now;
+        let places = test_node.balancer.retune(now, few, &[Some(0)]).unwrap();
         assert_eq!(places, [1], "other rules are another class");
-        let actions = ends(&mut bed, id, first, 0, Ending::Reset);
+        let actions = ends(&mut test_node, id, first, 0, Ending::Reset);
         // What may have run goes again only where the request was taken as safe; the new limit of one attempt is not its.
         assert_eq!(sent(&actions).len(), usize::from(old == Effect::Safe), "{old:?} to {new:?}: {actions:?}");
-        let (id, actions) = again(&mut bed, places[0]);
+        let (id, actions) = again(&mut test_node, places[0]);
         let server = sent(&actions)[0];
-        let actions = ends(&mut bed, id, server, 0, Ending::ConnectFailed);
+        let actions = ends(&mut test_node, id, server, 0, Ending::ConnectFailed);
         assert!(sent(&actions).is_empty(), "more attempts than the new settings allow: {actions:?}");
         // One whose head was read before still names the old place.
-        let (id, actions) = again(&mut bed, 0);
+        let (id, actions) = again(&mut test_node, 0);
         let server = sent(&actions)[0];
-        let actions = ends(&mut bed, id, server, 0, Ending::Reset);
+        let actions = ends(&mut test_node, id, server, 0, Ending::Reset);
         assert!(sent(&actions).is_empty(), "{actions:?}");
     }
 }
 
 #[test]
 fn what_is_known_of_servers_stays() {
-    let mut bed = Bed::new(settings(Effect::Safe), servers(3), 1);
-    let (id, actions) = bed.request();
+    let mut test_node = TestNode::new(settings(Effect::Safe), servers(3), 1);
+    let (id, actions) = test_node.request();
     let bad = sent(&actions)[0];
-    ends(&mut bed, id, bad, 0, Ending::Error);
-    let now = bed.now;
-    assert_eq!(bed.balancer.census(now), (3, 1));
-    let places = bed.balancer.retune(now, settings(Effect::Safe), &[Some(0)]).unwrap();
+    ends(&mut test_node, id, bad, 0, Ending::Error);
+    let now = test_node.now;
+    assert_eq!(test_node.balancer.census(now), (3, 1));
+    let places = test_node.balancer.retune(now, settings(Effect::Safe), &[Some(0)]).unwrap();
     assert_eq!(places, [0], "the same class keeps its place");
-    assert_eq!(bed.balancer.census(now), (3, 1));
+    assert_eq!(test_node.balancer.census(now), (3, 1));
     for _ in 0..20 {
-        let (_, actions) = bed.request();
+        let (_, actions) = test_node.request();
         assert!(!sent(&actions).contains(&bad));
     }
 }
 
 #[test]
 fn settings_that_cannot_be_acted_on_change_nothing() {
-    let mut bed = Bed::new(settings(Effect::Safe), servers(3), 1);
-    let now = bed.now;
+    let mut test_node = TestNode::new(settings(Effect::Safe), servers(3), 1);
+    let now = test_node.now;
     for broken in [
         Settings { max_attempts: 0, ..settings(Effect::Safe) },
         Settings { classes: Vec::new(), ..settings(Effect::Safe) },
     ] {
-        assert!(bed.balancer.retune(now, broken, &[Some(0)]).is_err());
-        let (id, actions) = bed.request();
+        assert!(test_node.balancer.retune(now, broken, &[Some(0)]).is_err());
+        let (id, actions) = test_node.request();
         let first = sent(&actions)[0];
-        assert_eq!(sent(&ends(&mut bed, id, first, 0, Ending::ConnectFailed)).len(), 1);
+        assert_eq!(sent(&ends(&mut test_node, id, first, 0, Ending::ConnectFailed)).len(), 1);
     }
 }
 
@@ -99,22 +105,22 @@
         settings.classes[0].aim = aim;
         settings
     };
-    let mut bed = Bed::new(class(100 * MS), servers(3), 1);
-    let (open, actions) = bed.request();
+    let mut test_node = TestNode::new(class(100 * MS), servers(3), 1);
+    let (open, actions) = test_node.request();
     let server = sent(&actions)[0];
     let mut most = 0;
     for k in 1..200 {
-        bed.now += 20_000 * MS;
-        let now = bed.now;
-        let place = bed.balancer.retune(now, class((100 + k) * MS), &[None]).unwrap()[0];
+        test_node.now += 20_000 * MS;
+        let now = test_node.now;
+        let place = test_node.balancer.retune(now, class((100 + k) * MS), &[None]).unwrap()[0];
         assert_ne!(place, 0, "the place of an open request");
         most = most.max(place);
     }
     assert!(most < 10, "{most}");
-    bed.now += 20_000 * MS;
-    ends(&mut bed, open, server, 0, Ending::Ok);
-    let now = bed.now;
-    assert_eq!(bed.balancer.retune(now, class(7 * MS), &[None]).unwrap(), [0]);
+    test_node.now += 20_000 * MS;
+    ends(&mut test_node, open, server, 0, Ending::Ok);
+    let now = test_node.now;
+    assert_eq!(test_node.balancer.retune(now, class(7 * MS), &[None]).unwrap(), [0]);
 }
 
 fn shared(quotas: &[(u32, f64)]) -> Settings {
@@ -126,13 +132,13 @@
 }
 
 /// Whether a request of this tenant is refused.
-fn refused(bed: &mut Bed, tenant: u32) -> bool {
-    let (id, request) = bed.draft();
-    let actions = bed.feed(Event::Request(Request { tenant, ..request }));
+fn refused(test_node: &mut TestNode, tenant: u32) -> bool {
+    let (id, request) = test_node.draft();
+    let actions = test_node.feed(Event::Request(Request { tenant, ..request }));
     let server = sent(&actions).first().copied();
     // Some are kept waiting by others: without that nobody would have to yield.
     let took = if id.is_multiple_of(3) { 60 * MS } else { 10 * MS };
-    server.into_iter().for_each(|server| drop(bed.outcome(id, server, 0, took, Ending::Ok)));
+    server.into_iter().for_each(|server| drop(test_node.outcome(id, server, 0, took, Ending::Ok)));
     server.is_none()
 }
 
@@ -140,14 +146,14 @@
 /// another number begins anew, and so does one that was gone in between.
 #[test]
 fn a_tenants_rate_goes_by_its_number() {
-    let whole = |bed: &mut Bed, quotas: &[(u32, f64)]| {
-        let now = bed.now;
-        bed.balancer.retune(now, shared(quotas), &[Some(0)]).map(drop).unwrap();
+    let whole = |test_node: &mut TestNode, quotas: &[(u32, f64)]| {
+        let now = test_node.now;
+        test_node.balancer.retune(now, shared(quotas), &[Some(0)]).map(drop).unwrap();
     };
-    let alone = |bed: &mut Bed, quotas: &[(u32, f64)]| {
-        bed.balancer.keep_quotas(Quotas::new(quotas.iter().copied())).unwrap();
+    let alone = |test_node: &mut TestNode, quotas: &[(u32, f64)]| {
+        test_node.balancer.keep_quotas(Quotas::new(quotas.iter().copied())).unwrap();
     };
-    for told in [whole as fn(&mut Bed, &[(u32, f64)]), alone] {
+    for told in [whole as fn(&mut TestNode, &[(u32, f64)]), alone] {
         for (quotas, over) in [
             (&[&[(7, 5.0), (3, 5.0)][..]][..], [(7, true), (3, false)]),
             (&[&[(3, 5.0), (8, 5.0)]], [(8, false), (3, false)]),
@@ -155,18 +161,18 @@
             (&[&[(3, 5.0), (7, 5_000.0)]], [(7, false), (3, false)]),
             (&[&[(3, 5.0), (7, 5_000.0)], &[(7, 5.0)]], [(7, true), (9, false)]),
         ] {
-            let mut bed = Bed::new(shared(&[(3, 5.0), (7, 5.0)]), servers(8), 1);
+            let mut test_node = TestNode::new(shared(&[(3, 5.0), (7, 5.0)]), servers(8), 1);
             // One is far over its share, the other uses none of it.
-            let count = (0..200).filter(|_| refused(&mut bed, 7)).count();
+            let count = (0..200).filter(|_| refused(&mut test_node, 7)).count();
             assert!(count > 100, "{count}");
-            quotas.iter().for_each(|quotas| told(&mut bed, quotas));
+            quotas.iter().for_each(|quotas| told(&mut test_node, quotas));
             for (tenant, expected) in over {
-                assert_eq!(refused(&mut bed, tenant), expected, "tenant {tenant} of {quotas:?}");
+                assert_eq!(refused(&mut test_node, tenant), expected, "tenant {tenant} of {quotas:?}");
             }
         }
     }
-    let mut bed = Bed::new(shared(&[(3, 5.0)]), servers(3), 1);
-    assert!(bed.balancer.keep_quotas(Quotas::from(vec![f64::NAN])).is_err());
+    let mut test_node = TestNode::new(shared(&[(3, 5.0)]), servers(3), 1);
+    assert!(test_node.balancer.keep_quotas(Quotas::from(vec![f64::NAN])).is_err());
 }
 
 /// Something is known of a tenant once it was seen, and no longer when it has been idle for long. Nothing that is decided
@@ -174,54 +180,56 @@
 #[test]
 fn tenants_are_known_once_seen_and_forgotten_when_idle() {
     let quotas: Vec<_> = (0..15_000).map(|tenant| (tenant, 50.0)).collect();
-    let beds = || Bed::new(shared(&quotas), servers(8), 1);
-    let (mut bed, mut keeps) = (beds(), beds());
+    let test_nodes = || TestNode::new(shared(&quotas), servers(8), 1);
+    let (mut test_node, mut keeps) = (test_nodes(), test_nodes());
     for stranger in 20_000..20_010 {
-        refused(&mut bed, stranger);
+        refused(&mut test_node, stranger);
         refused(&mut keeps, stranger);
     }
-    assert_eq!(bed.balancer.tenants_known(), 0, "of whom has no share nothing is kept");
+    assert_eq!(test_node.balancer.tenants_known(), 0, "of whom has no share nothing is kept");
     let mut decided = [Vec::new(), Vec::new()];
     for round in 0..40 {
-        for (bed, decided) in [&mut bed, &mut keeps].into_iter().zip(&mut decided) {
+        for (test_node, decided) in [&mut test_node, &mut keeps].into_iter().zip(&mut decided) {
             // A stranger's number leaves no trace.
             let all = (0..100).map(|k| (round * 131 + k * k) % 15_000).chain([20_000, u32::MAX]);
-            decided.extend(all.map(|tenant| refused(bed, tenant)));
-            bed.now += 20_000 * MS;
+            decided.extend(all.map(|tenant| refused(test_node, tenant)));
+            test_node.now += 20_000 * MS;
         }
-        let now = bed.now;
-        bed.balancer.forget_idle(now);
-        assert!(bed.balancer.tenants_known() < 1_000, "{}", bed.balancer.tenants_known());
+        let now = test_node.now;
+        test_node.balancer.forget_idle(now);
+        assert!(test_node.balancer.tenants_known() < 1_000, "{}", test_node.balancer.tenants_known());
     }
     assert!(keeps.balancer.tenants_known() > 1_500, "{}", keeps.balancer.tenants_known());
     assert_eq!(decided[0], decided[1]);
-    bed.now += 200_000 * MS;
-    let now = bed.now;
-    bed.balancer.forget_idle(now);
-    assert_eq!(bed.balancer.tenants_known(), 0);
+    test_node.now += 200_000 * MS;
+    let now = test_node.now;
+    test_node.balancer.forget_idle(now);
+    assert_eq!(test_node.balancer.tenants_known(), 0);
 }
 
 /// To count as another one of a group is told by two numbers, and does what new settings with these would do.
 #[test]
 fn to_count_otherwise_is_as_settings_that_say_so() {
     let grouped = |ordinal, group_size| Settings { ordinal, group_size, ..settings(Effect::Safe) };
-    let mut beds = [0, 1].map(|_| Bed::new(grouped(0, 1), servers(30), 4));
+    let mut test_nodes = [0, 1].map(|_| TestNode::new(grouped(0, 1), servers(30), 4));
     for (ordinal, group_size) in [(3, 20), (4, 21), (0, 1), (7, 440)] {
-        let now = beds[0].now;
-        beds[0].balancer.count_as(now, ordinal, group_size).unwrap();
-        beds[1].balancer.retune(now, grouped(ordinal, group_size), &[Some(0)]).unwrap();
+        let now = test_nodes[0].now;
+        test_nodes[0].balancer.count_as(now, ordinal, group_size).unwrap();
+        test_nodes[1].balancer.retune(now, grouped(ordinal, group_size), &[Some(0)]).unwrap();
         for _ in 0..200 {
-            let [one, other] = &mut beds;
+            let [one, other] = &mut test_nodes;
             let (a, b) = (one.request(), other.request());
             assert_eq!(a, b);
             let server = sent(&a.1).first().copied();
-            for bed in [one, other] {
-                server.into_iter().for_each(|server| drop(bed.outcome(a.0, server, 0, 10 * MS, Ending::Ok)));
+            for test_node in [one, other] {
+                server
+                    .into_iter()
+                    .for_each(|server| drop(test_node.outcome(a.0, server, 0, 10 * MS, Ending::Ok)));
             }
         }
     }
-    let now = beds[0].now;
-    assert!(beds[0].balancer.count_as(now, 5, 5).is_err());
+    let now = test_nodes[0].now;
+    assert!(test_nodes[0].balancer.count_as(now, 5, 5).is_err());
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -281,7 +289,7 @@
             Settings { classes, max_attempts: attempts, ..settings(Effect::Safe) }
         };
         let (mut effects, mut most) = ([Effect::Safe, Effect::Unsafe], 3);
-        let mut bed = Bed::new(two(effects, most, false), servers(6), 3);
+        let mut test_node = TestNode::new(two(effects, most, false), servers(6), 3);
         // The place of each of the two names.
         let mut places = [0u16, 1];
         let mut promises: BTreeMap<RequestId, Promise> = BTreeMap::new();
@@ -290,10 +298,10 @@
                 promises.iter().filter_map(|(id, p)| Some((*id, p.out?))).collect();
             let actions = match step {
                 Step::Ask { class } => {
-                    let (id, request) = bed.draft();
+                    let (id, request) = test_node.draft();
                     let promise = Promise { effect: effects[class], most, attempts: 0, may_have_run: false, out: None, answers: 0 };
                     promises.insert(id, promise);
-                    bed.feed(Event::Request(Request { class: places[class], ..request }))
+                    test_node.feed(Event::Request(Request { class: places[class], ..request }))
                 }
                 Step::End { open: at, ending } => {
                     let Some(&(id, (attempt, server))) = open.get(at) else { continue };
@@ -301,12 +309,12 @@
                     promise.out = None;
                     promise.may_have_run |= !ending.never_ran();
                     promise.answers += u32::from(ending == Ending::Ok);
-                    ends(&mut bed, id, server, attempt, ending)
+                    ends(&mut test_node, id, server, attempt, ending)
                 }
                 Step::Leave { open: at } => {
                     let Some(&(id, _)) = open.get(at) else { continue };
                     promises.get_mut(&id).unwrap().answers += 1;
-                    bed.feed(Event::ClientGone { request: id })
+                    test_node.feed(Event::ClientGone { request: id })
                 }
                 Step::Retune { effects: to, attempts, swapped, renamed } => {
                     (effects, most) = (to, attempts);
@@ -314,14 +322,14 @@
                     if swapped {
                         heirs.reverse();
                     }
-                    let now = bed.now;
-                    let told = bed.balancer.retune(now, two(to, attempts, swapped), &heirs).unwrap();
+                    let now = test_node.now;
+                    let told = test_node.balancer.retune(now, two(to, attempts, swapped), &heirs).unwrap();
                     prop_assert_ne!(told[0], told[1]);
                     places = if swapped { [told[1], told[0]] } else { [told[0], told[1]] };
                     continue;
                 }
                 Step::Wait { ms } => {
-                    bed.now += ms * MS;
+                    test_node.now += ms * MS;
                     continue;
                 }
             };
@@ -344,7 +352,7 @@
                         let promise = promises.get_mut(&request).unwrap();
                         let (number, server) = promise.out.take().expect("it is out");
                         prop_assert_eq!(number, attempt);
-                        ends(&mut bed, request, server, attempt, Ending::Cancelled);
+                        ends(&mut test_node, request, server, attempt, Ending::Cancelled);
                     }
                     _ => {}
                 }
--- a/crates/balance/tests/rules.rs
+++ b/crates/balance/tests/rules.rs
@@ -22,21 +22,21 @@
 #[test]
 fn effects_against_endings() {
     for ending in ENDINGS.into_iter().filter(|e| *e != Ending::Ok) {
-        let mut bed = Bed::new(settings(Effect::Unsafe), servers(6), 1);
-        let (id, actions) = bed.request();
+        let mut test_node = TestNode::new(settings(Effect::Unsafe), servers(6), 1);
+        let (id, actions) = test_node.request();
         let first = sent(&actions, id).unwrap();
-        bed.now += 10 * MS;
-        let actions = bed.outcome(id, first, 0, 10 * MS, ending);
+        test_node.now += 10 * MS;
+        let actions = test_node.outcome(id, first, 0, 10 * MS, ending);
         if ending.never_ran() {
             assert!(sent(&actions, id).is_some_and(|s| s != first), "{ending:?}: {actions:?}");
         } else {
             assert!(sent(&actions, id).is_none() && !refused(&actions, id), "{ending:?}: {actions:?}");
             assert!(failed(&actions, id), "{ending:?}: {actions:?}");
         }
-        let mut bed = Bed::new(settings(Effect::Safe), servers(6), 1);
-        let (id, actions) = bed.request();
+        let mut test_node = TestNode::new(settings(Effect::Safe), servers(6), 1);
+        let (id, actions) = test_node.request();
         let first = sent(&actions, id).unwrap();
-        let actions = bed.outcome(id, first, 0, 10 * MS, ending);
+        let actions = test_node.outcome(id, first, 0, 10 * MS, ending);
         if ending == Ending::Rejected {
             assert!(failed(&actions, id) && sent(&actions, id).is_none(), "{actions:?}");
         } else {
@@ -58,12 +58,12 @@
             server.zone = (k / 4) as u8;
             server.cell = (k / 2) as u16;
         }
-        let mut bed = Bed::new(s, list.clone(), 2);
-        let (id, actions) = bed.request();
+        let mut test_node = TestNode::new(s, list.clone(), 2);
+        let (id, actions) = test_node.request();
         let first = sent(&actions, id).unwrap();
         let took = if late { 650 * MS } else { 50 * MS };
-        bed.now += took;
-        let actions = bed.outcome(id, first, 0, took, Ending::Reset);
+        test_node.now += took;
+        let actions = test_node.outcome(id, first, 0, took, Ending::Reset);
         let of = |e: ServerId| list.iter().find(|s| s.id == e).unwrap();
         match sent(&actions, id) {
             Some(second) => {
@@ -84,7 +84,7 @@
         let effect = [Effect::Safe, Effect::Keyed, Effect::Unsafe][(seed % 3) as usize];
         let mut s = settings(effect);
         s.second_copies = seed % 2 == 0;
-        let mut bed = Bed::new(s, servers(8), seed);
+        let mut test_node = TestNode::new(s, servers(8), seed);
         let mut draining = [false; 8];
         // For each request: when it ends, its open attempts, whether one may have run, whether it is answered.
         struct Life {
@@ -96,8 +96,9 @@
         }
         let mut lives: BTreeMap<RequestId, Life> = BTreeMap::new();
         for _ in 0..1500 {
-            bed.now += u64::from(rng.next_u32() % 20) * MS;
-            let due = lives.iter().find(|(_, l)| l.answers == 0 && bed.now >= l.until).map(|(id, _)| *id);
+            test_node.now += u64::from(rng.next_u32() % 20) * MS;
+            let due =
+                lives.iter().find(|(_, l)| l.answers == 0 && test_node.now >= l.until).map(|(id, _)| *id);
             let pick = lives.iter().filter(|(_, l)| !l.open.is_empty()).nth(rng.next_u32() as usize % 4);
             let target = due.or(pick.map(|(id, _)| *id));
             let actions = if let (Some(id), true) = (target, due.is_some() || rng.next_u32() % 2 == 0) {
@@ -111,8 +112,8 @@
                 life.may_have_run |= !ending.never_ran();
                 let finished = ending == Ending::Ok || life.answers > 0;
                 life.answers += u32::from(ending == Ending::Ok && life.answers == 0);
-                let (request, took) = (id, bed.now - at);
-                bed.feed(Event::Outcome {
+                let (request, took) = (id, test_node.now - at);
+                test_node.feed(Event::Outcome {
                     request,
                     server,
                     attempt,
@@ -126,12 +127,12 @@
                 let k = rng.next_u32() as u8 % 8;
                 draining[usize::from(k)] ^= true;
                 let phase = if draining[usize::from(k)] { Phase::Draining } else { Phase::Ready };
-                bed.list(ListKind::Changes, vec![Server { phase, ..Server::warm(server(k)) }])
+                test_node.list(ListKind::Changes, vec![Server { phase, ..Server::warm(server(k)) }])
             } else if rng.next_u32() % 3 == 0 {
-                bed.feed(Event::Timer { token: rng.next_u32() })
+                test_node.feed(Event::Timer { token: rng.next_u32() })
             } else {
-                let (id, actions) = bed.request();
-                let until = bed.now + 800 * MS;
+                let (id, actions) = test_node.request();
+                let until = test_node.now + 800 * MS;
                 let life = Life { until, open: vec![], attempts: 0, may_have_run: false, answers: 0 };
                 lives.insert(id, life);
                 actions
@@ -141,11 +142,11 @@
                     Action::Send { request, server, .. } => {
                         let life = lives.get_mut(&request).unwrap();
                         assert_eq!(life.answers, 0, "seed {seed}: sent after the answer");
-                        assert!(bed.now < life.until && life.attempts < 4);
+                        assert!(test_node.now < life.until && life.attempts < 4);
                         assert!(!draining[server.0 as usize], "seed {seed}: sent to a draining server");
                         assert!(effect != Effect::Unsafe || (!life.may_have_run && life.open.is_empty()));
                         assert!(life.open.is_empty() || (seed % 2 == 0 && effect == Effect::Safe));
-                        life.open.push((life.attempts, server, bed.now));
+                        life.open.push((life.attempts, server, test_node.now));
                         life.attempts += 1;
                     }
                     Action::Refuse { request, .. } => {
@@ -170,15 +171,15 @@
 /// Nothing new reaches a server once the list says that it drains, is gone, or no longer names it.
 #[test]
 fn drains_are_kept() {
-    let mut bed = Bed::new(settings(Effect::Safe), servers(4), 1);
-    bed.list(ListKind::Changes, vec![Server { phase: Phase::Draining, ..Server::warm(server(0)) }]);
-    bed.list(ListKind::Changes, vec![Server { phase: Phase::Gone, ..Server::warm(server(1)) }]);
+    let mut test_node = TestNode::new(settings(Effect::Safe), servers(4), 1);
+    test_node.list(ListKind::Changes, vec![Server { phase: Phase::Draining, ..Server::warm(server(0)) }]);
+    test_node.list(ListKind::Changes, vec![Server { phase: Phase::Gone, ..Server::warm(server(1)) }]);
     for _ in 0..50 {
-        assert!(bed.served(20 * MS).unwrap() >= server(2));
+        assert!(test_node.served(20 * MS).unwrap() >= server(2));
     }
-    bed.list(ListKind::Full, vec![Server::warm(server(3))]);
+    test_node.list(ListKind::Full, vec![Server::warm(server(3))]);
     for _ in 0..50 {
-        assert_eq!(bed.served(20 * MS), Some(server(3)));
+        assert_eq!(test_node.served(20 * MS), Some(server(3)));
     }
 }
 
@@ -186,21 +187,21 @@
 /// warm rate, and no burst.
 #[test]
 fn a_cold_fleet_is_not_pushed_over() {
-    let mut bed = Bed::new(settings(Effect::Safe), servers(5), 4);
+    let mut test_node = TestNode::new(settings(Effect::Safe), servers(5), 4);
     let step = 10 * MS;
     for _ in 0..3000 {
-        bed.now += step;
-        bed.served(20 * MS);
+        test_node.now += step;
+        test_node.served(20 * MS);
     }
-    let start = bed.now;
+    let start = test_node.now;
     let cold: Vec<_> = servers(5).into_iter().map(|s| Server { started_at: start, ..s }).collect();
-    bed.list(ListKind::Changes, cold);
+    test_node.list(ListKind::Changes, cold);
     // Warm, each of the five took 20 requests a second; the ramp lasts 8 s and starts at 0.3.
     let mut sends: BTreeMap<ServerId, Vec<Nanos>> = BTreeMap::new();
     for _ in 0..800 {
-        bed.now += step;
-        if let Some(server) = bed.served(20 * MS) {
-            sends.entry(server).or_default().push(bed.now - start);
+        test_node.now += step;
+        if let Some(server) = test_node.served(20 * MS) {
+            sends.entry(server).or_default().push(test_node.now - start);
         }
     }
     assert!(sends.len() == 5, "all take part: {:?}", sends.keys());
@@ -217,24 +218,24 @@
 /// With nobody to send to, a request still gets its one answer.
 #[test]
 fn an_empty_list_refuses() {
-    let mut bed = Bed::new(settings(Effect::Unsafe), vec![], 1);
-    let (id, actions) = bed.request();
+    let mut test_node = TestNode::new(settings(Effect::Unsafe), vec![], 1);
+    let (id, actions) = test_node.request();
     assert!(refused(&actions, id), "{actions:?}");
 }
 
 /// Odd but legal events change nothing.
 #[test]
 fn odd_events_are_harmless() {
-    let mut bed = Bed::new(settings(Effect::Safe), servers(3), 1);
-    assert!(bed.outcome(77, server(0), 0, MS, Ending::Error).is_empty());
-    assert!(bed.feed(Event::ClientGone { request: 77 }).is_empty());
-    assert!(bed.feed(Event::Timer { token: 9 }).is_empty());
+    let mut test_node = TestNode::new(settings(Effect::Safe), servers(3), 1);
+    assert!(test_node.outcome(77, server(0), 0, MS, Ending::Error).is_empty());
+    assert!(test_node.feed(Event::ClientGone { request: 77 }).is_empty());
+    assert!(test_node.feed(Event::Timer { token: 9 }).is_empty());
     let gone = Server { phase: Phase::Gone, ..Server::warm(server(99)) };
-    assert!(bed.list(ListKind::Changes, vec![gone]).is_empty());
-    let (id, actions) = bed.request();
+    assert!(test_node.list(ListKind::Changes, vec![gone]).is_empty());
+    let (id, actions) = test_node.request();
     let server = sent(&actions, id).unwrap();
-    bed.feed(Event::ClientGone { request: id });
-    let late = bed.outcome(id, server, 0, 90 * MS, Ending::Error);
+    test_node.feed(Event::ClientGone { request: id });
+    let late = test_node.outcome(id, server, 0, 90 * MS, Ending::Error);
     assert!(sent(&late, id).is_none() && !failed(&late, id) && !refused(&late, id), "{late:?}");
 }
 
@@ -244,15 +245,15 @@
     let mut s = settings(Effect::Safe);
     s.must_subscribe = true;
     let wait = |seed| {
-        let mut bed = Bed::new(s.clone(), vec![], seed);
-        assert!(bed.list(ListKind::Cached, servers(3)).contains(&Action::Subscribe));
-        let actions = bed.list(ListKind::Failed, vec![]);
+        let mut test_node = TestNode::new(s.clone(), vec![], seed);
+        assert!(test_node.list(ListKind::Cached, servers(3)).contains(&Action::Subscribe));
+        let actions = test_node.list(ListKind::Failed, vec![]);
         let after = actions.iter().find_map(|a| match a {
             Action::StartTimer { after, .. } => Some(*after),
             _ => None,
         });
-        bed.now += after.expect("a timer");
-        assert!(bed.feed(Event::Timer { token: 0 }).contains(&Action::Subscribe));
+        test_node.now += after.expect("a timer");
+        assert!(test_node.feed(Event::Timer { token: 0 }).contains(&Action::Subscribe));
         after
     };
     assert_ne!(wait(1), wait(2));
--- a/crates/balance/tests/start_times.rs
+++ b/crates/balance/tests/start_times.rs
@@ -12,37 +12,37 @@
 const TOOK: Nanos = 200 * MS;
 const WARM: u8 = 4;
 
-fn warm_bed() -> Bed {
-    let mut bed = Bed::new(settings(Effect::Safe), servers(WARM), 4);
-    play(&mut bed, 2_000 * MS);
-    bed
+fn warm_node() -> TestNode {
+    let mut test_node = TestNode::new(settings(Effect::Safe), servers(WARM), 4);
+    play(&mut test_node, 2_000 * MS);
+    test_node
 }
 
 /// Requests come each step for so long, and are answered so much later that all servers have some; the times of those that went to
 /// servers which are not among the warm ones.
-fn play(bed: &mut Bed, time: Nanos) -> Vec<(ServerId, Nanos)> {
-    let (start, mut sends, mut open) = (bed.now, Vec::new(), VecDeque::new());
-    while bed.now < start + time {
-        bed.now += STEP;
-        while let Some((id, to, _)) = open.pop_front_if(|(_, _, due)| *due <= bed.now) {
-            bed.outcome(id, to, 0, TOOK, Ending::Ok);
+fn play(test_node: &mut TestNode, time: Nanos) -> Vec<(ServerId, Nanos)> {
+    let (start, mut sends, mut open) = (test_node.now, Vec::new(), VecDeque::new());
+    while test_node.now < start + time {
+        test_node.now += STEP;
+        while let Some((id, to, _)) = open.pop_front_if(|(_, _, due)| *due <= test_node.now) {
+            test_node.outcome(id, to, 0, TOOK, Ending::Ok);
         }
-        let (id, actions) = bed.request();
+        let (id, actions) = test_node.request();
         let Some(to) = sent(&actions, id) else { continue };
-        open.push_back((id, to, bed.now + TOOK));
+        open.push_back((id, to, test_node.now + TOOK));
         if to >= server(WARM) {
-            sends.push((to, bed.now - start));
+            sends.push((to, test_node.now - start));
         }
     }
     for (id, to, _) in open {
-        bed.outcome(id, to, 0, TOOK, Ending::Ok);
+        test_node.outcome(id, to, 0, TOOK, Ending::Ok);
     }
     sends
 }
 
-fn start_told(bed: &mut Bed, number: u8, started_at: Nanos) {
-    bed.list(ListKind::Changes, vec![Server { started_at, ..Server::warm(server(number)) }]);
-    bed.balancer.heard(bed.now);
+fn start_told(test_node: &mut TestNode, number: u8, started_at: Nanos) {
+    test_node.list(ListKind::Changes, vec![Server { started_at, ..Server::warm(server(number)) }]);
+    test_node.balancer.heard(test_node.now);
 }
 
 /// However far the clock is off that tells of a start: the server has started since the list was heard without it, and gets what any
@@ -50,12 +50,12 @@
 #[test]
 fn a_start_that_a_list_newly_tells_is_dated_by_when_it_was_told() {
     let sends = |told: fn(Nanos) -> Nanos| {
-        let mut bed = warm_bed();
-        bed.balancer.heard(bed.now);
-        let now = bed.now;
-        start_told(&mut bed, WARM, told(now));
+        let mut test_node = warm_node();
+        test_node.balancer.heard(test_node.now);
+        let now = test_node.now;
+        start_told(&mut test_node, WARM, told(now));
         // The ramp lasts 8 s.
-        play(&mut bed, 12_000 * MS)
+        play(&mut test_node, 12_000 * MS)
     };
     let right = sends(|now| now);
     assert!(right.len() > 100, "it is used: {}", right.len());
@@ -69,14 +69,14 @@
 #[test]
 fn a_restart_is_one_whichever_way_its_clock_was_set() {
     let sends = |told: fn(Nanos) -> Nanos| {
-        let mut bed = warm_bed();
-        let long_ago = bed.now - 60_000 * MS;
-        start_told(&mut bed, WARM, long_ago);
-        play(&mut bed, 10_000 * MS);
-        bed.balancer.heard(bed.now);
-        let now = bed.now;
-        start_told(&mut bed, WARM, told(now));
-        play(&mut bed, 2_000 * MS).len()
+        let mut test_node = warm_node();
+        let long_ago = test_node.now - 60_000 * MS;
+        start_told(&mut test_node, WARM, long_ago);
+        play(&mut test_node, 10_000 * MS);
+        test_node.balancer.heard(test_node.now);
+        let now = test_node.now;
+        start_told(&mut test_node, WARM, told(now));
+        play(&mut test_node, 2_000 * MS).len()
     };
     let (right, behind) = (sends(|now| now), sends(|now| now - FAR));
     assert_eq!(behind, right);
@@ -94,16 +94,16 @@
         let mut list = servers(WARM);
         let start = 1_000_000 * MS;
         list.push(Server { started_at: start - FAR, ..Server::warm(server(WARM)) });
-        let mut bed = Bed::new(settings(Effect::Safe), list, 4);
-        bed.balancer.heard(bed.now);
-        play(&mut bed, 100 * MS);
+        let mut test_node = TestNode::new(settings(Effect::Safe), list, 4);
+        test_node.balancer.heard(test_node.now);
+        play(&mut test_node, 100 * MS);
         for number in [20, 21] {
-            bed.balancer.heard(bed.now);
-            let at = told(bed.now);
-            start_told(&mut bed, number, at);
+            test_node.balancer.heard(test_node.now);
+            let at = told(test_node.now);
+            start_told(&mut test_node, number, at);
         }
         let of_first = |(to, _): &&(ServerId, Nanos)| *to == server(WARM);
-        play(&mut bed, 1_000 * MS).iter().filter(of_first).count()
+        play(&mut test_node, 1_000 * MS).iter().filter(of_first).count()
     };
     let (right, ahead) = (later(|now| now), later(|now| now - FAR));
     assert!(ahead * 2 < right, "{ahead} where our clock is ahead, {right} where it is right");
