Call the classes that others take over from or hand over to what they are

Change: a rename: predecessors where settings are retuned (the class that a new one takes over from), successors where knowledge is handed over; in parameters, variables and their documentation. Measured: tests of balance, engine, proxy and laboratory pass.

--- a/crates/balance/src/balancer/retune.rs
+++ b/crates/balance/src/balancer/retune.rs
@@ -32,8 +32,8 @@
 
 impl Balancer {
     /// Goes by other settings from here on, with all that is known of servers. For each of their classes
-    /// `heirs` says whose name it has, by place in the settings or as this returned it. Returns each class's
-    /// place, by which [`Request::class`](crate::interface::Request::class) names it; open requests
+    /// `predecessors` says whose name it has, by place in the settings or as this returned it. Returns each
+    /// class's place, by which [`Request::class`](crate::interface::Request::class) names it; open requests
     /// keep theirs, with its rules.
     ///
     /// # Errors
@@ -42,7 +42,7 @@
         &mut self,
         now: Nanos,
         mut settings: Settings,
-        heirs: &[Option<u16>],
+        predecessors: &[Option<u16>],
     ) -> Result<Vec<u16>, SettingsError> {
         settings.validate()?;
         self.places.iter_mut().for_each(|place| place.retired = place.retired.or(Some(now)));
@@ -52,13 +52,13 @@
             .iter()
             .enumerate()
             .map(|(k, class)| {
-                let heir = heirs.get(k).copied().flatten().map(usize::from);
-                let heir = heir.filter(|p| *p < table.len());
+                let predecessor = predecessors.get(k).copied().flatten().map(usize::from);
+                let predecessor = predecessor.filter(|p| *p < table.len());
                 // The same name with other rules is another class; it begins with what was learnt.
-                let at = heir
+                let at = predecessor
                     .filter(|p| table[*p] == *class)
                     .unwrap_or_else(|| self.place(now, &mut table, class));
-                self.places[at] = Place { retired: None, ..self.places[heir.unwrap_or(at)] };
+                self.places[at] = Place { retired: None, ..self.places[predecessor.unwrap_or(at)] };
                 at as u16
             })
             .collect();
--- a/crates/balance/src/knowledge.rs
+++ b/crates/balance/src/knowledge.rs
@@ -134,15 +134,15 @@
         }
     }
 
-    /// Takes over what another balancer knew, before the first request. `heirs` says for each class that it knew
+    /// Takes over what another balancer knew, before the first request. `successors` says for each class that it knew
     /// whose place has that name here. Servers that the list has not, or has with another start, stay blank.
     /// Returns how many servers it knows now; none, with nothing taken, where the knowledge is not sound.
-    pub fn recall(&mut self, now: Nanos, known: &Knowledge, heirs: &[Option<u16>]) -> Option<usize> {
+    pub fn recall(&mut self, now: Nanos, known: &Knowledge, successors: &[Option<u16>]) -> Option<usize> {
         if !known.is_sound(now) {
             return None;
         }
-        for (class, heir) in known.classes.iter().zip(heirs) {
-            let Some(at) = heir.map(usize::from).filter(|at| *at < self.places.len()) else { continue };
+        for (class, successor) in known.classes.iter().zip(successors) {
+            let Some(at) = successor.map(usize::from).filter(|at| *at < self.places.len()) else { continue };
             let (aim, give_up) =
                 (self.settings.classes[at].aim as f64, self.settings.classes[at].give_up as f64);
             self.places[at].typical = class.typical.clamp((aim * LEAST_TYPICAL).min(give_up), give_up);
--- a/crates/balance/tests/knowledge.rs
+++ b/crates/balance/tests/knowledge.rs
@@ -121,8 +121,8 @@
     }
     let mut new = successor(&old, servers(10));
     // A class that is not there any longer, or has no such place, is no fault.
-    for heirs in [vec![], vec![None], vec![Some(7)]] {
-        assert_eq!(new.balancer.recall(new.now, &known, &heirs), Some(10));
+    for successors in [vec![], vec![None], vec![Some(7)]] {
+        assert_eq!(new.balancer.recall(new.now, &known, &successors), Some(10));
     }
 }
 
--- a/crates/balance/tests/replay.rs
+++ b/crates/balance/tests/replay.rs
@@ -147,8 +147,8 @@
             }
         };
         if retuned.is_some_and(|every| matches!(event, Event::Request(_)) && left.is_multiple_of(every)) {
-            let heirs = [Some(0), Some(1), Some(2)];
-            let places = balancer.retune(now, settings(seed.is_multiple_of(2)), &heirs).unwrap();
+            let predecessors = [Some(0), Some(1), Some(2)];
+            let places = balancer.retune(now, settings(seed.is_multiple_of(2)), &predecessors).unwrap();
             assert_eq!(places, [0, 1, 2]);
         }
         let mut actions = Vec::new();
--- a/crates/balance/tests/retune.rs
+++ b/crates/balance/tests/retune.rs
@@ -318,12 +318,12 @@
                 }
                 Step::Retune { effects: to, attempts, swapped, renamed } => {
                     (effects, most) = (to, attempts);
-                    let mut heirs = places.map(|p| Some(p).filter(|_| !renamed));
+                    let mut predecessors = places.map(|p| Some(p).filter(|_| !renamed));
                     if swapped {
-                        heirs.reverse();
+                        predecessors.reverse();
                     }
                     let now = test_node.now;
-                    let told = test_node.balancer.retune(now, two(to, attempts, swapped), &heirs).unwrap();
+                    let told = test_node.balancer.retune(now, two(to, attempts, swapped), &predecessors).unwrap();
                     prop_assert_ne!(told[0], told[1]);
                     places = if swapped { [told[1], told[0]] } else { [told[0], told[1]] };
                     continue;
--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -288,8 +288,12 @@
     ///
     /// # Errors
     /// Where no node could act on the settings; the old ones stay in force.
-    pub fn retune(&self, settings: Settings, heirs: &[Option<u16>]) -> Result<Vec<u16>, SettingsError> {
-        self.requests.borrow_mut().retune(self.clock.now(), settings, heirs)
+    pub fn retune(
+        &self,
+        settings: Settings,
+        predecessors: &[Option<u16>],
+    ) -> Result<Vec<u16>, SettingsError> {
+        self.requests.borrow_mut().retune(self.clock.now(), settings, predecessors)
     }
 
     /// Counts as this node of so many from here on: see [`Balancer::count_as`](corkhollow_balance::Balancer::count_as).
@@ -326,8 +330,8 @@
     }
 
     /// Takes over what another process's module has learnt: see [`Requests::recall`].
-    pub fn recall(&self, known: &Knowledge, heirs: &[Option<u16>]) -> Option<usize> {
-        self.requests.borrow_mut().recall(self.clock.now(), known, heirs)
+    pub fn recall(&self, known: &Knowledge, successors: &[Option<u16>]) -> Option<usize> {
+        self.requests.borrow_mut().recall(self.clock.now(), known, successors)
     }
 
     /// Answers all that is under way by then: see [`Requests::end_by`].
--- a/crates/engine/src/requests.rs
+++ b/crates/engine/src/requests.rs
@@ -368,7 +368,7 @@
         self.balancer.heard(now);
     }
 
-    /// Other settings take over; requests that are open keep the rules under which they were taken. `heirs` and what
+    /// Other settings take over; requests that are open keep the rules under which they were taken. `predecessors` and what
     /// this returns: see [`Balancer::retune`].
     ///
     /// # Errors
@@ -377,9 +377,9 @@
         &mut self,
         now: Nanos,
         settings: Settings,
-        heirs: &[Option<u16>],
+        predecessors: &[Option<u16>],
     ) -> Result<Vec<u16>, SettingsError> {
-        self.balancer.retune(now, settings, heirs)
+        self.balancer.retune(now, settings, predecessors)
     }
 
     /// Counts as this node of so many from here on: see [`Balancer::count_as`].
@@ -414,8 +414,8 @@
     }
 
     /// Takes over what another process's module has learnt: see [`Balancer::recall`].
-    pub fn recall(&mut self, now: Nanos, known: &Knowledge, heirs: &[Option<u16>]) -> Option<usize> {
-        self.balancer.recall(now, known, heirs)
+    pub fn recall(&mut self, now: Nanos, known: &Knowledge, successors: &[Option<u16>]) -> Option<usize> {
+        self.balancer.recall(now, known, successors)
     }
 
     /// Servers in the list, how many of them the module has ejected for now, and how old the list is.
--- a/crates/laboratory/tests/admission.rs
+++ b/crates/laboratory/tests/admission.rs
@@ -118,9 +118,9 @@
     };
     let before = served(&mut model);
     let swapped = classes(&[1.0, 9.0], AIM / 2, AIM);
-    let heirs = [Some(0), Some(1)];
+    let predecessors = [Some(0), Some(1)];
     let now = model.now;
-    let places = model.nodes[0].retune(now, swapped, &heirs).unwrap();
+    let places = model.nodes[0].retune(now, swapped, &predecessors).unwrap();
     for (stream, place) in model.streams.iter_mut().zip(&places) {
         stream.0 = *place;
     }
--- a/crates/proxy/src/site.rs
+++ b/crates/proxy/src/site.rs
@@ -126,9 +126,10 @@
                 PoolChange::Starts => (started.next().expect("it has been started"), fresh.clone()),
                 PoolChange::GoesOn { former, differs } => {
                     let (pool, places) = (&self.pools[*former], &self.places[*former]);
-                    // A class's heir is the one of its name.
-                    let heirs = || change.classes.iter().map(|k| Some(places[(*k)?])).collect::<Vec<_>>();
-                    let told = pool.go_on(&plan, at, *differs, change.quotas, &terms, heirs);
+                    // A class's predecessor is the one of its name.
+                    let predecessors =
+                        || change.classes.iter().map(|k| Some(places[(*k)?])).collect::<Vec<_>>();
+                    let told = pool.go_on(&plan, at, *differs, change.quotas, &terms, predecessors);
                     let told = told.map_err(fault(at))?;
                     (pool.clone(), told.map_or_else(|| places.clone(), Rc::from))
                 }
@@ -160,9 +161,9 @@
             let (told, places) = (&self.plan.pools[at], &self.places[at]);
             let Some(from) = handover.pools.iter().find(|p| p.name == told.name) else { continue };
             let names = &self.plan.classes;
-            let heir = |name: &String| names.iter().position(|c| c.name == *name).map(|at| places[at]);
-            let heirs: Vec<_> = from.classes.iter().map(heir).collect();
-            known += pool.engine.recall(&from.knowledge, &heirs).unwrap_or(0);
+            let successor = |name: &String| names.iter().position(|c| c.name == *name).map(|at| places[at]);
+            let successors: Vec<_> = from.classes.iter().map(successor).collect();
+            known += pool.engine.recall(&from.knowledge, &successors).unwrap_or(0);
         }
         known
     }
--- a/crates/proxy/src/upstream/pool.rs
+++ b/crates/proxy/src/upstream/pool.rs
@@ -185,7 +185,7 @@
         Ok(pool)
     }
 
-    /// Goes on under a new plan, told of what differs and no more. `heirs`, and what is returned, are as [`Engine::retune`] has
+    /// Goes on under a new plan, told of what differs and no more. `predecessors`, and what is returned, are as [`Engine::retune`] has
     /// them; where the classes are the same, none is returned and their places stay.
     ///
     /// # Errors
@@ -197,12 +197,12 @@
         differs: Differs,
         quotas: bool,
         terms: &Terms,
-        heirs: impl FnOnce() -> Vec<Option<u16>>,
+        predecessors: impl FnOnce() -> Vec<Option<u16>>,
     ) -> Result<Option<Vec<u16>>, SettingsError> {
         let told = &plan.pools[at];
         let mut places = None;
         if differs.settings {
-            places = Some(self.engine.retune(terms.settings(told), &heirs())?);
+            places = Some(self.engine.retune(terms.settings(told), &predecessors())?);
         } else if quotas {
             self.engine.keep_quotas(terms.quotas.clone())?;
         }
--- a/crates/proxy/tests/follow.rs
+++ b/crates/proxy/tests/follow.rs
@@ -221,9 +221,9 @@
                 // A class that stays keeps its place there, and with it what is known of it, wherever it stands in the file.
                 for (at, pool) in change.pools.iter().enumerate() {
                     let PoolChange::GoesOn { former, .. } = pool else { continue };
-                    for (k, heir) in change.classes.iter().enumerate() {
-                        let Some(heir) = heir.filter(|heir| old.plan.classes[*heir] == site.plan.classes[k]) else { continue };
-                        prop_assert_eq!(site.places[at][k], old.places[*former][heir]);
+                    for (k, predecessor) in change.classes.iter().enumerate() {
+                        let Some(predecessor) = predecessor.filter(|predecessor| old.plan.classes[*predecessor] == site.plan.classes[k]) else { continue };
+                        prop_assert_eq!(site.places[at][k], old.places[*former][predecessor]);
                     }
                 }
                 last = file;
