--- a/crates/balance/src/balancer/list.rs
+++ b/crates/balance/src/balancer/list.rs
@@ -126,7 +126,7 @@
     }
 
     pub(super) fn update(&mut self, now: Nanos, i: usize, server: Server) {
-        // Another start, whichever way the clock has been set that told it.
+        // Another start, whichever way the clock has been set that dates it.
         let restarted = server.started_at != self.nodes[i].server.started_at;
         let fresh = self.nodes[i].server.phase != Phase::Ready;
         if server.phase != Phase::Ready || server.zone != self.nodes[i].server.zone {
--- a/crates/balance/src/balancer/start_times.rs
+++ b/crates/balance/src/balancer/start_times.rs
@@ -1,12 +1,12 @@
-//! When servers started, on the clock of the balancer's own process. Lists tell it by the wall clock of
-//! another machine, and either clock may be set forward or back by any amount. What a wall clock cannot
-//! change is that a server that a list newly names, or names with another start, has started since the list
-//! was last heard without it.
+//! When servers started, on the clock of the balancer's own process. Lists announce it by the wall clock
+//! of another machine, and either clock may be set forward or back by any amount. What a wall clock cannot
+//! change is that a server that a list newly names, or names with another start, has started since discovery
+//! was last observed without it.
 
 use super::{Balancer, Node};
 use crate::interface::Nanos;
 
-/// A start that is told so long before it can have been is no late list: one of the clocks is wrong.
+/// A start that is announced so long before it can have been is no late list: one of the clocks is wrong.
 const MIN_SKEW: Nanos = 5_000_000_000;
 /// So many such starts in a row are taken for the clocks and not for the servers.
 const SKEWED_STARTS: u32 = 2;
@@ -14,10 +14,10 @@
 /// What is known of the clock of lists.
 #[derive(Default)]
 pub(super) struct StartClock {
-    /// When discovery was last heard, with a list or with word that it stands; none before its first list.
-    heard_at: Option<Nanos>,
-    /// Starts in a row that were told before they can have been, and the least time by which our clock may be
-    /// ahead of theirs.
+    /// When discovery last sent a list or a heartbeat; none before its first list.
+    observed_at: Option<Nanos>,
+    /// Starts in a row that were announced before they can have been, and the least time by which our clock
+    /// may be ahead of theirs.
     skewed: u32,
     skew: Nanos,
 }
@@ -25,8 +25,8 @@
 /// A start, dated on our clock.
 #[derive(Clone, Copy)]
 pub(super) struct DatedStart {
-    /// As the list told it.
-    told: Nanos,
+    /// As the list announced it.
+    announced: Nanos,
     /// On our clock; 0 for long ago.
     pub(super) at: Nanos,
     /// It was in the first list: nothing bounds it but the wall clocks.
@@ -34,38 +34,38 @@
 }
 
 impl Balancer {
-    /// Discovery has been heard: a list, once it has been taken in, or word that nothing has changed.
-    pub fn heard(&mut self, now: Nanos) {
-        self.start_clock.heard_at = Some(now);
+    /// Discovery has sent a list, which has been taken in, or a heartbeat.
+    pub fn observe_discovery(&mut self, now: Nanos) {
+        self.start_clock.observed_at = Some(now);
     }
 
     /// Dates a server's start where that is new.
     pub(super) fn date_start(&mut self, now: Nanos, i: usize) {
-        let told = self.nodes[i].server.started_at;
-        if self.nodes[i].start.is_some_and(|start| start.told == told) {
+        let announced = self.nodes[i].server.started_at;
+        if self.nodes[i].start.is_some_and(|start| start.announced == announced) {
             return;
         }
-        let at = match self.start_clock.heard_at {
-            _ if told == 0 => 0,
-            None => told.min(now),
-            Some(heard_at) => told.clamp(heard_at.min(now), now),
+        let at = match self.start_clock.observed_at {
+            _ if announced == 0 => 0,
+            None => announced.min(now),
+            Some(observed_at) => announced.clamp(observed_at.min(now), now),
         };
-        let unbounded = self.start_clock.heard_at.is_none();
-        self.nodes[i].start = Some(DatedStart { told, at, unbounded });
-        if let Some(heard_at) = self.start_clock.heard_at.filter(|_| told > 0) {
-            self.compare_clocks(now, told, heard_at);
+        let unbounded = self.start_clock.observed_at.is_none();
+        self.nodes[i].start = Some(DatedStart { announced, at, unbounded });
+        if let Some(observed_at) = self.start_clock.observed_at.filter(|_| announced > 0) {
+            self.compare_clocks(now, announced, observed_at);
         }
     }
 
-    /// Starts that are told long before they can have been show that our clock is ahead: then those in the
-    /// first list, which nothing bounds, are later too.
-    fn compare_clocks(&mut self, now: Nanos, told: Nanos, heard_at: Nanos) {
+    /// Starts that are announced long before they can have been show that our clock is ahead: then those in
+    /// the first list, which nothing bounds, are later too.
+    fn compare_clocks(&mut self, now: Nanos, announced: Nanos, observed_at: Nanos) {
         let clock = &mut self.start_clock;
-        if heard_at.saturating_sub(told) < MIN_SKEW {
+        if observed_at.saturating_sub(announced) < MIN_SKEW {
             clock.skewed = 0;
             return;
         }
-        let skew = now - told;
+        let skew = now - announced;
         clock.skew = if clock.skewed == 0 { skew } else { clock.skew.min(skew) };
         clock.skewed += 1;
         if clock.skewed >= SKEWED_STARTS {
--- a/crates/balance/tests/knowledge.rs
+++ b/crates/balance/tests/knowledge.rs
@@ -200,5 +200,5 @@
     assert_eq!((ahead.at, ahead.servers[0].blocked_until), (3 * HOUR, 3 * HOUR + MS));
     assert!(ahead.is_sound(3 * HOUR + MS) && !ahead.is_sound(2 * HOUR));
     ahead.shift(-(HOUR as i64));
-    assert_eq!(ahead, known, "and back; what a server's start was told as is no time of ours");
+    assert_eq!(ahead, known, "and back; a server's start is on no clock of ours");
 }
--- a/crates/balance/tests/retune.rs
+++ b/crates/balance/tests/retune.rs
@@ -153,7 +153,7 @@
     let alone = |test_node: &mut TestNode, quotas: &[(u32, f64)]| {
         test_node.balancer.keep_quotas(Quotas::new(quotas.iter().copied())).unwrap();
     };
-    for told in [whole as fn(&mut TestNode, &[(u32, f64)]), alone] {
+    for notify in [whole as fn(&mut TestNode, &[(u32, f64)]), alone] {
         for (quotas, over) in [
             (&[&[(7, 5.0), (3, 5.0)][..]][..], [(7, true), (3, false)]),
             (&[&[(3, 5.0), (8, 5.0)]], [(8, false), (3, false)]),
@@ -165,7 +165,7 @@
             // One is far over its share, the other uses none of it.
             let count = (0..200).filter(|_| refused(&mut test_node, 7)).count();
             assert!(count > 100, "{count}");
-            quotas.iter().for_each(|quotas| told(&mut test_node, quotas));
+            quotas.iter().for_each(|quotas| notify(&mut test_node, quotas));
             for (tenant, expected) in over {
                 assert_eq!(refused(&mut test_node, tenant), expected, "tenant {tenant} of {quotas:?}");
             }
--- a/crates/balance/tests/start_times.rs
+++ b/crates/balance/tests/start_times.rs
@@ -1,4 +1,4 @@
-//! Servers that start, told by wall clocks that are right, ahead and behind.
+//! Servers that start, announced by wall clocks that are right, ahead and behind.
 
 mod common;
 
@@ -40,20 +40,20 @@
     sends
 }
 
-fn start_told(test_node: &mut TestNode, number: u8, started_at: Nanos) {
+fn announce_start(test_node: &mut TestNode, number: u8, started_at: Nanos) {
     test_node.list(ListKind::Changes, vec![Server { started_at, ..Server::warm(server(number)) }]);
-    test_node.balancer.heard(test_node.now);
+    test_node.balancer.observe_discovery(test_node.now);
 }
 
-/// However far the clock is off that tells of a start: the server has started since the list was heard without it, and gets what any
+/// However far the clock is off that dates a start: the server has started since discovery was observed without it, and gets what any
 /// other one gets at that age, until it is warm.
 #[test]
 fn a_start_that_a_list_newly_tells_is_dated_by_when_it_was_told() {
-    let sends = |told: fn(Nanos) -> Nanos| {
+    let sends = |announced: fn(Nanos) -> Nanos| {
         let mut test_node = warm_node();
-        test_node.balancer.heard(test_node.now);
+        test_node.balancer.observe_discovery(test_node.now);
         let now = test_node.now;
-        start_told(&mut test_node, WARM, told(now));
+        announce_start(&mut test_node, WARM, announced(now));
         // The ramp lasts 8 s.
         play(&mut test_node, 12_000 * MS)
     };
@@ -68,39 +68,39 @@
 /// A known server that starts anew is cold, also where its clock was set back meanwhile.
 #[test]
 fn a_restart_is_one_whichever_way_its_clock_was_set() {
-    let sends = |told: fn(Nanos) -> Nanos| {
+    let sends = |announced: fn(Nanos) -> Nanos| {
         let mut test_node = warm_node();
         let long_ago = test_node.now - 60_000 * MS;
-        start_told(&mut test_node, WARM, long_ago);
+        announce_start(&mut test_node, WARM, long_ago);
         play(&mut test_node, 10_000 * MS);
-        test_node.balancer.heard(test_node.now);
+        test_node.balancer.observe_discovery(test_node.now);
         let now = test_node.now;
-        start_told(&mut test_node, WARM, told(now));
+        announce_start(&mut test_node, WARM, announced(now));
         play(&mut test_node, 2_000 * MS).len()
     };
     let (right, behind) = (sends(|now| now), sends(|now| now - FAR));
     assert_eq!(behind, right);
     assert!(
         sends(|now| now - 75_000 * MS) == right,
-        "it is later by its own clock, and earlier than it was told before"
+        "it is later by its own clock, and earlier than it was announced before"
     );
 }
 
 /// Nothing bounds the starts in the first list but the wall clocks. Where ours was ahead when the process started, two starts that are
-/// told before they can have been show it, and the others are cold again.
+/// announced before they can have been show it, and the others are cold again.
 #[test]
 fn a_first_list_is_dated_anew_once_our_clock_is_seen_to_be_ahead() {
-    let later = |told: fn(Nanos) -> Nanos| {
+    let later = |announced: fn(Nanos) -> Nanos| {
         let mut list = servers(WARM);
         let start = 1_000_000 * MS;
         list.push(Server { started_at: start - FAR, ..Server::warm(server(WARM)) });
         let mut test_node = TestNode::new(settings(Effect::Safe), list, 4);
-        test_node.balancer.heard(test_node.now);
+        test_node.balancer.observe_discovery(test_node.now);
         play(&mut test_node, 100 * MS);
         for number in [20, 21] {
-            test_node.balancer.heard(test_node.now);
-            let at = told(test_node.now);
-            start_told(&mut test_node, number, at);
+            test_node.balancer.observe_discovery(test_node.now);
+            let at = announced(test_node.now);
+            announce_start(&mut test_node, number, at);
         }
         let of_first = |(to, _): &&(ServerId, Nanos)| *to == server(WARM);
         play(&mut test_node, 1_000 * MS).iter().filter(of_first).count()
--- a/crates/bench/benches/operations.rs
+++ b/crates/bench/benches/operations.rs
@@ -342,7 +342,7 @@
     let runs = Runs::default();
     let quick = [1, 1, 2, 2].map(|ms| server(ms * MS, &runs));
     // One that is slow and one that is not there: what a node has to know to do without them.
-    let fleet = [&quick[..], &[server(150 * MS, &runs), nobody()]].concat();
+    let fleet = [&quick[..], &[server(150 * MS, &runs), refusing_address()]].concat();
     calls_and_drains(&quick);
     replacements(&fleet, &runs, count);
     two_hundred_bodies(&quick);
--- a/crates/corkhollow/src/succession.rs
+++ b/crates/corkhollow/src/succession.rs
@@ -142,9 +142,9 @@
         })
     }
 
-    /// What the older process has learnt, as written since this one joined, on this one's clock, which tells `now`. Whatever else is
-    /// found there is passed over. How old the file is, the system tells: it is written anew several times a second, and a clock that
-    /// is set in between costs one of these times.
+    /// What the older process has learnt, as written since this one joined, on this one's clock, where it is `now`. Whatever else is
+    /// found there is passed over. The file's age is the file system's: it is written anew several times a second, and a clock that is
+    /// set in between costs one of these times.
     pub fn told(&self, now: Nanos) -> Option<Handover> {
         let joined = now.saturating_sub(self.joined.get().elapsed().as_nanos() as Nanos);
         let file = File::open(&self.knowledge_path).ok()?;
@@ -156,8 +156,8 @@
         }
         let mut bytes = Vec::new();
         file.take(LONGEST_HANDOVER as u64 + 1).read_to_end(&mut bytes).ok()?;
-        let told = Handover::decode(&bytes).ok().filter(|told| told.written_at().is_some())?;
-        (written_at >= joined).then(|| told.dated(written_at))
+        let handover = Handover::decode(&bytes).ok().filter(|handover| handover.written_at().is_some())?;
+        (written_at >= joined).then(|| handover.dated(written_at))
     }
 
     /// Its turn has come: what has been told before is nobody's.
--- a/crates/corkhollow/tests/attempts.rs
+++ b/crates/corkhollow/tests/attempts.rs
@@ -38,7 +38,7 @@
     assert!(rests.iter().all(|rest| *rest >= Duration::from_millis(10)), "{rests:?}");
 }
 
-/// The very first second answer that a process meets is nobody's either: nothing has warned it of servers that answer twice. The
+/// The very first second answer that a process meets goes to no client either: nothing has warned it of servers that answer twice. The
 /// answer comes again 5 ms behind the first time, and the client's next request comes at once.
 #[test]
 fn the_first_second_answer_that_a_process_meets_is_nobodys() {
--- a/crates/corkhollow/tests/backlog.rs
+++ b/crates/corkhollow/tests/backlog.rs
@@ -5,26 +5,26 @@
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
-/// What a server may be told beyond what its client has left.
-const TOLD_SLACK: Duration = Duration::from_millis(150);
+/// What may be announced to a server beyond what its client has left.
+const ANNOUNCED_SLACK: Duration = Duration::from_millis(150);
 
 /// Clients that stop in their heads hold all places for over two seconds. What waits behind them that long has that much less time: one
-/// whose time is over goes to no server, and a server is told what is left of the other's.
+/// whose time is over goes to no server, and the other's announces what is left of it.
 #[test]
 fn time_in_the_backlog_counts() {
     let sent_at = Arc::new(Mutex::new(None::<Instant>));
-    let told = Arc::new(Mutex::new(Vec::new()));
-    let (sent, tells) = (sent_at.clone(), told.clone());
+    let announced = Arc::new(Mutex::new(Vec::new()));
+    let (sent, announces) = (sent_at.clone(), announced.clone());
     let servers = Servers::new(1, move |_, message| {
         let passed = sent.lock().unwrap().map_or(Duration::ZERO, |at| at.elapsed());
-        let told = message.header("x-timeout-ms").unwrap().parse().map(Duration::from_millis).unwrap();
-        tells.lock().unwrap().push((passed, told, message.body.clone()));
+        let timeout = message.header("x-timeout-ms").unwrap().parse().map(Duration::from_millis).unwrap();
+        announces.lock().unwrap().push((passed, timeout, message.body.clone()));
         ok("fine")
     });
     let discovery = Discovery::new(vec![servers.list(1)], true);
     let node = Node::start(discovery.address, &Options { sockets: 64, ..Options::default() });
     node.ready();
-    // An eighth more than the places for clients is kept for those that are only told to come back.
+    // An eighth more than the places for clients is kept for those that are only answered 503.
     let places = node.figure("gw_client_connections_most").unwrap() as usize;
     let stopped: Vec<_> = (0..places + places / 8)
         .map(|_| {
@@ -51,13 +51,13 @@
     // Only the first request of a connection has waited with it.
     kept.write_all(&post("/once/2", b"next")).unwrap();
     assert_eq!(read(&mut kept).expect("an answer").status(), 200);
-    for (passed, told, body) in told.lock().unwrap().iter() {
+    for (passed, timeout, body) in announced.lock().unwrap().iter() {
         if body == b"next" {
-            assert!(*told > Duration::from_millis(2_400), "{told:?} of 2.5 s");
+            assert!(*timeout > Duration::from_millis(2_400), "{timeout:?} of 2.5 s");
             continue;
         }
         let patience = Duration::from_millis(if body == b"short" { 1_000 } else { 2_900 });
         let left = patience.saturating_sub(*passed);
-        assert!(*told <= left + TOLD_SLACK, "{told:?} told, {left:?} left after {passed:?}");
+        assert!(*timeout <= left + ANNOUNCED_SLACK, "{timeout:?} announced, {left:?} left after {passed:?}");
     }
 }
--- a/crates/corkhollow/tests/operator.rs
+++ b/crates/corkhollow/tests/operator.rs
@@ -267,8 +267,8 @@
     shows(&node, "gw_discovered", 1.0);
 }
 
-/// The events of one request, found by its client's own id, tell each attempt with its server and how it ended, and why the
-/// request was answered as it was; those of connections tell why they were closed.
+/// The events of one request, found by its client's own id, name each attempt with its server and how it ended, and why the
+/// request was answered as it was; those of connections why they were closed.
 #[test]
 fn events_tell_the_way_of_a_request() {
     let servers = Servers::new(2, |n, _| if n == 0 { Reply::Reset } else { ok("fine") });
--- a/crates/corkhollow/tests/platform.rs
+++ b/crates/corkhollow/tests/platform.rs
@@ -62,7 +62,7 @@
     }
     // Nobody listens at some of the addresses.
     let servers = Servers::new(1, |_, _| ok("fine"));
-    let hosts = [host("s-0", servers.dials[0], "active"), host("s-1", nobody(), "active")];
+    let hosts = [host("s-0", servers.dials[0], "active"), host("s-1", refusing_address(), "active")];
     let discovery = Discovery::new(vec![list(1, true, &hosts)], true);
     let node = Node::start(discovery.address, &Options::default());
     node.ready();
@@ -315,7 +315,7 @@
 #[test]
 fn a_restarted_node_serves_by_its_own_list() {
     let servers = Servers::new(1, |_, _| ok("fine"));
-    let node = Node::start(nobody(), &Options { known: servers.list(1), ..Options::default() });
+    let node = Node::start(refusing_address(), &Options { known: servers.list(1), ..Options::default() });
     node.ready();
     assert_eq!(node.post("/once/1", b"").unwrap().status(), 200);
 }
@@ -532,7 +532,7 @@
 
 #[test]
 fn a_bad_configuration_is_named() {
-    let good = config(nobody(), &Options::default());
+    let good = config(refusing_address(), &Options::default());
     let cases = [
         (String::from("{"), "EOF"),
         (good.replace("\"classes\"", "\"klasses\""), "classes"),
@@ -610,7 +610,7 @@
         let _ = stream.read_exact(&mut some);
         reset(stream);
     });
-    for dial in [nobody(), bad] {
+    for dial in [refusing_address(), bad] {
         let discovery = Discovery::new(vec![list(1, true, &[host("s-0", dial, "active")])], true);
         let node = Node::start(discovery.address, &Options { memory_mb: 48, ..Options::default() });
         node.ready();
--- a/crates/corkhollow/tests/site/bodies.rs
+++ b/crates/corkhollow/tests/site/bodies.rs
@@ -33,7 +33,7 @@
     let asks = "POST /own HTTP/1.1\r\nHost: a\r\nExpect: 100-continue\r\nContent-Length: 5\r\n\r\n";
     assert!(
         whole(&node, asks.as_bytes()).starts_with("HTTP/1.1 405"),
-        "a body is asked for that nobody wants"
+        "a body is asked for that is not wanted"
     );
     assert_eq!(servers.seen(), 0);
 }
--- a/crates/corkhollow/tests/site/messages.rs
+++ b/crates/corkhollow/tests/site/messages.rs
@@ -31,7 +31,7 @@
     assert_eq!(servers.connected(), 1);
 }
 
-/// Answers without a body by definition keep the length that they tell of.
+/// Answers without a body by definition keep the length that they announce.
 #[test]
 fn answers_without_a_body_end_with_their_head() {
     let servers = Servers::new(1, |n, _| {
@@ -109,7 +109,7 @@
     let _ = sending.join().unwrap();
 }
 
-/// A head over its limit is told so, also where a connection reads more than that at once, and reaches no server.
+/// A head over its limit is answered so, also where a connection reads more than that at once, and reaches no server.
 #[test]
 fn a_head_over_its_limit_is_told_so() {
     let servers = Servers::new(1, |_, _| ok("fine"));
@@ -340,7 +340,7 @@
 }
 
 /// A connection goes on behind a chunked body, as long as its head was seen as it came: behind another request in one
-/// piece a length beside the coding could not be told, and what it hides is not read.
+/// piece a length beside the coding could not be noticed, and what it hides is not read.
 #[test]
 fn a_connection_goes_on_behind_a_chunked_body() {
     let servers = Servers::new(1, |_, m| ok(&m.body.len().to_string()));
--- a/crates/corkhollow/tests/site/pools.rs
+++ b/crates/corkhollow/tests/site/pools.rs
@@ -42,7 +42,7 @@
     };
     let refused = at_once(&plain(&[]), "GET / HTTP/1.1", 503, "refused");
     assert!(refused.header("retry-after").unwrap().parse::<u64>().unwrap() >= 1);
-    at_once(&plain(&[nobody(), nobody()]), "POST / HTTP/1.1", 503, "refused");
+    at_once(&plain(&[refusing_address(), refusing_address()]), "POST / HTTP/1.1", 503, "refused");
     let reset = Servers::new(2, |_, _| Reply::Reset);
     at_once(&plain(&reset.dials), "POST / HTTP/1.1", 502, "failed");
     assert_eq!(reset.seen(), 1);
@@ -156,7 +156,7 @@
         refused += usize::from(read(client).is_some_and(|m| m.status() == 503));
     }
     assert!(refused >= 2, "{refused}");
-    assert_eq!((servers.connected(), servers.seen()), (1, 1), "nobody else got through");
+    assert_eq!((servers.connected(), servers.seen()), (1, 1), "no other got through");
     drop(go);
     assert_eq!(read(&mut first).unwrap().status(), 200);
     until("the next is served", || node.raw(&asked("POST / HTTP/1.1")).unwrap().status() == 200);
--- a/crates/corkhollow/tests/start.rs
+++ b/crates/corkhollow/tests/start.rs
@@ -33,8 +33,8 @@
         let mut writer = None;
         let begun = Instant::now();
         while writer.is_none() {
-            assert!(begun.elapsed() < Duration::from_secs(20), "nobody reads the file");
-            // Without waiting: that fails as long as nobody reads.
+            assert!(begun.elapsed() < Duration::from_secs(20), "the file is not read");
+            // Without waiting: that fails as long as it is not read.
             writer = OpenOptions::new().write(true).custom_flags(NO_WAIT).open(self.path()).ok();
             thread::sleep(Duration::from_millis(1));
         }
--- a/crates/corkhollow/tests/terms.rs
+++ b/crates/corkhollow/tests/terms.rs
@@ -250,7 +250,7 @@
 const FALL: f64 = 2.0;
 
 /// Requests that came to each of the cold servers, in seconds from when they were listed, over 6 s; and which part of all requests was
-/// served. They are listed so long behind the first list, with nothing but heartbeats in between; `born_ms` is what the list tells of their start, by the wall clock of now, both in milliseconds.
+/// served. They are listed so long behind the first list, with nothing but heartbeats in between; `born_ms` is how the list dates their start, by the wall clock of now, both in milliseconds.
 fn twenty_processes(listed_after: Duration, born_ms: fn(u128) -> u128) -> (Vec<Vec<f64>>, f64) {
     // One request at a time: where all are idle, nobody needs a cold one.
     let work = || {
--- a/crates/corkhollow/tests/unread.rs
+++ b/crates/corkhollow/tests/unread.rs
@@ -37,7 +37,7 @@
     };
     let sizes = (1..120).map(|k| k * 30_000);
     let unread: Vec<_> = sizes.map(ask).collect();
-    // The kernel tells of room when about a third of its buffer is free: at this rate that is far less than the stall timeout.
+    // The kernel reports room when about a third of its buffer is free: at this rate that is far less than the stall timeout.
     let mut slow = node.connect();
     slow.write_all(&get("/", &format!("X-Size: {SLOWLY}\r\n"))).unwrap();
     let reads = std::thread::spawn(move || {
--- a/crates/corkhollow/tests/upgrade.rs
+++ b/crates/corkhollow/tests/upgrade.rs
@@ -87,7 +87,7 @@
     let socket = TcpListener::bind("127.0.0.1:0").unwrap();
     let old = Node::handed(&socket, &folder.0, discovery.address, &Options::default());
     until("the first process is ready", || is_ready(&old));
-    let new = Node::handed(&socket, &folder.0, nobody(), &Options::default());
+    let new = Node::handed(&socket, &folder.0, refusing_address(), &Options::default());
     assert!(!is_ready(&new));
     for k in 0..30 {
         assert_eq!(old.get("/safe/1", "").unwrap().status(), 200, "request {k}");
@@ -113,7 +113,7 @@
 #[test]
 fn a_successor_begins_with_what_the_old_process_has_learnt() {
     let servers = Servers::new(2, |_, _| ok("fine"));
-    let hosts = [servers.dials[0], servers.dials[1], nobody()];
+    let hosts = [servers.dials[0], servers.dials[1], refusing_address()];
     let hosts: Vec<_> =
         hosts.iter().enumerate().map(|(k, d)| host(&format!("s-{k}"), *d, "active")).collect();
     let discovery = Discovery::new(vec![list(1, true, &hosts)], true);
@@ -277,8 +277,8 @@
             let now = SystemTime::now().duration_since(UNIX_EPOCH).unwrap().as_nanos() as i64;
             let knowledge = Knowledge { at: (now + shift) as u64, classes: Vec::new(), servers: Vec::new() };
             let pool = PoolHandover { name: "platform".into(), classes: Vec::new(), knowledge };
-            let told = Handover { drains: true, fleet: None, pools: vec![pool] };
-            std::fs::write(path("draft"), told.encode().unwrap()).unwrap();
+            let handover = Handover { drains: true, fleet: None, pools: vec![pool] };
+            std::fs::write(path("draft"), handover.encode().unwrap()).unwrap();
             std::fs::rename(path("draft"), path("knowledge")).unwrap();
             std::thread::sleep(Duration::from_millis(50));
         }
--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -279,9 +279,9 @@
         self.step(|all, now, sink| all.list(now, kind, servers, sink));
     }
 
-    /// Discovery has been heard: see [`Requests::heard`].
-    pub fn heard(&self) {
-        self.requests.borrow_mut().heard(self.clock.now());
+    /// Discovery has sent a list or a heartbeat: see [`Requests::observe_discovery`].
+    pub fn observe_discovery(&self) {
+        self.requests.borrow_mut().observe_discovery(self.clock.now());
     }
 
     /// Other settings take over: see [`Requests::retune`].
--- a/crates/engine/src/requests.rs
+++ b/crates/engine/src/requests.rs
@@ -363,9 +363,9 @@
         self.handle(now, Event::List { kind, servers }, sink);
     }
 
-    /// Discovery has been heard, with a list that has been taken in or with word that nothing has changed: see [`Balancer::heard`].
-    pub fn heard(&mut self, now: Nanos) {
-        self.balancer.heard(now);
+    /// Discovery has sent a list, which has been taken in, or a heartbeat: see [`Balancer::observe_discovery`].
+    pub fn observe_discovery(&mut self, now: Nanos) {
+        self.balancer.observe_discovery(now);
     }
 
     /// Other settings take over; requests that are open keep the rules under which they were taken. `predecessors` and what
--- a/crates/engine/src/rules.rs
+++ b/crates/engine/src/rules.rs
@@ -186,7 +186,7 @@
     }
 }
 
-/// Whether a request with these attempts may be refused, which tells its client that a repeat does no harm.
+/// Whether a request with these attempts may be refused, which promises its client that a repeat does no harm.
 pub fn may_refuse<'a>(terms: Terms, mut attempts: impl Iterator<Item = &'a SentAttempt>) -> bool {
     match terms.effect {
         Effect::Safe => true,
--- a/crates/operate/src/events.rs
+++ b/crates/operate/src/events.rs
@@ -1,5 +1,5 @@
-//! The last events of requests and connections, kept in memory for whoever looks for a cause afterwards. Each tells who it is about and
-//! why it happened, where there was a choice.
+//! The last events of requests and connections, kept in memory for whoever looks for a cause afterwards. Each names its subject and
+//! the reason, where there was a choice.
 
 use corkhollow_balance::interface::{Ending, Nanos, RequestId};
 use std::collections::VecDeque;
--- a/crates/proxy/src/http1/client.rs
+++ b/crates/proxy/src/http1/client.rs
@@ -56,7 +56,7 @@
     pub(super) waited_until: Instant,
     /// How long the request under way may have waited there; nothing for all but the first.
     pub(super) request_waited: Cell<Duration>,
-    /// It came when there was no place left: it is only told to come back.
+    /// It came when there was no room left: it is only answered 503.
     pub(super) surplus: bool,
     /// Why it is about to be closed.
     pub(super) closing: Cell<Option<CloseReason>>,
@@ -154,7 +154,7 @@
     }
 
     /// Ends when the client has left while its request, of which all is here, waits for its answer. One that has only ended
-    /// its sending has left too: nobody can tell it from one that has closed, and the protocol has both mean the same
+    /// its sending has left too: it cannot be distinguished from one that has closed, and the protocol has both mean the same
     /// where a node does it. On the platform, whose clients send one request at a time, what else they send must not
     /// hide their end.
     pub(super) async fn leaves(&self, one_at_a_time: bool) {
--- a/crates/proxy/src/http1/closing.rs
+++ b/crates/proxy/src/http1/closing.rs
@@ -91,8 +91,8 @@
     Cut,
 }
 
-/// Whether a connection is to be closed for this reason, as far as it can be told when the close is chosen. `unread` asks the kernel
-/// whether it has bytes or an end that nobody has read; it is asked only where that counts.
+/// Whether a connection is to be closed for this reason, as far as is known when the close is chosen. `unread` asks the kernel
+/// whether it has bytes or an end that have not been read; it is asked only where that counts.
 pub fn should_close(
     reason: CloseReason,
     state: &ConnectionState,
--- a/crates/proxy/src/http1/respond.rs
+++ b/crates/proxy/src/http1/respond.rs
@@ -97,7 +97,7 @@
     Ok(response.map(|body| Outgoing { body, service: service.clone(), client: client.clone() }))
 }
 
-/// How long a head is, in bytes, but for white space that nobody needs. Hyper turns away only what does not fit its buffer.
+/// How long a head is, in bytes, but for white space that is optional. Hyper turns away only what does not fit its buffer.
 fn head_length(request: &Request<Incoming>) -> usize {
     let target = request.uri().path_and_query().map_or(0, |target| target.as_str().len());
     let line = request.method().as_str().len() + target + " HTTP/1.1\r\n ".len();
--- a/crates/proxy/src/upstream/discovery.rs
+++ b/crates/proxy/src/upstream/discovery.rs
@@ -222,7 +222,7 @@
         self.opened_at = Some(Instant::now());
         let mut reader = ListReader::default();
         self.read(&mut reader, &first)?;
-        self.engine.heard();
+        self.engine.observe_discovery();
         let (mut moved_at, mut looked) = (Instant::now(), false);
         loop {
             let silent_at = moved_at + SILENCE;
@@ -237,7 +237,7 @@
                         (moved_at, looked) = (Instant::now(), false);
                     }
                     self.read(&mut reader, &data)?;
-                    self.engine.heard();
+                    self.engine.observe_discovery();
                 }
                 Err(_) if until < silent_at => {
                     reader.check()?;
--- a/crates/proxy/src/upstream/fleet.rs
+++ b/crates/proxy/src/upstream/fleet.rs
@@ -24,7 +24,7 @@
 struct Upstream {
     host: Arc<str>,
     dial: SocketAddr,
-    /// When its process started, as the list tells it by another machine's clock: compared with itself alone.
+    /// When its process started, by another machine's clock: compared with itself alone.
     started_at: Nanos,
     /// Since when it has been listed with this start, on our own clock; 0 for the first.
     started_anew_at: Nanos,
--- a/crates/proxy/tests/closing.rs
+++ b/crates/proxy/tests/closing.rs
@@ -24,12 +24,12 @@
                     [[pool]]\nname = \"main\"\nservers = []\n[[route]]\nname = \"some\"\npath = \"/some\"\npool = \"main\"\n";
 
 /// The clients' side of a process, and a client of it. Nothing but the test decides when the clients' side runs.
-struct Bench {
+struct TestClients {
     clients: Rc<Clients>,
     client: TcpStream,
 }
 
-impl Bench {
+impl TestClients {
     async fn new() -> Self {
         let plan = read(FILE, Path::new("")).unwrap_or_else(|faults| panic!("{}", faults[0])).plan;
         let shared = Shared {
@@ -53,7 +53,7 @@
         spawn_local(clients.clone().accept("web".into(), listener, Rc::new(Notify::new())));
         let client = TcpStream::connect(address).unwrap();
         client.set_nonblocking(true).unwrap();
-        Bench { clients, client }
+        TestClients { clients, client }
     }
 
     fn send(&mut self, bytes: &[u8]) {
@@ -97,14 +97,14 @@
 #[test]
 fn a_request_whose_last_bytes_cross_the_cut_of_its_head_is_answered() {
     play(|| async {
-        let mut bench = Bench::new().await;
-        bench.send(&REQUEST[..20]);
-        bench.run().await;
+        let mut test = TestClients::new().await;
+        test.send(&REQUEST[..20]);
+        test.run().await;
         // Nothing runs meanwhile.
         std::thread::sleep(2 * HEAD_WITHIN);
-        bench.send(&REQUEST[20..]);
-        bench.clients.cut_heads();
-        let (answer, _) = bench.receive().await;
+        test.send(&REQUEST[20..]);
+        test.clients.cut_heads();
+        let (answer, _) = test.receive().await;
         assert!(answer.starts_with("HTTP/1.1 404 "), "{answer:?}");
     });
 }
@@ -113,12 +113,12 @@
 #[test]
 fn a_head_that_stops_is_cut() {
     play(|| async {
-        let mut bench = Bench::new().await;
-        bench.send(&REQUEST[..20]);
-        bench.run().await;
+        let mut test = TestClients::new().await;
+        test.send(&REQUEST[..20]);
+        test.run().await;
         tokio::time::sleep(2 * HEAD_WITHIN).await;
-        bench.clients.cut_heads();
-        assert_eq!(bench.receive().await, (String::new(), true));
+        test.clients.cut_heads();
+        assert_eq!(test.receive().await, (String::new(), true));
     });
 }
 
@@ -127,16 +127,16 @@
 #[test]
 fn a_request_that_has_begun_when_its_listener_is_removed_is_answered() {
     play(|| async {
-        let mut bench = Bench::new().await;
-        bench.send(REQUEST);
-        let (answer, ended) = bench.receive().await;
+        let mut test = TestClients::new().await;
+        test.send(REQUEST);
+        let (answer, ended) = test.receive().await;
         assert!(answer.starts_with("HTTP/1.1 404 ") && !ended, "{answer:?}, ended: {ended}");
-        bench.send(&REQUEST[..20]);
-        bench.run().await;
-        bench.clients.leave("web");
-        bench.run().await;
-        bench.send(&REQUEST[20..]);
-        let (answer, ended) = bench.receive().await;
+        test.send(&REQUEST[..20]);
+        test.run().await;
+        test.clients.leave("web");
+        test.run().await;
+        test.send(&REQUEST[20..]);
+        let (answer, ended) = test.receive().await;
         assert!(answer.starts_with("HTTP/1.1 404 ") && ended, "{answer:?}, ended: {ended}");
     });
 }
@@ -145,13 +145,13 @@
 #[test]
 fn a_head_that_stops_behind_another_request_is_cut() {
     play(|| async {
-        let mut bench = Bench::new().await;
-        bench.send(&[REQUEST, &REQUEST[..20]].concat());
-        let (answer, ended) = bench.receive().await;
+        let mut test = TestClients::new().await;
+        test.send(&[REQUEST, &REQUEST[..20]].concat());
+        let (answer, ended) = test.receive().await;
         assert!(answer.starts_with("HTTP/1.1 404 ") && !ended, "{answer:?}, ended: {ended}");
         tokio::time::sleep(2 * HEAD_WITHIN).await;
-        bench.clients.cut_heads();
-        assert_eq!(bench.receive().await, (String::new(), true));
+        test.clients.cut_heads();
+        assert_eq!(test.receive().await, (String::new(), true));
     });
 }
 
@@ -159,14 +159,14 @@
 #[test]
 fn a_head_that_comes_to_its_end_behind_another_request_is_answered_and_its_connection_kept() {
     play(|| async {
-        let mut bench = Bench::new().await;
-        bench.send(&[REQUEST, &REQUEST[..20]].concat());
-        bench.run().await;
-        bench.send(&REQUEST[20..]);
-        let (answers, ended) = bench.receive().await;
+        let mut test = TestClients::new().await;
+        test.send(&[REQUEST, &REQUEST[..20]].concat());
+        test.run().await;
+        test.send(&REQUEST[20..]);
+        let (answers, ended) = test.receive().await;
         assert!(answers.matches("HTTP/1.1 404 ").count() == 2 && !ended, "{answers:?}, ended: {ended}");
         tokio::time::sleep(2 * HEAD_WITHIN).await;
-        bench.clients.cut_heads();
-        assert_eq!(bench.receive().await, (String::new(), false));
+        test.clients.cut_heads();
+        assert_eq!(test.receive().await, (String::new(), false));
     });
 }
--- a/crates/soak/src/check.rs
+++ b/crates/soak/src/check.rs
@@ -15,8 +15,8 @@
 const DRAIN_GRACE: Duration = Duration::from_millis(300);
 /// Nothing begins so long after its client has left.
 const LEFT_GRACE: Duration = Duration::from_millis(100);
-/// The time told to a server may exceed what its client has left by this.
-const TOLD_SLACK: Duration = Duration::from_millis(150);
+/// The timeout announced to a server may exceed what its client has left by this.
+const ANNOUNCED_SLACK: Duration = Duration::from_millis(150);
 /// Servers know a key again for this long.
 pub const KEY_WINDOW: Duration = Duration::from_millis(1_000);
 /// Clients that stop in the middle of a request get their error or close within this.
@@ -45,14 +45,14 @@
     Drained,
     /// Nothing begins for a client that has left.
     ClientLeft,
-    /// The deadline told to a server is what the client has left.
-    ToldDeadline,
+    /// The deadline announced to a server is what the client has left.
+    AnnouncedDeadline,
     /// Clients that stop in the middle of a request are let go.
     StalledClient,
-    /// Processes start, end as they are told to, and do not crash.
+    /// Processes start, end as they are asked to, and do not crash.
     Process,
     /// A process has counted a broken rule of its own, or a panic.
-    Confession,
+    SelfReported,
 }
 
 /// A rule that was broken, with the evidence.
@@ -84,8 +84,8 @@
     }
     found.extend(records.stalled.iter().filter_map(|client| check_stalled(client, &index, end)));
     found.extend(records.processes.iter().filter_map(|process| check_process(process, end)));
-    let confess = |text: &String| Violation { rule: Rule::Confession, evidence: text.clone() };
-    found.extend(records.confessions.iter().map(confess));
+    let collect_self_reports = |text: &String| Violation { rule: Rule::SelfReported, evidence: text.clone() };
+    found.extend(records.self_reports.iter().map(collect_self_reports));
     found
 }
 
@@ -197,16 +197,21 @@
     let evidence = |rule, what: &str| {
         Some(Violation { rule, evidence: format!("{what}: {attempt:?}; its request: {request:?}") })
     };
-    let told_draining = records.told_draining.get(&(request.process, attempt.server));
-    let drained = told_draining.is_some_and(|at| attempt.first_byte_at > *at + DRAIN_GRACE + HARNESS_SLACK);
+    let notified_draining = records.notified_draining.get(&(request.process, attempt.server));
+    let drained =
+        notified_draining.is_some_and(|at| attempt.first_byte_at > *at + DRAIN_GRACE + HARNESS_SLACK);
     let left =
         request.outcome == Outcome::Left && attempt.whole_at > request.ended_at + LEFT_GRACE + HARNESS_SLACK;
     let remaining = (request.sent_at + request.patience).saturating_sub(attempt.first_byte_at);
-    let told_more = attempt.told.is_some_and(|told| told > remaining + TOLD_SLACK + HARNESS_SLACK);
+    let announced_more = attempt
+        .announced_timeout
+        .is_some_and(|announced| announced > remaining + ANNOUNCED_SLACK + HARNESS_SLACK);
     [
         drained.then(|| evidence(Rule::Drained, "sent to a server that drains")).flatten(),
         left.then(|| evidence(Rule::ClientLeft, "begun for a client that had left")).flatten(),
-        told_more.then(|| evidence(Rule::ToldDeadline, "told more time than is left")).flatten(),
+        announced_more
+            .then(|| evidence(Rule::AnnouncedDeadline, "announced more time than is left"))
+            .flatten(),
     ]
     .into_iter()
     .flatten()
@@ -224,15 +229,15 @@
 fn check_process(process: &ProcessRecord, end: Time) -> Option<Violation> {
     let fails =
         |what: &str| Some(Violation { rule: Rule::Process, evidence: format!("{what}: {process:?}") });
-    // One that is told to end before it has taken anything may end as the system does that: it has not crashed.
-    let told_in_its_start = process.terminated_at.is_some() && process.ready_at.is_none();
+    // One that is asked to end before it has taken anything may end as the system does that: it has not crashed.
+    let asked_in_its_start = process.terminated_at.is_some() && process.ready_at.is_none();
     let failure = process.failure.as_deref();
-    let crashed = failure.is_some_and(|status| !(told_in_its_start && status == ENDED_BY_SIGTERM));
+    let crashed = failure.is_some_and(|status| !(asked_in_its_start && status == ENDED_BY_SIGTERM));
     if crashed && process.killed_at.is_none() {
         return fails("it ended badly");
     }
-    let told_to_end = process.terminated_at.or(process.killed_at);
-    if process.ended_at.is_some() && told_to_end.is_none() {
+    let asked_to_end = process.terminated_at.or(process.killed_at);
+    if process.ended_at.is_some() && asked_to_end.is_none() {
         return fails("it ended by itself");
     }
     let gone_by = process.terminated_at.map(|at| at + KILL_AFTER + HARNESS_SLACK);
@@ -240,7 +245,7 @@
         return fails("it did not end in time");
     }
     let ready_by = process.started_at + READY_WITHIN;
-    let lived = told_to_end.unwrap_or(end) > ready_by;
+    let lived = asked_to_end.unwrap_or(end) > ready_by;
     match lived && !process.started_blind && process.ready_at.is_none_or(|at| at > ready_by) {
         true => fails("it was not ready in time"),
         false => None,
--- a/crates/soak/src/clients.rs
+++ b/crates/soak/src/clients.rs
@@ -1,6 +1,6 @@
 //! Clients: most of them ask one request after the other on kept connections; some leave, stop in the middle, or are slow.
 
-use crate::cluster::{Cluster, Standing};
+use crate::cluster::{Cluster, SlotState};
 use crate::connection::{Connection, NoMessage};
 use crate::ledger::{Effect, Ledger, Outcome, RequestRecord, StalledClient, Time};
 use corkhollow_standin::Draw;
@@ -20,7 +20,7 @@
 
 /// What a client does with its next request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Manner {
+enum ClientBehaviour {
     /// It sends it and waits.
     Usual,
     /// It writes it in pieces.
@@ -41,18 +41,18 @@
     StopsInNextHead,
 }
 
-impl Manner {
+impl ClientBehaviour {
     fn draw(draw: &mut Draw) -> Self {
         match draw.number() % 100 {
-            0..=5 => Manner::Slow,
-            6..=8 => Manner::LongBody,
-            9..=10 => Manner::LongAnswer,
-            11..=18 => Manner::Leaves,
-            19..=20 => Manner::LeavesBehindLongBody,
-            21 => Manner::StopsInHead,
-            22 => Manner::StopsInBody,
-            23 => Manner::StopsInNextHead,
-            _ => Manner::Usual,
+            0..=5 => ClientBehaviour::Slow,
+            6..=8 => ClientBehaviour::LongBody,
+            9..=10 => ClientBehaviour::LongAnswer,
+            11..=18 => ClientBehaviour::Leaves,
+            19..=20 => ClientBehaviour::LeavesBehindLongBody,
+            21 => ClientBehaviour::StopsInHead,
+            22 => ClientBehaviour::StopsInBody,
+            23 => ClientBehaviour::StopsInNextHead,
+            _ => ClientBehaviour::Usual,
         }
     }
 }
@@ -86,10 +86,10 @@
         Arc::new(Clients { cluster, ledger, stop: AtomicBool::new(false), next_id: AtomicU64::new(1) })
     }
 
-    /// Starts a client of a place.
-    pub fn begin(self: &Arc<Self>, place: usize, seed: u64) -> thread::JoinHandle<()> {
+    /// Starts a client of a slot.
+    pub fn begin(self: &Arc<Self>, slot: usize, seed: u64) -> thread::JoinHandle<()> {
         let clients = self.clone();
-        thread::spawn(move || clients.ask_on(place, Draw::new(seed)))
+        thread::spawn(move || clients.ask_on(slot, Draw::new(seed)))
     }
 
     /// Has all of them end behind what they are doing.
@@ -101,35 +101,35 @@
         self.stop.load(Ordering::SeqCst)
     }
 
-    fn ask_on(&self, place: usize, mut draw: Draw) {
+    fn ask_on(&self, slot: usize, mut draw: Draw) {
         let mut kept: Option<Kept> = None;
         while !self.stopped() {
             thread::sleep(draw.time(PAUSE));
-            let Some(client) = kept.take().or_else(|| self.connect(place)) else {
+            let Some(client) = kept.take().or_else(|| self.connect(slot)) else {
                 thread::sleep(Duration::from_millis(20));
                 continue;
             };
-            kept = match Manner::draw(&mut draw) {
-                Manner::StopsInHead => self.stop_in(client, "its head", &mut draw),
-                Manner::StopsInBody => self.stop_in(client, "its body", &mut draw),
-                Manner::StopsInNextHead => self.stop_in(client, "its next head", &mut draw),
-                manner => self.ask(client, manner, &mut draw),
+            kept = match ClientBehaviour::draw(&mut draw) {
+                ClientBehaviour::StopsInHead => self.stop_in(client, "its head", &mut draw),
+                ClientBehaviour::StopsInBody => self.stop_in(client, "its body", &mut draw),
+                ClientBehaviour::StopsInNextHead => self.stop_in(client, "its next head", &mut draw),
+                behaviour => self.ask(client, behaviour, &mut draw),
             };
         }
     }
 
-    fn connect(&self, place: usize) -> Option<Kept> {
+    fn connect(&self, slot: usize) -> Option<Kept> {
         let now = self.ledger.now();
-        let open = match self.cluster.places[place].standing() {
-            Standing::Up => true,
-            Standing::Leaving(since) => now < since + STILL_COME,
-            Standing::Down => false,
+        let open = match self.cluster.slots[slot].state() {
+            SlotState::Up => true,
+            SlotState::Leaving(since) => now < since + STILL_COME,
+            SlotState::Down => false,
         };
-        let address = self.cluster.places[place].address().filter(|_| open)?;
-        let process = self.cluster.process(place);
+        let address = self.cluster.slots[slot].address().filter(|_| open)?;
+        let process = self.cluster.process(slot);
         let connection = Connection::open(address)?;
         let connected_at = self.ledger.now();
-        (self.cluster.process(place) == process).then_some(Kept {
+        (self.cluster.process(slot) == process).then_some(Kept {
             connection,
             process,
             connected_at,
@@ -170,14 +170,15 @@
         Draft { id, effect, patience, bytes }
     }
 
-    fn ask(&self, mut client: Kept, manner: Manner, draw: &mut Draw) -> Option<Kept> {
-        let long_body = matches!(manner, Manner::LongBody | Manner::LeavesBehindLongBody);
-        let draft = self.draft(manner == Manner::LongAnswer, long_body, draw);
-        let leaves = matches!(manner, Manner::Leaves | Manner::LeavesBehindLongBody);
+    fn ask(&self, mut client: Kept, behaviour: ClientBehaviour, draw: &mut Draw) -> Option<Kept> {
+        let long_body =
+            matches!(behaviour, ClientBehaviour::LongBody | ClientBehaviour::LeavesBehindLongBody);
+        let draft = self.draft(behaviour == ClientBehaviour::LongAnswer, long_body, draw);
+        let leaves = matches!(behaviour, ClientBehaviour::Leaves | ClientBehaviour::LeavesBehindLongBody);
         let resets = leaves && draw.number().is_multiple_of(2);
         let leaves_after = Duration::from_millis(draw.number() % 200);
-        let written = match manner {
-            Manner::Slow => write_slowly(&mut client.connection, &draft.bytes, draw),
+        let written = match behaviour {
+            ClientBehaviour::Slow => write_slowly(&mut client.connection, &draft.bytes, draw),
             _ => client.connection.write(&draft.bytes),
         };
         let sent_at = self.ledger.now();
@@ -209,7 +210,7 @@
                 return None;
             }
         }
-        if manner == Manner::LongAnswer {
+        if behaviour == ClientBehaviour::LongAnswer {
             thread::sleep(Duration::from_millis(draw.number() % 300));
         }
         let until = Instant::now() + draft.patience + BEYOND;
--- a/crates/soak/src/cluster.rs
+++ b/crates/soak/src/cluster.rs
@@ -1,4 +1,4 @@
-//! The processes of the program: started, told, ended and started anew, each in a place with an address of its own.
+//! The processes of the program: started, signalled, ended and started anew, each in a slot with an address of its own.
 
 use crate::connection::Connection;
 use crate::discovery::Discovery;
@@ -17,17 +17,17 @@
 pub const DESCRIPTORS: u64 = 128;
 /// Far more than a start takes.
 const STARTS_WITHIN: Duration = Duration::from_secs(20);
-/// Words in the log that tell of a fault of the program.
+/// Words in the log that only a fault of the program writes.
 const FAULTS: [&str; 3] = ["panicked", "this is a fault", "fault of this program"];
 
-/// How a place stands for clients.
+/// How a slot stands for clients.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Standing {
+pub enum SlotState {
     /// Nothing there takes clients.
     Down,
     /// It takes clients.
     Up,
-    /// It was told to end then.
+    /// SIGTERM was sent then.
     Leaving(Time),
 }
 
@@ -39,20 +39,20 @@
     operator: Arc<Mutex<Option<SocketAddr>>>,
 }
 
-/// A place of a process.
+/// A slot of a process.
 #[derive(Debug)]
-pub struct Place {
+pub struct Slot {
     running: Mutex<Option<Running>>,
-    standing: Mutex<Standing>,
+    state: Mutex<SlotState>,
     address: Mutex<Option<SocketAddr>>,
     /// Which of its two agents its configuration names.
     side: AtomicUsize,
 }
 
-/// All places.
+/// All slots.
 pub struct Cluster {
     /// By number.
-    pub places: Vec<Place>,
+    pub slots: Vec<Slot>,
     discovery: Arc<Discovery>,
     ledger: Arc<Ledger>,
     next_process: AtomicUsize,
@@ -62,43 +62,43 @@
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
-impl Place {
+impl Slot {
     /// Where its process listens.
     pub fn address(&self) -> Option<SocketAddr> {
         *lock(&self.address)
     }
 
     /// How it stands.
-    pub fn standing(&self) -> Standing {
-        *lock(&self.standing)
+    pub fn state(&self) -> SlotState {
+        *lock(&self.state)
     }
 }
 
 impl Cluster {
-    /// So many empty places.
-    pub fn new(places: usize, discovery: Arc<Discovery>, ledger: Arc<Ledger>) -> Arc<Self> {
-        let place = |_| Place {
+    /// So many empty slots.
+    pub fn new(slots: usize, discovery: Arc<Discovery>, ledger: Arc<Ledger>) -> Arc<Self> {
+        let slot = |_| Slot {
             running: Mutex::default(),
-            standing: Mutex::new(Standing::Down),
+            state: Mutex::new(SlotState::Down),
             address: Mutex::default(),
             side: AtomicUsize::new(0),
         };
-        let places = (0..places).map(place).collect();
-        Arc::new(Cluster { places, discovery, ledger, next_process: AtomicUsize::new(0) })
+        let slots = (0..slots).map(slot).collect();
+        Arc::new(Cluster { slots, discovery, ledger, next_process: AtomicUsize::new(0) })
     }
 
-    /// The number of the process in a place.
-    pub fn process(&self, place: usize) -> usize {
-        self.discovery.processes[place].load(Ordering::SeqCst)
+    /// The number of the process in a slot.
+    pub fn process(&self, slot: usize) -> usize {
+        self.discovery.processes[slot].load(Ordering::SeqCst)
     }
 
-    fn config(&self, place: usize) -> String {
-        let side = self.places[place].side.load(Ordering::SeqCst);
+    fn config(&self, slot: usize) -> String {
+        let side = self.slots[slot].side.load(Ordering::SeqCst);
         let options = Options { sockets: DESCRIPTORS, memory_mb: 64, ..Options::default() };
         let keyed = r#""classes":[{"name":"keyed","aimNs":1000000000,"giveUpNs":3000000000,"worth":5.0,"effect":"token","group":"all","windowNs":1000000000},"#;
-        let text = config(self.discovery.agent_addresses[place][side], &options);
+        let text = config(self.discovery.agent_addresses[slot][side], &options);
         let text = text.replace("\"classes\":[", keyed);
-        match self.places[place].address() {
+        match self.slots[slot].address() {
             Some(address) => {
                 text.replacen("\"listen\":\"127.0.0.1:0\"", &format!("\"listen\":\"{address}\""), 1)
             }
@@ -106,12 +106,12 @@
         }
     }
 
-    /// Starts a process in an empty place, and waits until it is up where `waits`; a SIGHUP follows the start after this time.
-    pub fn start(self: &Arc<Self>, place: usize, blind: bool, hang_up_after: Option<Duration>) {
+    /// Starts a process in an empty slot, and waits until it is up where `waits`; a SIGHUP follows the start after this time.
+    pub fn start(self: &Arc<Self>, slot: usize, blind: bool, hang_up_after: Option<Duration>) {
         let process = self.next_process.fetch_add(1, Ordering::SeqCst);
-        self.discovery.processes[place].store(process, Ordering::SeqCst);
+        self.discovery.processes[slot].store(process, Ordering::SeqCst);
         let started_at = self.ledger.now();
-        let (mut child, config) = Node::spawn(&self.config(place));
+        let (mut child, config) = Node::spawn(&self.config(slot));
         if let Some(after) = hang_up_after {
             wait_until_it_runs(child.id());
             thread::sleep(after);
@@ -119,7 +119,7 @@
         }
         let lines = BufReader::new(child.stderr.take().expect("its standard error is a pipe")).lines();
         let operator = Arc::new(Mutex::new(None));
-        let address = Arc::new(Mutex::new(self.places[place].address()));
+        let address = Arc::new(Mutex::new(self.slots[slot].address()));
         self.follow_log(process, lines, operator.clone(), address.clone());
         self.ledger.lock().processes.push(ProcessRecord {
             process,
@@ -131,9 +131,9 @@
             ended_at: None,
             failure: None,
         });
-        *lock(&self.places[place].running) = Some(Running { child, process, config, operator });
+        *lock(&self.slots[slot].running) = Some(Running { child, process, config, operator });
         let cluster = self.clone();
-        thread::spawn(move || cluster.wait_until_up(place, process, &address));
+        thread::spawn(move || cluster.wait_until_up(slot, process, &address));
     }
 
     fn follow_log(
@@ -153,15 +153,15 @@
                     *lock(&address) = listens.parse().ok();
                 }
                 if FAULTS.iter().any(|fault| line.contains(fault)) {
-                    ledger.lock().confessions.push(format!("process {process}: {line}"));
+                    ledger.lock().self_reports.push(format!("process {process}: {line}"));
                 }
             }
         });
     }
 
-    fn wait_until_up(&self, place: usize, process: usize, address: &Mutex<Option<SocketAddr>>) {
+    fn wait_until_up(&self, slot: usize, process: usize, address: &Mutex<Option<SocketAddr>>) {
         let begun = Instant::now();
-        while begun.elapsed() < STARTS_WITHIN && self.process(place) == process {
+        while begun.elapsed() < STARTS_WITHIN && self.process(slot) == process {
             if let Some(listens) = *lock(address) {
                 if is_up(listens) {
                     let now = self.ledger.now();
@@ -169,10 +169,10 @@
                     let record = records.processes.iter_mut().find(|record| record.process == process);
                     record.expect("it was written down").ready_at.get_or_insert(now);
                     drop(records);
-                    *lock(&self.places[place].address) = Some(listens);
-                    let mut standing = lock(&self.places[place].standing);
-                    if *standing == Standing::Down && self.process(place) == process {
-                        *standing = Standing::Up;
+                    *lock(&self.slots[slot].address) = Some(listens);
+                    let mut state = lock(&self.slots[slot].state);
+                    if *state == SlotState::Down && self.process(slot) == process {
+                        *state = SlotState::Up;
                     }
                     return;
                 }
@@ -181,10 +181,10 @@
         }
     }
 
-    /// Has the process in a place stand still for this time, whatever else it is told meanwhile.
-    pub fn pause(&self, place: usize, time: Duration) {
-        // By its id: it may be taken out of its place while it stands still, and end there.
-        let Some(id) = lock(&self.places[place].running).as_ref().map(|running| running.child.id()) else {
+    /// Has the process in a slot stand still for this time, whatever other signals it gets meanwhile.
+    pub fn pause(&self, slot: usize, time: Duration) {
+        // By its id: it may be taken out of its slot while it stands still, and end there.
+        let Some(id) = lock(&self.slots[slot].running).as_ref().map(|running| running.child.id()) else {
             return;
         };
         signal(id, "-STOP");
@@ -194,24 +194,24 @@
         }
     }
 
-    /// Replaces the configuration of a place by one that names its other agent, or by half of a file.
-    pub fn reload(&self, place: usize, broken: bool) {
+    /// Replaces the configuration of a slot by one that names its other agent, or by half of a file.
+    pub fn reload(&self, slot: usize, broken: bool) {
         if !broken {
-            self.places[place].side.fetch_xor(1, Ordering::SeqCst);
+            self.slots[slot].side.fetch_xor(1, Ordering::SeqCst);
         }
-        let text = self.config(place);
+        let text = self.config(slot);
         let text = if broken { text[..text.len() / 2].to_owned() } else { text };
-        if let Some(running) = &*lock(&self.places[place].running) {
+        if let Some(running) = &*lock(&self.slots[slot].running) {
             let _ = std::fs::write(&running.config, text);
             signal(running.child.id(), "-HUP");
         }
     }
 
-    /// Tells the process in a place to end, and waits until it has, or kills it when it may be.
-    pub fn terminate(&self, place: usize) {
-        let Some(mut running) = lock(&self.places[place].running).take() else { return };
+    /// Tells the process in a slot to end, and waits until it has, or kills it when it may be.
+    pub fn terminate(&self, slot: usize) {
+        let Some(mut running) = lock(&self.slots[slot].running).take() else { return };
         let now = self.ledger.now();
-        *lock(&self.places[place].standing) = Standing::Leaving(now);
+        *lock(&self.slots[slot].state) = SlotState::Leaving(now);
         self.note(running.process, |record| record.terminated_at = Some(now));
         signal(running.child.id(), "-TERM");
         let begun = Instant::now();
@@ -232,21 +232,21 @@
         };
         let _ = running.child.kill();
         let _ = running.child.wait();
-        self.forget(place, &running, ended_at, failure);
+        self.forget(slot, &running, ended_at, failure);
     }
 
-    /// Kills the process in a place.
-    pub fn kill(&self, place: usize) {
-        let Some(mut running) = lock(&self.places[place].running).take() else { return };
+    /// Kills the process in a slot.
+    pub fn kill(&self, slot: usize) {
+        let Some(mut running) = lock(&self.slots[slot].running).take() else { return };
         let now = self.ledger.now();
         self.note(running.process, |record| record.killed_at = Some(now));
         let _ = running.child.kill();
         let _ = running.child.wait();
-        self.forget(place, &running, now, None);
+        self.forget(slot, &running, now, None);
     }
 
-    fn forget(&self, place: usize, running: &Running, ended_at: Time, failure: Option<String>) {
-        *lock(&self.places[place].standing) = Standing::Down;
+    fn forget(&self, slot: usize, running: &Running, ended_at: Time, failure: Option<String>) {
+        *lock(&self.slots[slot].state) = SlotState::Down;
         self.note(running.process, |record| {
             record.ended_at = Some(ended_at);
             record.failure = failure;
@@ -261,10 +261,10 @@
         }
     }
 
-    /// Looks whether processes have ended that nobody told to, and whether they hold more descriptors than they may.
+    /// Looks whether processes have ended unasked, and whether they hold more descriptors than they may.
     pub fn inspect(&self) {
-        for place in &self.places {
-            let mut running = lock(&place.running);
+        for slot in &self.slots {
+            let mut running = lock(&slot.running);
             let Some(all) = running.as_mut() else { continue };
             if let Ok(Some(status)) = all.child.try_wait() {
                 let now = self.ledger.now();
@@ -272,24 +272,24 @@
                     record.ended_at = Some(now);
                     record.failure = Some(status.to_string());
                 });
-                *lock(&place.standing) = Standing::Down;
+                *lock(&slot.state) = SlotState::Down;
                 *running = None;
                 continue;
             }
             let held = std::fs::read_dir(format!("/proc/{}/fd", all.child.id())).map_or(0, Iterator::count);
             if held as u64 > DESCRIPTORS {
                 let text = format!("process {}: {held} descriptors of {DESCRIPTORS}", all.process);
-                self.ledger.lock().confessions.push(text);
+                self.ledger.lock().self_reports.push(text);
             }
         }
     }
 
     /// Asks each process for the rules that it has seen itself break; with `events`, also for its events.
-    pub fn confess(&self, events: bool) -> Vec<(usize, String)> {
+    pub fn collect_self_reports(&self, events: bool) -> Vec<(usize, String)> {
         let mut pages = Vec::new();
-        for place in &self.places {
-            let told = lock(&place.running).as_ref().map(|r| (r.process, *lock(&r.operator)));
-            let Some((process, Some(operator))) = told else { continue };
+        for slot in &self.slots {
+            let running = lock(&slot.running).as_ref().map(|r| (r.process, *lock(&r.operator)));
+            let Some((process, Some(operator))) = running else { continue };
             let page = call(operator, "/-/metrics").unwrap_or_default();
             let bad = |line: &&str| {
                 let rules = line.starts_with("gw_rule_violations{") && !line.ends_with(" 0");
@@ -300,7 +300,7 @@
                 rules || denied
             };
             for line in page.lines().filter(bad) {
-                self.ledger.lock().confessions.push(format!("process {process}: {line}"));
+                self.ledger.lock().self_reports.push(format!("process {process}: {line}"));
             }
             if events {
                 pages.push((process, call(operator, "/-/events").unwrap_or_default()));
--- a/crates/soak/src/discovery.rs
+++ b/crates/soak/src/discovery.rs
@@ -1,4 +1,4 @@
-//! Discovery: one registry of servers, and for each place of a process two agents that push it, of which one is in force.
+//! Discovery: one registry of servers, and for each slot of a process two agents that push it, of which one is in force.
 
 use crate::connection::Connection;
 use crate::ledger::Ledger;
@@ -58,9 +58,9 @@
     changed: Condvar,
     servers: Vec<SocketAddr>,
     agents: Vec<[Agent; 2]>,
-    /// Where the agents of each place listen.
+    /// Where the agents of each slot listen.
     pub agent_addresses: Vec<[SocketAddr; 2]>,
-    /// The process that runs in each place.
+    /// The process that runs in each slot.
     pub processes: Vec<AtomicUsize>,
     ledger: Arc<Ledger>,
 }
@@ -70,9 +70,9 @@
 }
 
 impl Discovery {
-    /// Agents for so many places; the first servers are listed.
+    /// Agents for so many slots; the first servers are listed.
     pub fn start(
-        places: usize,
+        slots: usize,
         servers: Vec<SocketAddr>,
         listed: usize,
         ledger: Arc<Ledger>,
@@ -84,7 +84,7 @@
             watches: AtomicUsize::new(0),
         };
         let mut listeners = Vec::new();
-        for _ in 0..places {
+        for _ in 0..slots {
             listeners.push([TcpListener::bind("127.0.0.1:0")?, TcpListener::bind("127.0.0.1:0")?]);
         }
         let mut agent_addresses = Vec::new();
@@ -99,15 +99,15 @@
             }),
             changed: Condvar::new(),
             servers,
-            agents: (0..places).map(|_| [agent(), agent()]).collect(),
+            agents: (0..slots).map(|_| [agent(), agent()]).collect(),
             agent_addresses,
-            processes: (0..places).map(|_| AtomicUsize::new(usize::MAX)).collect(),
+            processes: (0..slots).map(|_| AtomicUsize::new(usize::MAX)).collect(),
             ledger,
         });
-        for (place, pair) in listeners.into_iter().enumerate() {
+        for (slot, pair) in listeners.into_iter().enumerate() {
             for (side, listener) in pair.into_iter().enumerate() {
                 let discovery = discovery.clone();
-                thread::spawn(move || discovery.listen(place, side, &listener));
+                thread::spawn(move || discovery.listen(slot, side, &listener));
             }
         }
         Ok(discovery)
@@ -123,32 +123,32 @@
         self.changed.notify_all();
     }
 
-    /// Sets what the agents of a place do.
-    pub fn set_mode(&self, place: usize, mode: AgentMode) {
-        for agent in &self.agents[place] {
+    /// Sets what the agents of a slot do.
+    pub fn set_mode(&self, slot: usize, mode: AgentMode) {
+        for agent in &self.agents[slot] {
             *lock(&agent.mode) = mode;
         }
         self.changed.notify_all();
     }
 
-    /// Silences all watches of a place that are open now.
-    pub fn silence_watches(&self, place: usize) {
-        for agent in &self.agents[place] {
+    /// Silences all watches of a slot that are open now.
+    pub fn silence_watches(&self, slot: usize) {
+        for agent in &self.agents[slot] {
             agent.silenced.store(agent.watches.load(Ordering::SeqCst), Ordering::SeqCst);
         }
     }
 
-    fn listen(self: Arc<Self>, place: usize, side: usize, listener: &TcpListener) {
+    fn listen(self: Arc<Self>, slot: usize, side: usize, listener: &TcpListener) {
         for stream in listener.incoming().flatten() {
             let discovery = self.clone();
-            let process = self.processes[place].load(Ordering::SeqCst);
-            thread::spawn(move || discovery.serve(place, side, process, Connection::new(stream)));
+            let process = self.processes[slot].load(Ordering::SeqCst);
+            thread::spawn(move || discovery.serve(slot, side, process, Connection::new(stream)));
         }
     }
 
-    fn serve(&self, place: usize, side: usize, process: usize, mut connection: Connection) {
+    fn serve(&self, slot: usize, side: usize, process: usize, mut connection: Connection) {
         let Ok(call) = connection.read(Instant::now() + Duration::from_secs(10), false) else { return };
-        let agent = &self.agents[place][side];
+        let agent = &self.agents[slot][side];
         loop {
             match *lock(&agent.mode) {
                 AgentMode::Up => break,
@@ -176,15 +176,15 @@
         since: Option<u64>,
         connection: &mut Connection,
     ) {
-        let mut told = since;
+        let mut notified = since;
         let mut said_at = Instant::now();
         loop {
             let state = lock(&self.state);
             let (state, _) = self
                 .changed
-                .wait_timeout_while(state, LOOK, |state| told == Some(state.version))
+                .wait_timeout_while(state, LOOK, |state| notified == Some(state.version))
                 .unwrap_or_else(PoisonError::into_inner);
-            let news = (told != Some(state.version)).then(|| self.words(&state, told));
+            let news = (notified != Some(state.version)).then(|| self.words(&state, notified));
             let (version, listings) = (state.version, state.listings.clone());
             drop(state);
             if *lock(&agent.mode) != AgentMode::Up {
@@ -205,14 +205,14 @@
                 return;
             }
             said_at = Instant::now();
-            if told != Some(version) {
-                self.note_told(process, &listings);
-                told = Some(version);
+            if notified != Some(version) {
+                self.note_notified(process, &listings);
+                notified = Some(version);
             }
         }
     }
 
-    fn words(&self, state: &State, told: Option<u64>) -> String {
+    fn words(&self, state: &State, notified: Option<u64>) -> String {
         let entry = |server: usize| {
             let health = match state.listings[server] {
                 Listing::Active => "active",
@@ -221,9 +221,9 @@
             };
             host(&format!("s-{server}"), self.servers[server], health)
         };
-        match told.filter(|told| *told >= 1 && *told <= state.version) {
-            Some(told) => {
-                let mut changed: Vec<_> = state.changes[told as usize - 1..].to_vec();
+        match notified.filter(|notified| *notified >= 1 && *notified <= state.version) {
+            Some(notified) => {
+                let mut changed: Vec<_> = state.changes[notified as usize - 1..].to_vec();
                 changed.sort_unstable();
                 changed.dedup();
                 let entries: Vec<_> = changed.into_iter().map(entry).collect();
@@ -236,13 +236,13 @@
         }
     }
 
-    fn note_told(&self, process: usize, listings: &[Listing]) {
+    fn note_notified(&self, process: usize, listings: &[Listing]) {
         let now = self.ledger.now();
         let mut records = self.ledger.lock();
         for (server, listing) in listings.iter().enumerate() {
             match listing {
-                Listing::Active => drop(records.told_draining.remove(&(process, server))),
-                _ => drop(records.told_draining.entry((process, server)).or_insert(now)),
+                Listing::Active => drop(records.notified_draining.remove(&(process, server))),
+                _ => drop(records.notified_draining.entry((process, server)).or_insert(now)),
             }
         }
     }
--- a/crates/soak/src/faults.rs
+++ b/crates/soak/src/faults.rs
@@ -1,6 +1,6 @@
 //! What goes wrong when: a script drawn from a seed, in which faults come in groups that overlap.
 
-use crate::servers::Mood;
+use crate::servers::Behaviour;
 use corkhollow_standin::Draw;
 use std::fmt;
 use std::time::Duration;
@@ -8,29 +8,29 @@
 /// One fault.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Fault {
-    /// A process is told to end, and started anew once it has; a SIGHUP may follow so long after it has begun to run.
+    /// A process gets SIGTERM, and is started anew once it has; a SIGHUP may follow so long after it has begun to run.
     Restart {
-        /// Its place.
-        place: usize,
+        /// Its slot.
+        slot: usize,
         /// When the SIGHUP comes.
         hang_up_after: Option<Duration>,
     },
     /// A process is killed and started anew.
     Kill {
-        /// Its place.
-        place: usize,
+        /// Its slot.
+        slot: usize,
     },
-    /// A process is told that discovery has moved, or of half a file.
+    /// A process gets SIGHUP with a file that moves discovery, or with half a file.
     Reload {
-        /// Its place.
-        place: usize,
+        /// Its slot.
+        slot: usize,
         /// The file is half a file.
         broken: bool,
     },
     /// A process stands still.
     Pause {
-        /// Its place.
-        place: usize,
+        /// Its slot.
+        slot: usize,
         /// For so long.
         time: Duration,
     },
@@ -39,7 +39,7 @@
         /// The server.
         server: usize,
         /// How.
-        mood: Mood,
+        behaviour: Behaviour,
         /// For so long.
         time: Duration,
     },
@@ -57,24 +57,24 @@
         /// After so long.
         time: Duration,
     },
-    /// The discovery agent of a place is down.
+    /// The discovery agent of a slot is down.
     DiscoveryDown {
-        /// The place.
-        place: usize,
+        /// The slot.
+        slot: usize,
         /// It takes calls and says nothing, in place of resetting them.
         silent: bool,
         /// For so long.
         time: Duration,
     },
-    /// The watches of a place fall silent and stay open.
+    /// The watches of a slot fall silent and stay open.
     SilentWatch {
-        /// The place.
-        place: usize,
+        /// The slot.
+        slot: usize,
     },
     /// Idle connections take all descriptors that a process gives to clients.
     IdleFlood {
-        /// Its place.
-        place: usize,
+        /// Its slot.
+        slot: usize,
         /// For so long.
         time: Duration,
     },
@@ -94,7 +94,7 @@
 #[derive(Clone, Copy, Debug)]
 pub struct Size {
     /// Places of processes.
-    pub places: usize,
+    pub slots: usize,
     /// Servers that are listed from the start.
     pub servers: usize,
     /// Servers whose connections come up late.
@@ -111,19 +111,19 @@
 const GROUP: u64 = 400;
 
 impl Script {
-    /// The script of a seed: groups of two to four faults, at one place or one server where that is possible, so that they overlap.
+    /// The script of a seed: groups of two to four faults, at one slot or one server where that is possible, so that they overlap.
     pub fn draw(seed: u64, size: Size) -> Self {
         let mut draw = Draw::new(seed);
         let span = size.time.saturating_sub(QUIET_START + QUIET_END);
-        let groups = (size.places as u64).max(size.time.as_secs() * 2);
+        let groups = (size.slots as u64).max(size.time.as_secs() * 2);
         let mut faults = Vec::new();
         for _ in 0..groups {
             let begin = QUIET_START + span.mul_f64(draw.share());
-            let place = draw.number() as usize % size.places;
+            let slot = draw.number() as usize % size.slots;
             let server = draw.number() as usize % size.servers;
             for _ in 0..2 + draw.number() % 3 {
                 let at = begin + Duration::from_millis(draw.number() % GROUP);
-                faults.push((at, fault(&mut draw, place, server, size)));
+                faults.push((at, fault(&mut draw, slot, server, size)));
             }
         }
         faults.sort_by_key(|(at, _)| *at);
@@ -131,21 +131,28 @@
     }
 }
 
-fn fault(draw: &mut Draw, place: usize, server: usize, size: Size) -> Fault {
+fn fault(draw: &mut Draw, slot: usize, server: usize, size: Size) -> Fault {
     let time = |draw: &mut Draw, least: u64, more: u64| Duration::from_millis(least + draw.number() % more);
     match draw.number() % 20 {
         0..=2 => {
             let hang_up = draw.number().is_multiple_of(2);
             let after = time(draw, 3, 17);
-            Fault::Restart { place, hang_up_after: hang_up.then_some(after) }
+            Fault::Restart { slot, hang_up_after: hang_up.then_some(after) }
         }
-        3 => Fault::Kill { place },
-        4 | 5 => Fault::Reload { place, broken: draw.number().is_multiple_of(4) },
-        6 | 7 => Fault::Pause { place, time: time(draw, 20, 130) },
+        3 => Fault::Kill { slot },
+        4 | 5 => Fault::Reload { slot, broken: draw.number().is_multiple_of(4) },
+        6 | 7 => Fault::Pause { slot, time: time(draw, 20, 130) },
         8..=11 => {
-            let moods = [Mood::Slow, Mood::Hangs, Mood::Resets, Mood::Fails, Mood::TurnsAway, Mood::Closes];
-            let mood = moods[draw.number() as usize % moods.len()];
-            Fault::Misbehave { server, mood, time: time(draw, 500, 2_000) }
+            let behaviours = [
+                Behaviour::Slow,
+                Behaviour::Hangs,
+                Behaviour::Resets,
+                Behaviour::Fails,
+                Behaviour::TurnsAway,
+                Behaviour::Closes,
+            ];
+            let behaviour = behaviours[draw.number() as usize % behaviours.len()];
+            Fault::Misbehave { server, behaviour, time: time(draw, 500, 2_000) }
         }
         12..=14 => Fault::Drain { server, time: time(draw, 800, 2_000) },
         15 if size.late > 0 => {
@@ -153,12 +160,12 @@
             Fault::LateServer { number, time: time(draw, 300, 1_200) }
         }
         15 | 16 => Fault::DiscoveryDown {
-            place,
+            slot,
             silent: draw.number().is_multiple_of(2),
             time: time(draw, 500, 2_500),
         },
-        17 => Fault::SilentWatch { place },
-        18 => Fault::IdleFlood { place, time: time(draw, 500, 1_500) },
+        17 => Fault::SilentWatch { slot },
+        18 => Fault::IdleFlood { slot, time: time(draw, 500, 1_500) },
         _ => Fault::Drain { server, time: time(draw, 800, 2_000) },
     }
 }
--- a/crates/soak/src/ledger.rs
+++ b/crates/soak/src/ledger.rs
@@ -1,5 +1,6 @@
 //! What was seen on all sockets, with its times.
 
+pub use corkhollow_balance::interface::Effect;
 use std::collections::{HashMap, HashSet};
 use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
@@ -7,17 +8,6 @@
 /// A time since the run began.
 pub type Time = Duration;
 
-/// How far a request may be repeated.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Effect {
-    /// Without harm.
-    Safe,
-    /// At servers that know its key, within a window.
-    Keyed,
-    /// Not at all once it may have run.
-    Unsafe,
-}
-
 /// How a request ended for its client.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Outcome {
@@ -85,8 +75,8 @@
     pub whole_at: Time,
     /// When the server was done with it, or saw it given up.
     pub ended_at: Option<Time>,
-    /// How long it was told that its client waits.
-    pub told: Option<Duration>,
+    /// The timeout that the request announced.
+    pub announced_timeout: Option<Duration>,
     /// What was done with it.
     pub treatment: Treatment,
 }
@@ -102,13 +92,13 @@
     pub ready_at: Option<Time>,
     /// Discovery could not be reached while it started.
     pub started_blind: bool,
-    /// When it was told to end.
+    /// When SIGTERM was sent to it.
     pub terminated_at: Option<Time>,
     /// When it was killed on purpose.
     pub killed_at: Option<Time>,
     /// When it was found to have ended.
     pub ended_at: Option<Time>,
-    /// Its exit status in words, where it was not told to succeed.
+    /// Its exit status in words, where that is a failure.
     pub failure: Option<String>,
 }
 
@@ -136,12 +126,12 @@
     pub processes: Vec<ProcessRecord>,
     /// Clients that stopped.
     pub stalled: Vec<StalledClient>,
-    /// When each process was told that a server drains or is gone, by process and server.
-    pub told_draining: HashMap<(usize, usize), Time>,
-    /// Requests whose head may have been read by nobody, for a process may have no descriptor for them.
+    /// When each process was notified that a server drains or is gone, by process and server.
+    pub notified_draining: HashMap<(usize, usize), Time>,
+    /// Processes that may have had no descriptor for a request, and have closed its connection unread.
     pub crowded: HashSet<usize>,
     /// What processes say of themselves that must not be.
-    pub confessions: Vec<String>,
+    pub self_reports: Vec<String>,
 }
 
 /// The ledger that all threads write to.
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -7,7 +7,7 @@
 use crate::discovery::{AgentMode, Discovery, Listing};
 use crate::faults::{Fault, Script, Size};
 use crate::ledger::{Ledger, Records};
-use crate::servers::{Mood, Servers};
+use crate::servers::{Behaviour, Servers};
 use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
 use std::sync::Arc;
 use std::thread;
@@ -42,14 +42,14 @@
     pub events: Vec<(usize, String)>,
 }
 
-struct Stage {
+struct Run {
     cluster: Arc<Cluster>,
     servers: Arc<Servers>,
     discovery: Arc<Discovery>,
     ledger: Arc<Ledger>,
-    /// By place: a restart is under way, and another one has to wait for the next fault.
+    /// By slot: a restart is under way, and another one has to wait for the next fault.
     restarting: Vec<AtomicBool>,
-    /// By place: how many outages of its agents overlap now.
+    /// By slot: how many outages of its agents overlap now.
     outages: Vec<AtomicU32>,
     options: Options,
 }
@@ -64,7 +64,7 @@
     let all = Servers::start(servers, late_servers, seed, ledger.clone())?;
     let discovery = Discovery::start(processes, all.addresses.clone(), servers, ledger.clone())?;
     let cluster = Cluster::new(processes, discovery.clone(), ledger.clone());
-    let stage = Arc::new(Stage {
+    let run = Arc::new(Run {
         cluster: cluster.clone(),
         servers: all,
         discovery,
@@ -73,7 +73,7 @@
         outages: (0..processes).map(|_| AtomicU32::new(0)).collect(),
         options,
     });
-    (0..processes).for_each(|place| cluster.start(place, false, None));
+    (0..processes).for_each(|slot| cluster.start(slot, false, None));
     wait_for_all(&cluster, processes);
     let clients = Clients::new(cluster.clone(), ledger.clone());
     let mut threads = Vec::new();
@@ -81,9 +81,9 @@
         let own = seed.wrapping_mul(0x9E37_79B9_7F4A_7C15) ^ client as u64;
         threads.push(clients.begin(client % processes, own));
     }
-    let script = Script::draw(seed, Size { places: processes, servers, late: late_servers, time });
+    let script = Script::draw(seed, Size { slots: processes, servers, late: late_servers, time });
     let begun = ledger.now();
-    let faults = play(&stage, &script, begun);
+    let faults = play(&run, &script, begun);
     while ledger.now() < begun + time {
         cluster.inspect();
         thread::sleep(Duration::from_millis(250));
@@ -95,11 +95,11 @@
     cluster.inspect();
     let end = ledger.now();
     let broken = !check(&ledger.lock(), end).is_empty();
-    let events = cluster.confess(broken);
+    let events = cluster.collect_self_reports(broken);
     let enders: Vec<_> = (0..processes)
-        .map(|place| {
+        .map(|slot| {
             let cluster = cluster.clone();
-            thread::spawn(move || cluster.terminate(place))
+            thread::spawn(move || cluster.terminate(slot))
         })
         .collect();
     enders.into_iter().for_each(|ender| drop(ender.join()));
@@ -108,7 +108,7 @@
 }
 
 fn wait_for_all(cluster: &Cluster, processes: usize) {
-    let up = |place: usize| cluster.places[place].standing() == crate::cluster::Standing::Up;
+    let up = |slot: usize| cluster.slots[slot].state() == crate::cluster::SlotState::Up;
     for _ in 0..1_000 {
         if (0..processes).all(up) {
             return;
@@ -117,28 +117,28 @@
     }
 }
 
-fn play(stage: &Arc<Stage>, script: &Script, begun: Duration) -> Vec<thread::JoinHandle<()>> {
+fn play(run: &Arc<Run>, script: &Script, begun: Duration) -> Vec<thread::JoinHandle<()>> {
     let play_one = |(at, fault): &(Duration, Fault)| {
-        let (stage, due, fault) = (stage.clone(), begun + *at, *fault);
+        let (run, due, fault) = (run.clone(), begun + *at, *fault);
         thread::spawn(move || {
-            thread::sleep(due.saturating_sub(stage.ledger.now()));
-            stage.commit(fault);
+            thread::sleep(due.saturating_sub(run.ledger.now()));
+            run.commit(fault);
         })
     };
     script.0.iter().map(play_one).collect()
 }
 
-impl Stage {
+impl Run {
     fn commit(&self, fault: Fault) {
         match fault {
-            Fault::Restart { place, hang_up_after } => self.restart(place, hang_up_after, false),
-            Fault::Kill { place } => self.restart(place, None, true),
-            Fault::Reload { place, broken } => self.cluster.reload(place, broken),
-            Fault::Pause { place, time } => self.cluster.pause(place, time),
-            Fault::Misbehave { server, mood, time } => {
-                self.servers.set_mood(server, mood);
+            Fault::Restart { slot, hang_up_after } => self.restart(slot, hang_up_after, false),
+            Fault::Kill { slot } => self.restart(slot, None, true),
+            Fault::Reload { slot, broken } => self.cluster.reload(slot, broken),
+            Fault::Pause { slot, time } => self.cluster.pause(slot, time),
+            Fault::Misbehave { server, behaviour, time } => {
+                self.servers.set_behaviour(server, behaviour);
                 thread::sleep(time);
-                self.servers.set_mood(server, Mood::Usual);
+                self.servers.set_behaviour(server, Behaviour::Usual);
             }
             Fault::Drain { server, time } => {
                 self.discovery.set(server, Listing::Leaving);
@@ -153,37 +153,37 @@
                 thread::sleep(time);
                 self.servers.open(server, self.options.seed);
             }
-            Fault::DiscoveryDown { place, silent, time } => self.discovery_down(place, silent, time),
-            Fault::SilentWatch { place } => self.discovery.silence_watches(place),
-            Fault::IdleFlood { place, time } => self.flood(place, time),
+            Fault::DiscoveryDown { slot, silent, time } => self.discovery_down(slot, silent, time),
+            Fault::SilentWatch { slot } => self.discovery.silence_watches(slot),
+            Fault::IdleFlood { slot, time } => self.flood(slot, time),
         }
     }
 
-    fn restart(&self, place: usize, hang_up_after: Option<Duration>, kills: bool) {
-        if self.restarting[place].swap(true, Ordering::SeqCst) {
+    fn restart(&self, slot: usize, hang_up_after: Option<Duration>, kills: bool) {
+        if self.restarting[slot].swap(true, Ordering::SeqCst) {
             return;
         }
         match kills {
-            true => self.cluster.kill(place),
-            false => self.cluster.terminate(place),
+            true => self.cluster.kill(slot),
+            false => self.cluster.terminate(slot),
         }
-        let blind = self.outages[place].load(Ordering::SeqCst) > 0;
-        self.cluster.start(place, blind, hang_up_after);
-        self.restarting[place].store(false, Ordering::SeqCst);
+        let blind = self.outages[slot].load(Ordering::SeqCst) > 0;
+        self.cluster.start(slot, blind, hang_up_after);
+        self.restarting[slot].store(false, Ordering::SeqCst);
     }
 
-    fn discovery_down(&self, place: usize, silent: bool, time: Duration) {
-        self.outages[place].fetch_add(1, Ordering::SeqCst);
-        self.discovery.set_mode(place, if silent { AgentMode::Silent } else { AgentMode::Refuses });
+    fn discovery_down(&self, slot: usize, silent: bool, time: Duration) {
+        self.outages[slot].fetch_add(1, Ordering::SeqCst);
+        self.discovery.set_mode(slot, if silent { AgentMode::Silent } else { AgentMode::Refuses });
         thread::sleep(time);
-        if self.outages[place].fetch_sub(1, Ordering::SeqCst) == 1 {
-            self.discovery.set_mode(place, AgentMode::Up);
+        if self.outages[slot].fetch_sub(1, Ordering::SeqCst) == 1 {
+            self.discovery.set_mode(slot, AgentMode::Up);
         }
     }
 
-    fn flood(&self, place: usize, time: Duration) {
-        let Some(address) = self.cluster.places[place].address() else { return };
-        let process = self.cluster.process(place);
+    fn flood(&self, slot: usize, time: Duration) {
+        let Some(address) = self.cluster.slots[slot].address() else { return };
+        let process = self.cluster.process(slot);
         self.ledger.lock().crowded.insert(process);
         let idle: Vec<_> = (0..150).filter_map(|_| Connection::open(address)).collect();
         thread::sleep(time);
--- a/crates/soak/src/servers.rs
+++ b/crates/soak/src/servers.rs
@@ -19,7 +19,7 @@
 
 /// How a server behaves.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Mood {
+pub enum Behaviour {
     /// It answers, now and then in an unusual way.
     Usual,
     /// It takes a quarter of a second longer.
@@ -40,7 +40,7 @@
 pub struct Servers {
     /// Where they listen.
     pub addresses: Vec<SocketAddr>,
-    moods: Vec<Mutex<Mood>>,
+    behaviours: Vec<Mutex<Behaviour>>,
     late: Mutex<Vec<(usize, Backlog)>>,
     ledger: Arc<Ledger>,
 }
@@ -78,7 +78,7 @@
     pub fn start(usual: usize, late: usize, seed: u64, ledger: Arc<Ledger>) -> std::io::Result<Arc<Self>> {
         let mut servers = Servers {
             addresses: Vec::new(),
-            moods: (0..usual + late).map(|_| Mutex::new(Mood::Usual)).collect(),
+            behaviours: (0..usual + late).map(|_| Mutex::new(Behaviour::Usual)).collect(),
             late: Mutex::default(),
             ledger,
         };
@@ -109,9 +109,9 @@
         }
     }
 
-    /// Sets a server's mood.
-    pub fn set_mood(&self, server: usize, mood: Mood) {
-        *self.moods[server].lock().unwrap_or_else(PoisonError::into_inner) = mood;
+    /// Sets a server's behaviour.
+    pub fn set_behaviour(&self, server: usize, behaviour: Behaviour) {
+        *self.behaviours[server].lock().unwrap_or_else(PoisonError::into_inner) = behaviour;
     }
 
     fn listen(self: Arc<Self>, number: usize, listener: TcpListener, seed: u64) {
@@ -126,32 +126,33 @@
 
     fn serve(&self, server: usize, mut connection: Connection, mut draw: Draw) {
         while let Ok(request) = connection.read(Instant::now() + KEPT_FOR, false) {
-            let mood = *self.moods[server].lock().unwrap_or_else(PoisonError::into_inner);
+            let behaviour = *self.behaviours[server].lock().unwrap_or_else(PoisonError::into_inner);
             let Some(id) = request.header("x-request-id").and_then(|id| u64::from_str_radix(id, 16).ok())
             else {
                 return;
             };
-            let attempt = self.write_down(server, id, &request, mood);
-            let keeps = match mood {
-                Mood::Hangs => {
+            let attempt = self.write_down(server, id, &request, behaviour);
+            let keeps = match behaviour {
+                Behaviour::Hangs => {
                     let _ = connection.stirs(Instant::now() + HANGS_FOR);
                     self.end(attempt);
                     false
                 }
-                Mood::Resets => {
+                Behaviour::Resets => {
                     thread::sleep(draw.time(SERVICE_TIME));
                     self.end(attempt);
                     return connection.reset();
                 }
-                Mood::Fails => self.answer(attempt, &mut connection, "500 No", "", b""),
-                Mood::TurnsAway => {
+                Behaviour::Fails => self.answer(attempt, &mut connection, "500 No", "", b""),
+                Behaviour::TurnsAway => {
                     self.answer(attempt, &mut connection, "503 Busy", "X-Not-Processed: 1\r\n", b"")
                 }
-                Mood::Usual | Mood::Slow | Mood::Closes => {
-                    let more = if mood == Mood::Slow { 250 } else { 0 };
+                Behaviour::Usual | Behaviour::Slow | Behaviour::Closes => {
+                    let more = if behaviour == Behaviour::Slow { 250 } else { 0 };
                     thread::sleep(draw.time(SERVICE_TIME) + Duration::from_millis(more));
                     let long = request.head.contains("/long");
-                    self.serve_one(attempt, id, long, &mut connection, &mut draw) && mood != Mood::Closes
+                    self.serve_one(attempt, id, long, &mut connection, &mut draw)
+                        && behaviour != Behaviour::Closes
                 }
             };
             if !keeps {
@@ -198,12 +199,12 @@
         }
     }
 
-    fn write_down(&self, server: usize, id: u64, request: &Message, mood: Mood) -> usize {
+    fn write_down(&self, server: usize, id: u64, request: &Message, behaviour: Behaviour) -> usize {
         let whole_at = self.ledger.now();
         let first_byte_at = whole_at.saturating_sub(request.first_byte.elapsed());
-        let told = request.header("x-timeout-ms").and_then(|told| told.parse().ok());
-        let treatment = match mood {
-            Mood::TurnsAway => Treatment::TurnedAway,
+        let announced = request.header("x-timeout-ms").and_then(|timeout| timeout.parse().ok());
+        let treatment = match behaviour {
+            Behaviour::TurnsAway => Treatment::TurnedAway,
             _ => Treatment::Ran,
         };
         let record = AttemptRecord {
@@ -212,7 +213,7 @@
             first_byte_at,
             whole_at,
             ended_at: None,
-            told: told.map(Duration::from_millis),
+            announced_timeout: announced.map(Duration::from_millis),
             treatment,
         };
         let mut records = self.ledger.lock();
--- a/crates/soak/tests/check.rs
+++ b/crates/soak/tests/check.rs
@@ -37,7 +37,7 @@
         first_byte_at: ms(whole_at),
         whole_at: ms(whole_at),
         ended_at: Some(ms(ended_at)),
-        told: Some(ms(490)),
+        announced_timeout: Some(ms(490)),
         treatment: Treatment::Ran,
     }
 }
@@ -117,17 +117,17 @@
 #[test]
 fn attempts_keep_to_drains_to_clients_and_to_deadlines() {
     let mut drained = records(served(), vec![attempt(1_005, 1_015)]);
-    drained.told_draining.insert((0, 3), ms(500));
+    drained.notified_draining.insert((0, 3), ms(500));
     assert_eq!(broken(&drained), [Rule::Drained]);
-    drained.told_draining.insert((0, 3), ms(800));
+    drained.notified_draining.insert((0, 3), ms(800));
     assert_eq!(broken(&drained), []);
     let left = request(Outcome::Left, 1_010);
-    let late = AttemptRecord { told: None, ..attempt(1_300, 1_310) };
+    let late = AttemptRecord { announced_timeout: None, ..attempt(1_300, 1_310) };
     assert_eq!(broken(&records(left.clone(), vec![late])), [Rule::ClientLeft]);
     assert_eq!(broken(&records(left, vec![attempt(1_100, 1_110)])), []);
-    let generous = AttemptRecord { told: Some(ms(500)), ..attempt(1_300, 1_310) };
+    let generous = AttemptRecord { announced_timeout: Some(ms(500)), ..attempt(1_300, 1_310) };
     let slow = request(Outcome::Answered { status: 200, own: true }, 1_320);
-    assert_eq!(broken(&records(slow, vec![generous])), [Rule::ToldDeadline]);
+    assert_eq!(broken(&records(slow, vec![generous])), [Rule::AnnouncedDeadline]);
 }
 
 #[test]
@@ -159,6 +159,6 @@
     assert_eq!(broken(&with(in_its_start.clone())), []);
     let hung_up = ProcessRecord { failure: Some("signal: 1 (SIGHUP)".into()), ..in_its_start };
     assert_eq!(broken(&with(hung_up)), [Rule::Process]);
-    let confessed = Records { confessions: vec!["a panic".into()], ..Records::default() };
-    assert_eq!(broken(&confessed), [Rule::Confession]);
+    let self_reported = Records { self_reports: vec!["a panic".into()], ..Records::default() };
+    assert_eq!(broken(&self_reported), [Rule::SelfReported]);
 }
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -16,7 +16,7 @@
 pub use message::{read, response, Message};
 pub use program::{config, program, Node, Options};
 pub use rig::{Fleet, Member, Rig};
-pub use servers::{nobody, ok, raw, reset, Full, Reply, Servers};
+pub use servers::{ok, raw, refusing_address, reset, Full, Reply, Servers};
 
 use std::thread;
 use std::time::{Duration, Instant};
--- a/crates/standin/src/servers.rs
+++ b/crates/standin/src/servers.rs
@@ -117,7 +117,7 @@
 }
 
 /// The address of a server that refuses connections.
-pub fn nobody() -> SocketAddr {
+pub fn refusing_address() -> SocketAddr {
     TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap()
 }
 
