Review: end the node and its folder too when a case's script is ended

The scripts keep the temporary folder and the node's id, so that a script that is ended from outside leaves no process and no file.

--- a/review/standins/src/node.rs
+++ b/review/standins/src/node.rs
@@ -57,6 +57,10 @@
             .stdout(Stdio::null())
             .stderr(File::create(folder.join("node.log"))?)
             .spawn()?;
+        // For `run.sh`, which ends the node if it is ended itself.
+        if let Ok(pids) = std::env::var("REVIEW_PIDS") {
+            std::fs::write(pids, child.id().to_string())?;
+        }
         let mut node = Node { child, config: path, listen, operator };
         let start = Instant::now();
         while !get(listen, "/up").is_ok_and(|answer| answer.starts_with("HTTP/1.1 200")) {
