Hold buffered bodies in blocks of their own, not as slices of read buffers

Cause: hyper hands out a piece as a slice of the buffer that it was read into. BufferedBody kept the slices, so each piece kept a buffer of 8 KiB or more, while the budget counted the piece and 64 bytes. Evidence: resident memory grew by about 4 KiB a piece and did not grow with the same bytes in pieces of 16 KiB.

Change: BodyBuffer copies pieces into blocks, and the budget counts the blocks. Short frames of streamed bodies are copied before they wait in hyper's write queue, which held up to 16 read buffers for each connection.

This works because no slice outlives its read any more: the tests check that every read buffer is free again.

--- a/crates/corkhollow/tests/size.rs
+++ b/crates/corkhollow/tests/size.rs
@@ -59,6 +59,69 @@
     wait_until("the memory of all bodies is released", || node.metric("gw_body_bytes") == Some(0.0));
 }
 
+/// Bodies and answers written in many small pieces at once; a server for each, so that none is refused.
+const SLOW_PEERS: usize = 24;
+const SLOW_BODY_BYTES: usize = 64_000;
+const PIECE_BYTES: usize = 64;
+
+/// Writes a body in pieces that the node reads one by one.
+fn write_in_pieces(stream: &mut std::net::TcpStream, bytes: &[u8]) -> std::io::Result<()> {
+    stream.set_nodelay(true)?;
+    for piece in bytes.chunks(PIECE_BYTES) {
+        stream.write_all(piece)?;
+        std::thread::sleep(Duration::from_millis(1));
+    }
+    Ok(())
+}
+
+fn assert_memory_limit_holds(node: &Node) {
+    assert!(node.peak_resident_bytes() < 48 << 20, "{} bytes resident", node.peak_resident_bytes());
+    wait_until("the memory of all bodies is released", || node.metric("gw_body_bytes") == Some(0.0));
+}
+
+/// Guards against a node killed for its memory: each piece of a request body kept the read buffer that it came
+/// in.
+#[test]
+fn request_bodies_in_small_pieces_stay_within_the_memory_limit() {
+    let servers = servers_answering_the_body_length(SLOW_PEERS);
+    let discovery = Discovery::new(vec![servers.list_json(1)], true);
+    let node = Node::start(discovery.address, &NodeOptions { memory_mb: 48, ..NodeOptions::default() });
+    node.wait_until_ready();
+    std::thread::scope(|scope| {
+        for _ in 0..SLOW_PEERS {
+            scope.spawn(|| {
+                let mut client = node.connect();
+                write_in_pieces(&mut client, &post_request("/once/1", &[b'x'; SLOW_BODY_BYTES])).unwrap();
+                let answer = read_message(&mut client).expect("an upload got no answer");
+                assert_eq!((answer.status(), answer.body), (200, SLOW_BODY_BYTES.to_string().into_bytes()));
+            });
+        }
+    });
+    assert_memory_limit_holds(&node);
+}
+
+/// The same for answers, which are held until they are whole.
+#[test]
+fn answers_in_small_pieces_stay_within_the_memory_limit() {
+    let servers = Servers::new(SLOW_PEERS, |_, _| {
+        Reply::Custom(Box::new(|stream| {
+            let _ = write_in_pieces(stream, &response("200 OK", "", &[b'x'; SLOW_BODY_BYTES]));
+        }))
+    });
+    let discovery = Discovery::new(vec![servers.list_json(1)], true);
+    let node = Node::start(discovery.address, &NodeOptions { memory_mb: 48, ..NodeOptions::default() });
+    node.wait_until_ready();
+    std::thread::scope(|scope| {
+        for _ in 0..SLOW_PEERS {
+            scope.spawn(|| {
+                let answer = node.get("/safe/1", "").expect("a request got no answer");
+                assert_eq!((answer.status(), answer.body.len()), (200, SLOW_BODY_BYTES));
+            });
+        }
+    });
+    assert_memory_limit_holds(&node);
+}
+
 /// The upload is completed and answered, and its connection closed.
 #[test]
 fn a_drain_waits_for_an_upload_in_flight() {
--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -12,7 +12,7 @@
 mod requests;
 pub mod rules;
 
-pub use body::BufferedBody;
+pub use body::{BodyBuffer, BufferedBody};
 pub use clock::Clock;
 pub use engine::{Engine, PendingAnswer, RunningAttempt, Transport};
 pub use log::{log, LogLimiter};
--- a/crates/plan/src/limits.rs
+++ b/crates/plan/src/limits.rs
@@ -13,8 +13,9 @@
 const CLIENT_FRACTION: f64 = 0.55;
 /// The fraction of the memory limit that bodies may use; connection buffers and heap fragmentation need the rest.
 const BODY_MEMORY_FRACTION: f64 = 0.35;
-/// The overhead counted for each chunk of a body, so that a body of one-byte chunks is not undercounted.
-const CHUNK_OVERHEAD_BYTES: usize = 64;
+/// The overhead counted for each block of a body: its entry in the list of blocks, its reference count, and the
+/// allocator's headers.
+const BLOCK_OVERHEAD_BYTES: usize = 128;
 
 /// The fraction of the body memory that large bodies may use; the rest is reserved for small ones.
 const LARGE_BODY_FRACTION: f64 = 0.75;
@@ -158,11 +159,11 @@
 }
 
 impl Lease {
-    /// Counts one more chunk, unless the limit forbids it; true if it was counted. A small body may use all free
+    /// Counts one more block of memory, unless the limit forbids it; true if it was counted. A small body may use all free
     /// bytes. A large one may hold at most as much as remains free for large bodies, so that each gets less the more
     /// there are.
     pub fn grow(&mut self, bytes: usize) -> bool {
-        let cost = bytes + CHUNK_OVERHEAD_BYTES;
+        let cost = bytes + BLOCK_OVERHEAD_BYTES;
         let (total, held) = (self.budget.bytes.get() + cost, self.held + cost);
         let limit = self.budget.limits.get().bytes;
         let large_limit = (limit as f64 * LARGE_BODY_FRACTION) as usize;
@@ -188,7 +189,7 @@
     use proptest::prelude::*;
     use proptest::test_runner::RngSeed;
 
-    /// Grows a lease by chunks up to the given length, and returns how many bytes fit.
+    /// Grows a lease by blocks up to the given length, and returns how many bytes fit.
     fn grow_to(lease: &mut Lease, bytes: usize) -> usize {
         (0..bytes / 16_384).take_while(|_| lease.grow(16_384)).count() * 16_384
     }
@@ -230,7 +231,7 @@
                     Some(_) if release => drop(leases.swap_remove(index)),
                     Some(lease) => {
                         let (held, grown) = (lease.held, lease.grow(bytes));
-                        prop_assert_eq!(lease.held, held + if grown { bytes + CHUNK_OVERHEAD_BYTES } else { 0 });
+                        prop_assert_eq!(lease.held, held + if grown { bytes + BLOCK_OVERHEAD_BYTES } else { 0 });
                     }
                     None => leases.push(budget.lease_for([None, Some(0), Some(bytes as u64)][index % 3])),
                 }
--- a/crates/proxy/src/body.rs
+++ b/crates/proxy/src/body.rs
@@ -9,23 +9,36 @@
 use std::task::{ready, Context, Poll};
 use tokio::sync::mpsc;
 
+/// Frames shorter than this are copied before they are queued for writing.
+const MAX_COPIED_FRAME_BYTES: usize = 16 << 10;
+
+/// Prepares a frame of a streamed body for hyper's queue, where it waits until the receiver reads it. A frame is
+/// a slice of the buffer that its connection was read into, and would keep all of that buffer in memory: a short
+/// one is copied.
+fn detach_from_read_buffer(frame: Frame<Bytes>) -> Frame<Bytes> {
+    frame.map_data(|data| match data.len() {
+        ..MAX_COPIED_FRAME_BYTES => Bytes::copy_from_slice(&data),
+        _ => data,
+    })
+}
+
 /// Reads a buffered body, which several attempts may share.
 pub struct BufferedBodyReader {
     body: Rc<BufferedBody>,
-    next_chunk: usize,
+    next_block: usize,
     bytes_left: u64,
 }
 
 impl BufferedBodyReader {
     pub fn new(body: Rc<BufferedBody>) -> Self {
-        BufferedBodyReader { bytes_left: body.len(), body, next_chunk: 0 }
+        BufferedBodyReader { bytes_left: body.len(), body, next_block: 0 }
     }
 
     fn next(&mut self) -> Option<Frame<Bytes>> {
-        let chunk = self.body.chunk(self.next_chunk).cloned()?;
-        self.next_chunk += 1;
-        self.bytes_left -= chunk.len() as u64;
-        Some(Frame::data(chunk))
+        let block = self.body.block(self.next_block).cloned()?;
+        self.next_block += 1;
+        self.bytes_left -= block.len() as u64;
+        Some(Frame::data(block))
     }
 }
 
@@ -53,7 +66,8 @@
                     ready!(waiting.as_mut().poll(cx));
                     *continue_wait = None;
                 }
-                body.as_mut().poll_frame(cx)
+                let frame = ready!(body.as_mut().poll_frame(cx));
+                Poll::Ready(frame.map(|frame| frame.map(detach_from_read_buffer)))
             }
         }
     }
@@ -92,7 +106,10 @@
         match self.get_mut() {
             AnswerBody::Text(text) => Poll::Ready(text.take().map(|text| Ok(Frame::data(text)))),
             AnswerBody::Buffered(body) => Poll::Ready(body.next().map(Ok)),
-            AnswerBody::Stream { frames, .. } => frames.poll_recv(cx),
+            AnswerBody::Stream { frames, .. } => {
+                let frame = ready!(frames.poll_recv(cx));
+                Poll::Ready(frame.map(|frame| frame.map(detach_from_read_buffer)))
+            }
         }
     }
 
--- a/crates/proxy/src/http1/upload.rs
+++ b/crates/proxy/src/http1/upload.rs
@@ -4,7 +4,7 @@
 use super::close_policy::RequestStage;
 use bytes::Bytes;
 use corkhollow_engine::{
-    BodyFrame, BufferedBody, ClientBody, Clock, IncompleteBody, Payload, Upload, UploadProgress,
+    BodyBuffer, BodyFrame, BufferedBody, ClientBody, Clock, IncompleteBody, Payload, Upload, UploadProgress,
 };
 use corkhollow_plan::limits::{Budget, Lease};
 use http_body_util::BodyExt;
@@ -80,7 +80,7 @@
     client: &Rc<ClientConnection>,
 ) -> Result<Payload, UploadError> {
     if body.is_end_stream() {
-        return Ok(Payload::Buffered(Rc::new(BufferedBody::new(budget.small_lease()))));
+        return Ok(Payload::Buffered(Rc::new(BufferedBody::empty(budget.small_lease()))));
     }
     if body.size_hint().lower() > limits.max_bytes {
         return Err(UploadError::TooLarge);
@@ -89,12 +89,12 @@
     let mut read_frames = VecDeque::new();
     let (mut received_bytes, mut read_lease) = (0, None);
     if !limits.awaits_continue && body.size_hint().lower() <= limits.max_buffered_bytes {
-        let mut buffer = BufferedBody::new(budget.lease_for(body.size_hint().exact()));
+        let mut buffer = BodyBuffer::new(budget.lease_for(body.size_hint().exact()));
         loop {
             let next =
                 timeout_at(next_frame_deadline(limits, started_at, received_bytes), body.frame()).await;
             let next = next.map_err(|_| UploadError::TimedOut)?;
-            let Some(frame) = next else { return Ok(Payload::Buffered(Rc::new(buffer))) };
+            let Some(frame) = next else { return Ok(Payload::Buffered(Rc::new(buffer.finish()))) };
             let frame = frame.map_err(|_| UploadError::Incomplete)?;
             received_bytes += frame.data_ref().map_or(0, |data| data.len() as u64);
             if received_bytes > limits.max_bytes {
@@ -103,7 +103,7 @@
             let fits = |data: &Bytes| buffer.len() + data.len() as u64 <= limits.max_buffered_bytes;
             if frame.data_ref().is_some_and(fits) {
                 let data = frame.into_data().unwrap_or_default();
-                if buffer.push(data.clone()) {
+                if buffer.push(&data) {
                     continue;
                 }
                 read_frames.push_back(Frame::data(data));
@@ -112,7 +112,7 @@
             }
             break;
         }
-        let (buffered, lease) = buffer.into_parts();
+        let (buffered, lease) = buffer.finish().into_parts();
         read_lease = Some(lease);
         buffered.into_iter().rev().for_each(|data| read_frames.push_front(Frame::data(data)));
     }
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -4,6 +4,8 @@
 pub mod active_plan;
 pub mod background;
 mod body;
+#[cfg(test)]
+mod body_tests;
 pub mod fleet;
 mod headers;
 pub mod http1;
--- a/crates/proxy/src/upstream/http.rs
+++ b/crates/proxy/src/upstream/http.rs
@@ -4,7 +4,7 @@
 use super::upstreams::Upstreams;
 use crate::headers::{strip_hop_by_hop, NOT_PROCESSED};
 use corkhollow_balance::interface::Ending;
-use corkhollow_engine::{Answer, AttemptId, BodyFrame, BufferedBody, Engine, IncompleteBody};
+use corkhollow_engine::{Answer, AttemptId, BodyBuffer, BodyFrame, Engine, IncompleteBody};
 use hyper::body::{Body, Incoming};
 use hyper::header;
 use hyper::{Response, StatusCode};
@@ -56,18 +56,18 @@
         headers.remove(header::CONTENT_LENGTH);
     }
     let length = body.size_hint().exact();
-    let mut gathered = BufferedBody::new(upstreams.budget.small_lease());
+    let mut gathered = BodyBuffer::new(upstreams.budget.small_lease());
     let overflow = loop {
         match next_available_frame(connection, &mut body).await {
             None => break None,
             Some(None) => {
-                report(engine, id, ending, Answer::Buffered { status, headers, body: gathered });
+                report(engine, id, ending, Answer::Buffered { status, headers, body: gathered.finish() });
                 return !has_two_lengths;
             }
             Some(Some(Ok(frame))) => {
                 let fits = |data: &bytes::Bytes| gathered.len() + data.len() as u64 <= MAX_GATHERED_BYTES;
                 match frame.into_data() {
-                    Ok(data) if fits(&data) && gathered.push(data.clone()) => {}
+                    Ok(data) if fits(&data) && gathered.push(&data) => {}
                     Ok(data) => break Some(Ok(hyper::body::Frame::data(data))),
                     Err(trailers) => break Some(Ok(trailers)),
                 }
@@ -79,7 +79,7 @@
     if !report(engine, id, ending, Answer::Stream { status, headers, length, frames }) {
         return false;
     }
-    let (gathered, _lease) = gathered.into_parts();
+    let (gathered, _lease) = gathered.finish().into_parts();
     let first = gathered.into_iter().map(|data| Ok(hyper::body::Frame::data(data))).chain(overflow);
     // Boxed to keep the future of the attempt small.
     let is_complete = Box::pin(stream_answer(upstreams, connection, &mut body, first, to_client)).await;
--- a/crates/proxy/src/upstream/platform.rs
+++ b/crates/proxy/src/upstream/platform.rs
@@ -6,7 +6,7 @@
 use crate::headers::{strip_hop_by_hop, NOT_PROCESSED};
 use bytes::Bytes;
 use corkhollow_balance::interface::Ending;
-use corkhollow_engine::{Answer, AttemptId, BufferedBody, Engine, IncompleteBody};
+use corkhollow_engine::{Answer, AttemptId, BodyBuffer, Engine, IncompleteBody};
 use corkhollow_plan::limits::MAX_BODY_BYTES;
 use http_body_util::BodyExt;
 use hyper::body::{Body, Frame, Incoming};
@@ -59,12 +59,12 @@
         engine.on_attempt_ended(id, Ending::Reset);
         return false;
     }
-    let mut buffered = BufferedBody::new(upstreams.budget.small_lease());
+    let mut buffered = BodyBuffer::new(upstreams.budget.small_lease());
     let mut overflow = None;
     while length.is_none_or(|length| length <= MAX_BUFFERED_BYTES) {
         match tokio::time::timeout(BUFFERED_STALL_TIMEOUT, connection.drive(body.frame())).await {
             Ok(None) => {
-                engine.on_buffered_answer(id, head.status, headers, buffered);
+                engine.on_buffered_answer(id, head.status, headers, buffered.finish());
                 return true;
             }
             // The request may have been processed. Waiting until the deadline would look to the decision
@@ -76,7 +76,7 @@
             Ok(Some(Ok(frame))) => {
                 let Ok(data) = frame.into_data() else { continue };
                 let fits = buffered.len() + data.len() as u64 <= MAX_BUFFERED_BYTES;
-                if !fits || !buffered.push(data.clone()) {
+                if !fits || !buffered.push(&data) {
                     overflow = Some(data);
                     break;
                 }
@@ -116,7 +116,7 @@
     connection: &mut ServerConnection,
     headers: HeaderMap,
     length: Option<u64>,
-    buffered: BufferedBody,
+    buffered: BodyBuffer,
     mut overflow: Option<Bytes>,
     mut body: Incoming,
 ) -> bool {
@@ -124,7 +124,7 @@
     if !engine.on_answer(id, Answer::Stream { status: StatusCode::OK, headers, length, frames }) {
         return false;
     }
-    let (buffered, _lease) = buffered.into_parts();
+    let (buffered, _lease) = buffered.finish().into_parts();
     let mut buffered = buffered.into_iter();
     let mut remaining_bytes = MAX_ANSWER_BYTES;
     loop {
