Hold the index of a request's class until no plan that has it is in use

Cause: a request refers to its class by an index taken when its head arrives, and is submitted when its body is complete. Balancer::allocate_class gave the index of a dropped class away after a hundred of the longest deadlines, looking only at submitted requests. Evidence: with deadlines of 1 ms the same happens 0.15 s after the drop, whether or not the class comes back; without a reload the request runs once.

Change: update_settings returns indexes that its caller holds until release_classes. Each plan holds its lists (ClassIndexes), each request its plan. Time no longer frees an index. The test that indexes are reused releases them now, and its bound is 3 indexes in place of 10.

This works because the index lives as long as the last request that can be submitted under it.

--- a/crates/balance/src/balancer/admission.rs
+++ b/crates/balance/src/balancer/admission.rs
@@ -101,7 +101,7 @@
             own *= self.settings.over_share_worth;
         }
         let (mut best, mut delayed) = (own.max(f64::MIN_POSITIVE), 0.0f64);
-        let others = (0..self.class_states.len()).filter(|c| self.class_states[*c].retired_at.is_none());
+        let others = (0..self.class_states.len()).filter(|c| self.class_states[*c].is_in_force);
         for other in others.filter(|c| self.worth_per_work(*c) > own) {
             (best, delayed) =
                 (best.max(self.worth_per_work(other)), delayed.max(self.delay_ratio(now, other)));
--- a/crates/balance/src/balancer/mod.rs
+++ b/crates/balance/src/balancer/mod.rs
@@ -182,7 +182,7 @@
             score_epoch: 0,
             start_clock: start_times::StartClock::default(),
             pending: BTreeMap::new(),
-            class_states: settings.classes.iter().map(settings_update::ClassState::new).collect(),
+            class_states: settings.classes.iter().map(settings_update::ClassState::new_held).collect(),
             fleet_delay: DecayingValue::default(),
             recent_sends: DecayingValue::default(),
             first_send_at: Nanos::MAX,
--- a/crates/balance/src/balancer/settings_update.rs
+++ b/crates/balance/src/balancer/settings_update.rs
@@ -3,15 +3,13 @@
 use super::{Balancer, DecayingValue, DECAY_GIVE_UPS, DELAY_DECAY_AIMS};
 use crate::interface::{Class, Nanos, Settings, SettingsError};
 
-/// A retired class keeps its index for this many of the longest give-up times, because requests whose bodies
-/// are still arriving may refer to it.
-const RETIRED_CLASS_GIVE_UPS: Nanos = 100;
-
 /// What is known of the class at one index.
 #[derive(Clone, Copy, Default)]
 pub(crate) struct ClassState {
-    /// When the settings ceased to contain the class; none while they contain it.
-    pub(super) retired_at: Option<Nanos>,
+    /// Whether the settings in force contain the class.
+    pub(super) is_in_force: bool,
+    /// How many index lists that contain it the caller has not released: see [`Balancer::release_classes`].
+    pub(super) holders: u32,
     /// Typical response time, and the number of answers that it is based on.
     pub(crate) typical_nanos: f64,
     pub(crate) answer_count: f64,
@@ -27,7 +25,12 @@
 
 impl ClassState {
     pub(super) fn new(class: &Class) -> Self {
-        ClassState { typical_nanos: class.aim as f64 / 3.0, ..ClassState::default() }
+        ClassState { is_in_force: true, typical_nanos: class.aim as f64 / 3.0, ..ClassState::default() }
+    }
+
+    /// The state of a class that the balancer is created with, which its caller holds.
+    pub(super) fn new_held(class: &Class) -> Self {
+        ClassState { holders: 1, ..ClassState::new(class) }
     }
 }
 
@@ -36,6 +39,9 @@
     /// the index of the old class of the same name, as [`Request::class`](crate::interface::Request::class)
     /// has it. Returns the index of each new class; open requests keep theirs, with its rules.
     ///
+    /// The caller holds the returned indices, as it holds those of the classes that the balancer was created
+    /// with, until it gives them to [`Balancer::release_classes`].
+    ///
     /// # Errors
     /// Where the settings are invalid; the old ones stay in force.
     pub fn update_settings(
@@ -45,7 +51,7 @@
         predecessors: &[Option<u16>],
     ) -> Result<Vec<u16>, SettingsError> {
         settings.validate()?;
-        self.class_states.iter_mut().for_each(|state| state.retired_at = state.retired_at.or(Some(now)));
+        self.class_states.iter_mut().for_each(|state| state.is_in_force = false);
         let classes = std::mem::take(&mut settings.classes);
         let mut table = std::mem::take(&mut self.settings.classes);
         let indices: Vec<_> = classes
@@ -58,9 +64,12 @@
                 // predecessor.
                 let index = predecessor
                     .filter(|index| table[*index] == *class)
-                    .unwrap_or_else(|| self.allocate_class(now, &mut table, class));
-                self.class_states[index] =
-                    ClassState { retired_at: None, ..self.class_states[predecessor.unwrap_or(index)] };
+                    .unwrap_or_else(|| self.allocate_class(&mut table, class));
+                self.class_states[index] = ClassState {
+                    is_in_force: true,
+                    holders: self.class_states[index].holders + 1,
+                    ..self.class_states[predecessor.unwrap_or(index)]
+                };
                 index as u16
             })
             .collect();
@@ -74,15 +83,22 @@
         Ok(indices)
     }
 
-    /// Returns an index for a new class: that of a retired class without open requests, or a new one.
-    fn allocate_class(&mut self, now: Nanos, table: &mut Vec<Class>, class: &Class) -> usize {
-        let min_age = RETIRED_CLASS_GIVE_UPS * self.max_give_up;
-        let is_expired = |index: &usize| {
-            self.class_states[*index].retired_at.is_some_and(|at| now.saturating_sub(at) > min_age)
-        };
+    /// Gives back the indices of one list, by which no further request is submitted. A request refers to its
+    /// class from when its head arrives, long before it is submitted if its body arrives slowly.
+    pub fn release_classes(&mut self, indices: &[u16]) {
+        for index in indices {
+            if let Some(state) = self.class_states.get_mut(usize::from(*index)) {
+                state.holders = state.holders.saturating_sub(1);
+            }
+        }
+    }
+
+    /// Returns an index for a new class: one that nobody holds and no open request has, or a new one.
+    fn allocate_class(&mut self, table: &mut Vec<Class>, class: &Class) -> usize {
         let is_open =
             |index: &usize| self.pending.values().any(|pending| usize::from(pending.request.class) == *index);
-        let free = (0..table.len()).find(|index| is_expired(index) && !is_open(index));
+        let is_held = |index: &usize| self.class_states[*index].holders > 0;
+        let free = (0..table.len()).find(|index| !is_held(index) && !is_open(index));
         let index = free.unwrap_or(table.len());
         if index == table.len() {
             table.push(class.clone());
--- a/crates/balance/tests/settings_update.rs
+++ b/crates/balance/tests/settings_update.rs
@@ -109,21 +109,71 @@
     let mut test_node = TestNode::new(class(100 * MS), servers(3), 1);
     let (open, actions) = test_node.request();
     let server = sent(&actions)[0];
-    let mut max_index = 0;
+    let (mut max_index, mut held_indices) = (0, vec![0]);
     for k in 1..200 {
         test_node.now += 20_000 * MS;
         let now = test_node.now;
-        let index = test_node.balancer.update_settings(now, class((100 + k) * MS), &[None]).unwrap()[0];
-        assert_ne!(index, 0, "the class index of an open request");
-        max_index = max_index.max(index);
+        let indices = test_node.balancer.update_settings(now, class((100 + k) * MS), &[None]).unwrap();
+        assert_ne!(indices[0], 0, "the class index of an open request");
+        max_index = max_index.max(indices[0]);
+        test_node.balancer.release_classes(&held_indices);
+        held_indices = indices;
     }
-    assert!(max_index < 10, "{max_index}");
+    assert!(max_index < 3, "{max_index}");
     test_node.now += 20_000 * MS;
     end_attempt(&mut test_node, open, server, 0, Ending::Ok);
     let now = test_node.now;
     assert_eq!(test_node.balancer.update_settings(now, class(7 * MS), &[None]).unwrap(), [0]);
 }
 
+/// Guards against a second run of an unsafe request whose body arrives while its class is dropped and others are
+/// added: however long that takes, none of them gets its index.
+#[test]
+fn a_class_keeps_its_index_until_it_is_released() {
+    let with_aim = |effect: Effect, aim: Nanos| {
+        let mut settings = settings(effect);
+        settings.classes[0].aim = aim;
+        settings
+    };
+    let mut test_node = TestNode::new(with_aim(Effect::Unsafe, 100 * MS), servers(8), 1);
+    for k in 1..20 {
+        test_node.now += 3_600_000 * MS;
+        let now = test_node.now;
+        let indices =
+            test_node.balancer.update_settings(now, with_aim(Effect::Safe, k * MS), &[None]).unwrap();
+        assert_ne!(indices, [0], "the index of a class that a request may still refer to");
+        test_node.balancer.release_classes(&indices);
+    }
+    let (id, actions) = submit(&mut test_node, 0);
+    let server = sent(&actions)[0];
+    let actions = end_attempt(&mut test_node, id, server, 0, Ending::Reset);
+    assert!(sent(&actions).is_empty(), "an unsafe request is retried: {actions:?}");
+    test_node.balancer.release_classes(&[0]);
+    let now = test_node.now;
+    assert_eq!(
+        test_node.balancer.update_settings(now, with_aim(Effect::Safe, 50 * MS), &[None]).unwrap(),
+        [0]
+    );
+}
+
+/// A class that stays in the settings is held by each list that has it.
+#[test]
+fn a_class_in_several_lists_is_held_until_all_are_released() {
+    let mut test_node = TestNode::new(settings(Effect::Unsafe), servers(3), 1);
+    let now = test_node.now;
+    for _ in 0..3 {
+        let kept = test_node.balancer.update_settings(now, settings(Effect::Unsafe), &[Some(0)]).unwrap();
+        assert_eq!(kept, [0]);
+    }
+    for remaining in (0..4).rev() {
+        let indices = test_node.balancer.update_settings(now, settings(Effect::Safe), &[None]).unwrap();
+        assert_ne!(indices, [0], "{} lists still hold the class", remaining + 1);
+        test_node.balancer.release_classes(&[0]);
+        test_node.balancer.release_classes(&indices);
+    }
+    assert_eq!(test_node.balancer.update_settings(now, settings(Effect::Safe), &[None]).unwrap(), [0]);
+}
+
 fn with_quotas(quotas: &[(u32, f64)]) -> Settings {
     Settings {
         tenant_quota: Quotas::new(quotas.iter().copied()),
--- a/crates/corkhollow/tests/platform_reload.rs
+++ b/crates/corkhollow/tests/platform_reload.rs
@@ -78,6 +78,46 @@
     );
 }
 
+/// A class that is safe to repeat, with deadlines that make indices of dropped classes old within 0.1 s.
+const SHORT_CLASS: &str = r#"{"name":"short","aimNs":1000000,"giveUpNs":1000000,"worth":2.0,"effect":"pure","group":"all","windowNs":1000000000}"#;
+
+/// Sends the head and half of the body of a POST request.
+fn send_half(node: &Node, path: &str) -> (std::net::TcpStream, Vec<u8>) {
+    let mut client = node.connect();
+    let bytes = post_request(path, &[b'x'; 2_000]);
+    let (beginning, rest) = bytes.split_at(bytes.len() - 1_000);
+    client.write_all(beginning).unwrap();
+    (client, rest.to_vec())
+}
+
+/// Guards against a second run of an unsafe request: while its body arrives its class is dropped, and a class
+/// that is safe to repeat is added later. The server resets each connection once it has the whole request.
+#[test]
+fn a_request_keeps_its_class_while_its_body_arrives_across_reloads() {
+    for brings_class_back in [true, false] {
+        let servers = Servers::new(4, |_, _| Reply::Reset);
+        let (node, discovery) = Node::start_with_servers(&servers);
+        let (mut client, rest) = send_half(&node, "/once/1");
+        wait_until("the head is read", || node.metric("gw_body_bytes").is_some_and(|bytes| bytes > 0.0));
+        node.reload(&config_with_classes(&discovery, |_| SHORT_CLASS.to_owned()));
+        wait_until_applied(&node, 1.0);
+        // An index was reused once its class had been dropped for 100 of the longest deadlines.
+        std::thread::sleep(std::time::Duration::from_millis(150));
+        node.reload(&config_with_classes(&discovery, |classes| {
+            let (safe, once) = classes.split_once("},").unwrap();
+            match brings_class_back {
+                true => format!("{once},{safe}}},{EXTRA_CLASS},{SHORT_CLASS}"),
+                false => format!("{safe}}},{EXTRA_CLASS},{SHORT_CLASS}"),
+            }
+        }));
+        wait_until_applied(&node, 2.0);
+        client.write_all(&rest).unwrap();
+        let answer = read_message(&mut client).unwrap();
+        assert_eq!(servers.request_count(), 1, "runs of an unsafe request; back: {brings_class_back}");
+        assert_eq!(answer.status(), 502);
+    }
+}
+
 #[test]
 fn an_invalid_file_is_rejected_whole() {
     let servers = Servers::new(2, |_, _| ok_reply("fine"));
--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -324,6 +324,12 @@
         self.requests.borrow_mut().update_settings(self.clock.now(), settings, predecessors)
     }
 
+    /// Gives back class indexes under which no further request is submitted: see
+    /// [`Requests::release_classes`].
+    pub fn release_classes(&self, indexes: &[u16]) {
+        self.requests.borrow_mut().release_classes(indexes);
+    }
+
     /// Sets this node's number and the size of its group: see
     /// [`Balancer::set_group_position`](corkhollow_balance::Balancer::set_group_position).
     ///
--- a/crates/engine/src/requests.rs
+++ b/crates/engine/src/requests.rs
@@ -419,6 +419,12 @@
         self.balancer.update_settings(now, settings, predecessors)
     }
 
+    /// Gives back class indexes under which no further request is submitted: see
+    /// [`Balancer::release_classes`].
+    pub fn release_classes(&mut self, indexes: &[u16]) {
+        self.balancer.release_classes(indexes);
+    }
+
     /// Sets this node's number and the size of its group: see [`Balancer::set_group_position`].
     ///
     /// # Errors
--- a/crates/proxy/src/active_plan.rs
+++ b/crates/proxy/src/active_plan.rs
@@ -1,6 +1,7 @@
 //! The plan in force with its running pools, and the change from one plan to the next.
 
 use crate::background;
+use crate::class_indexes::ClassIndexes;
 use crate::upstream::{CommonSettings, Pool, PoolContext};
 use corkhollow_balance::interface::SettingsError;
 use corkhollow_fleet::GroupPosition;
@@ -23,7 +24,7 @@
     /// The plan's pools, by their index in the plan.
     pub pools: Vec<Rc<Pool>>,
     /// For each pool, the index that its decision module has for each class of the plan.
-    pub class_indexes: Vec<Rc<[u16]>>,
+    pub class_indexes: Vec<Rc<ClassIndexes>>,
     /// Metrics by the index of the class in the plan.
     pub class_metrics: Vec<ClassMetrics>,
 }
@@ -81,15 +82,10 @@
         let common = CommonSettings { quotas: plan.tenants.quotas().clone(), group };
         let pools = (0..plan.pools.len()).map(|index| start_pool(&plan, index, shared, seed, &common));
         let pools = pools.collect::<Result<Vec<_>, _>>()?;
-        let class_indexes: Rc<[u16]> = (0..plan.classes.len() as u16).collect();
-        Ok(Self::from_pools(
-            plan,
-            shared,
-            pools.into_iter().map(|pool| (pool, class_indexes.clone())).collect(),
-        ))
+        Ok(Self::from_pools(plan, shared, pools))
     }
 
-    fn from_pools(plan: Plan, shared: &PoolContext, pools: Vec<(Rc<Pool>, Rc<[u16]>)>) -> Rc<Self> {
+    fn from_pools(plan: Plan, shared: &PoolContext, pools: Vec<(Rc<Pool>, Rc<ClassIndexes>)>) -> Rc<Self> {
         let class_metrics = plan.classes.iter().map(|class| shared.metrics.for_class(&class.name)).collect();
         let (pools, class_indexes) = pools.into_iter().unzip();
         Rc::new(ActivePlan { plan: PlanHandle(Some(Arc::new(plan))), pools, class_indexes, class_metrics })
@@ -125,11 +121,10 @@
         }
         // All settings are validated: nothing below can fail.
         let mut started = started.into_iter();
-        let new_indexes: Rc<[u16]> = (0..plan.classes.len() as u16).collect();
         let mut pools = Vec::with_capacity(plan.pools.len());
         for (index, pool) in change.pools.iter().enumerate() {
             pools.push(match pool {
-                PoolChange::Created => (started.next().expect("it has been started"), new_indexes.clone()),
+                PoolChange::Created => started.next().expect("it has been started"),
                 PoolChange::Reused { old_index, differences } => {
                     let (pool, class_indexes) = (&self.pools[*old_index], &self.class_indexes[*old_index]);
                     // The predecessor of a class is the old class with the same name.
@@ -143,7 +138,11 @@
                     let updated =
                         pool.update(&plan, index, *differences, change.quotas_changed, &common, predecessors);
                     let updated = updated.map_err(pool_error(index))?;
-                    (pool.clone(), updated.map_or_else(|| class_indexes.clone(), Rc::from))
+                    let class_indexes = updated.map_or_else(
+                        || class_indexes.clone(),
+                        |indexes| ClassIndexes::new(&pool.engine, indexes),
+                    );
+                    (pool.clone(), class_indexes)
                 }
             });
         }
@@ -204,19 +203,22 @@
     }
 }
 
-/// Starts a pool of a plan, with its own seed unless the plan sets one.
+/// Starts a pool of a plan, with its own seed unless the plan sets one. Its decision module has the classes in
+/// the order of the plan.
 fn start_pool(
     plan: &Plan,
     index: usize,
     shared: &PoolContext,
     seed: u64,
     common: &CommonSettings,
-) -> Result<Rc<Pool>, PoolError> {
+) -> Result<(Rc<Pool>, Rc<ClassIndexes>), PoolError> {
     let name = &plan.pools[index].name;
     let pool_seed = seed ^ corkhollow_plan::stable_hash(name.as_bytes());
     let started =
         Pool::start(plan, index, shared, if plan.seed.is_some() { seed } else { pool_seed }, common);
-    started.map_err(|error| PoolError { pool: name.clone(), error })
+    let pool = started.map_err(|error| PoolError { pool: name.clone(), error })?;
+    let class_indexes = ClassIndexes::new(&pool.engine, (0..plan.classes.len() as u16).collect());
+    Ok((pool, class_indexes))
 }
 
 /// The active plan, replaced at each reload.
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -6,6 +6,7 @@
 mod body;
 #[cfg(test)]
 mod body_tests;
+pub mod class_indexes;
 pub mod fleet;
 mod headers;
 pub mod http1;
--- a/crates/proxy/tests/reload.rs
+++ b/crates/proxy/tests/reload.rs
@@ -243,4 +243,36 @@
             Ok(())
         })?;
     }
+
+    /// Guards against a request that is handled as one of another class: while its body arrives it holds the plan
+    /// under which its head arrived, and no reload gives that plan's class indexes to other classes. Without such
+    /// requests the indexes are reused.
+    #[test]
+    fn a_plan_that_is_held_keeps_its_classes(files in vec((file(), any::<bool>()), 2..12), holds_plans in any::<bool>()) {
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+        LocalSet::new().block_on(&runtime, async {
+            let shared = shared();
+            let first = &files[0].0;
+            let mut active = ActivePlan::start(first.plan(), &shared, 1, None).unwrap();
+            let (mut held, mut most_classes) = (Vec::new(), active.plan.classes.len());
+            for (file, is_held) in &files[1..] {
+                let file = first.with_parts_of(file, [true, false, false, false]);
+                let (plan, change) = file.plan().rebase_on(&active.plan);
+                let new = active.reload(plan, &change, &shared, 1, None).unwrap();
+                let old = std::mem::replace(&mut active, new);
+                held.extend((holds_plans && *is_held).then_some(old));
+                most_classes = most_classes.max(active.plan.classes.len());
+                for active_plan in held.iter().chain([&active]) {
+                    for (pool, indexes) in active_plan.pools.iter().zip(&active_plan.class_indexes) {
+                        let classes = pool.engine.settings_and_servers().0.classes;
+                        for (class, index) in active_plan.plan.classes.iter().zip(indexes.iter()) {
+                            prop_assert_eq!(&classes[usize::from(*index)], &class.class);
+                        }
+                        prop_assert!(!held.is_empty() || classes.len() <= 2 * most_classes, "{} classes", classes.len());
+                    }
+                }
+            }
+            Ok(())
+        })?;
+    }
 }
