Keep the limits on attempts under which the head of a request arrived

Callers saw a request that was received while one attempt was allowed sent to two servers: a new file allowed three before its body was complete.

Before: a_request_keeps_its_number_of_attempts_while_its_body_arrives_across_a_reload failed with 2 attempts of 1.

--- a/crates/adapter/src/wire.rs
+++ b/crates/adapter/src/wire.rs
@@ -264,7 +264,7 @@
         work_hint: (options & 1 != 0).then(|| u64_at(record, 30)),
         is_retry: options & 2 != 0,
         is_write: options & 4 != 0,
-        has_streaming_body: false,
+        ..Request::new(0, 0)
     }
 }
 
--- a/crates/balance/src/balancer/admission.rs
+++ b/crates/balance/src/balancer/admission.rs
@@ -34,7 +34,7 @@
             request,
             arrived_at: now,
             attempts: Vec::new(),
-            max_attempts: self.settings.max_attempts,
+            max_attempts: self.settings.max_attempts.min(request.max_attempts),
             first_run: None,
             closed: false,
             response_started: false,
@@ -55,7 +55,8 @@
                 self.pending.insert(request.id, pending);
                 self.send_attempt(now, request.id, index, sink);
                 let class = &self.settings.classes[class];
-                let may_hedge = class.effect == Effect::Safe && self.settings.second_copies && !class.stream;
+                let hedging = self.settings.second_copies && request.allows_hedges;
+                let may_hedge = class.effect == Effect::Safe && hedging && !class.stream;
                 let hedge_at = now + (HEDGE_DELAY_AIMS * class.aim as f64) as Nanos;
                 if may_hedge && hedge_at < request.give_up_at {
                     self.timers.push(Reverse((hedge_at, TimerTask::Hedge(request.id))));
--- a/crates/balance/src/interface.rs
+++ b/crates/balance/src/interface.rs
@@ -319,6 +319,10 @@
     pub is_write: bool,
     /// Its body is forwarded while it arrives: [`Event::BodyWritten`] tells when a server has all of it.
     pub has_streaming_body: bool,
+    /// The most attempts by the settings under which its head arrived; those in force may allow fewer.
+    pub max_attempts: u32,
+    /// Whether those settings allow hedges; those in force may forbid them.
+    pub allows_hedges: bool,
 }
 
 impl Request {
@@ -334,8 +338,15 @@
             is_retry: false,
             is_write: false,
             has_streaming_body: false,
+            max_attempts: u32::MAX,
+            allows_hedges: true,
         }
     }
+
+    /// The request with the limits on attempts of these settings, under which its head arrived.
+    pub fn with_limits_of(self, settings: &Settings) -> Self {
+        Request { max_attempts: settings.max_attempts, allows_hedges: settings.second_copies, ..self }
+    }
 }
 
 /// What a list event contains.
--- a/crates/balance/tests/settings_update.rs
+++ b/crates/balance/tests/settings_update.rs
@@ -174,6 +174,26 @@
     assert_eq!(test_node.balancer.update_settings(now, settings(Effect::Safe), &[None]).unwrap(), [0]);
 }
 
+/// A request that was received while one attempt and no hedge were allowed gets no more under later settings.
+#[test]
+fn a_request_keeps_the_limits_on_attempts_under_which_it_was_received() {
+    let received_under = Settings { max_attempts: 1, second_copies: false, ..settings(Effect::Safe) };
+    let in_force = Settings { max_attempts: 4, second_copies: true, ..settings(Effect::Safe) };
+    for (limits, attempts) in [(&received_under, 1), (&in_force, 2)] {
+        let mut test_node = TestNode::new(in_force.clone(), servers(8), 1);
+        let (id, request) = test_node.new_request();
+        let actions = test_node.handle(Event::Request(request.with_limits_of(limits)));
+        let server = sent(&actions)[0];
+        assert_eq!(
+            actions.iter().any(|action| matches!(action, Action::StartTimer { .. })),
+            limits.second_copies,
+            "the timer of a hedge: {actions:?}"
+        );
+        let actions = end_attempt(&mut test_node, id, server, 0, Ending::ConnectFailed);
+        assert_eq!(1 + sent(&actions).len(), attempts, "{actions:?}");
+    }
+}
+
 fn with_quotas(quotas: &[(u32, f64)]) -> Settings {
     Settings {
         tenant_quota: Quotas::new(quotas.iter().copied()),
--- a/crates/corkhollow/tests/platform_reload.rs
+++ b/crates/corkhollow/tests/platform_reload.rs
@@ -118,6 +118,23 @@
     }
 }
 
+/// A request whose head arrived while one attempt was allowed gets no second one under a later file.
+#[test]
+fn a_request_keeps_its_number_of_attempts_while_its_body_arrives_across_a_reload() {
+    let servers = Servers::new(4, |_, _| Reply::Reset);
+    let discovery = Discovery::new(vec![servers.list_json(1)], true);
+    let config = platform_config(discovery.address, &NodeOptions::default());
+    let node = Node::start_with_platform_file(&config.replace("\"maxAttempts\":3", "\"maxAttempts\":1"));
+    node.wait_until_ready();
+    let (mut client, rest) = send_half(&node, "/safe/1");
+    wait_until("the head is read", || node.metric("gw_body_bytes").is_some_and(|bytes| bytes > 0.0));
+    node.reload(&config);
+    wait_until_applied(&node, 1.0);
+    client.write_all(&rest).unwrap();
+    assert_ne!(read_message(&mut client).unwrap().status(), 200);
+    assert_eq!(servers.request_count(), 1);
+}
+
 #[test]
 fn an_invalid_file_is_rejected_whole() {
     let servers = Servers::new(2, |_, _| ok_reply("fine"));
--- a/crates/engine/src/requests.rs
+++ b/crates/engine/src/requests.rs
@@ -239,7 +239,7 @@
             timeout: give_up_at.saturating_sub(now),
             is_awaited: true,
             attempts: Vec::new(),
-            policy: class.map(|class| RetryPolicy::for_class(class, settings)),
+            policy: class.map(|class| RetryPolicy::for_request(&request, class, settings)),
             fallback: None,
         };
         self.active.insert(id, entry);
--- a/crates/engine/src/rules.rs
+++ b/crates/engine/src/rules.rs
@@ -2,7 +2,7 @@
 //! request may be refused. The balancer proposes; what these functions deny is not carried out, and is
 //! counted.
 
-use corkhollow_balance::interface::{Class, Effect, Ending, Group, Nanos, Phase, Server, Settings};
+use corkhollow_balance::interface::{Class, Effect, Ending, Group, Nanos, Phase, Request, Server, Settings};
 
 /// The retry and hedging policy of a request, fixed by the settings in force when it was accepted.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -20,14 +20,15 @@
 }
 
 impl RetryPolicy {
-    /// The policy for requests of `class`.
-    pub fn for_class(class: &Class, settings: &Settings) -> Self {
+    /// The policy for a request of `class`: the limits of the settings in force and those under which its
+    /// head arrived both bind.
+    pub fn for_request(request: &Request, class: &Class, settings: &Settings) -> Self {
         RetryPolicy {
             effect: class.effect,
             group: class.group,
             window: class.window,
-            hedging: settings.second_copies,
-            max_attempts: settings.max_attempts as usize,
+            hedging: settings.second_copies && request.allows_hedges,
+            max_attempts: settings.max_attempts.min(request.max_attempts) as usize,
         }
     }
 }
--- a/crates/proxy/src/http1/general.rs
+++ b/crates/proxy/src/http1/general.rs
@@ -203,6 +203,7 @@
                 }
                 headers.remove(header::EXPECT);
             }
+            let settings = &active_plan.plan.pools[*pool].settings;
             let (pool, class_indexes) = (&active_plan.pools[*pool], &active_plan.class_indexes[*pool]);
             let deadline = service.clock.now() + active_plan.plan.classes[class].class.give_up;
             let request = interface::Request {
@@ -210,7 +211,7 @@
                 tenant: tenant.unwrap_or(u32::MAX),
                 is_write: !head.method.is_safe(),
                 has_streaming_body: matches!(payload, Payload::Stream(_)),
-                ..interface::Request::new(0, deadline)
+                ..interface::Request::new(0, deadline).with_limits_of(settings)
             };
             let interim_handler =
                 (head.version == Version::HTTP_11).then(|| interim_handler(client, listener));
--- a/crates/proxy/src/http1/platform.rs
+++ b/crates/proxy/src/http1/platform.rs
@@ -136,7 +136,7 @@
             .get("x-attrs")
             .is_some_and(|v| v.to_str().unwrap_or_default().split(',').any(|a| a.trim() == "write=1")),
         has_streaming_body: matches!(payload, Payload::Stream(_)),
-        ..interface::Request::new(0, deadline)
+        ..interface::Request::new(0, deadline).with_limits_of(settings)
     };
     match &payload {
         Payload::Buffered(body) if !headers.contains_key(header::CONTENT_LENGTH) && !body.is_empty() => {
