Judge a slow reader by what it reads, not by what the kernel takes ahead

Requests with long bodies to servers that read slowly were answered 504 in the same way.

Cause: a connection counts as stalled when no write succeeds for the stall timeout. The kernel takes up to 4 MB ahead and then reports no room until a third of that has left, which at 64 kB a second takes over 20 s. Evidence: gw_client_closes{reason="stalled"} counted every case, while the clients had read over 1 MB in that time.

Change: TCP_NOTSENT_LOWAT of 64 KiB on every connection, so that writes follow what leaves for the peer.

--- a/crates/corkhollow/tests/unread.rs
+++ b/crates/corkhollow/tests/unread.rs
@@ -37,8 +37,11 @@
     };
     let sizes = (1..120).map(|k| k * 30_000);
     let unread: Vec<_> = sizes.map(request_answer_of).collect();
-    // The kernel reports a socket writable when about a third of its buffer is free. At this rate that takes far
-    // less than the stall timeout.
+    // One that stops after it has read fast gets at most the stall timeout once more.
+    let mut stopped = node.connect();
+    stopped.write_all(&get_request("/", &format!("X-Size: {SLOW_ANSWER_BYTES}\r\n"))).unwrap();
+    stopped.read_exact(&mut vec![0; SLOW_ANSWER_BYTES / 4]).unwrap();
+    // At this rate the kernel takes more of the answer several times within the stall timeout.
     let mut slow = node.connect();
     slow.write_all(&get_request("/", &format!("X-Size: {SLOW_ANSWER_BYTES}\r\n"))).unwrap();
     let slow_reader = std::thread::spawn(move || {
@@ -67,5 +70,5 @@
     }
     let bytes_read = slow_reader.join().unwrap();
     assert!(bytes_read > SLOW_ANSWER_BYTES, "the slow client has read only {bytes_read} bytes");
-    drop(unread);
+    drop((unread, stopped));
 }
--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -7,7 +7,7 @@
 use crate::body::BufferedBody;
 use crate::clock::Clock;
 use crate::log::log;
-use crate::message::{Answer, AttemptId, Message, UploadProgress};
+use crate::message::{Answer, AttemptId, Message};
 use crate::requests::{Command, DiscoveryCall, FinalAnswer, RequestMessage, Requests};
 use crate::rules::Denial;
 use corkhollow_balance::interface::{
@@ -63,15 +63,14 @@
     }
 
     fn deadline(&self, timeout: Nanos) -> Option<Nanos> {
-        let UploadProgress { ended_at, last_progress_at, stall_timeout, .. } = &*self.upload()?.progress;
-        Some(match ended_at.get() {
+        let progress = &self.upload()?.progress;
+        let timeout_after_progress = progress.last_progress_at.get().saturating_add(timeout);
+        Some(match progress.ended_at.get() {
             Some(at) => at.saturating_add(timeout),
             // Bounded, as a server may accept the connection and never read from it.
-            None if self.is_body_consumed() => {
-                last_progress_at.get().saturating_add(timeout.max(*stall_timeout))
-            }
+            None if self.is_body_consumed() => timeout_after_progress.max(progress.stalled_at()),
             // No attempt has a connection yet.
-            None => last_progress_at.get().saturating_add(timeout),
+            None => timeout_after_progress,
         })
     }
 }
--- a/crates/engine/src/message.rs
+++ b/crates/engine/src/message.rs
@@ -4,11 +4,13 @@
 use crate::body::BufferedBody;
 use bytes::Bytes;
 use corkhollow_balance::interface::{Nanos, RequestId};
+use corkhollow_plan::limits::write_stall_timeout;
 use http::{HeaderMap, Method, StatusCode, Uri};
 use http_body::{Body, Frame};
 use std::cell::{Cell, RefCell};
 use std::pin::Pin;
 use std::rc::Rc;
+use std::time::Duration;
 use tokio::sync::mpsc;
 
 /// A client's request in the form in which each attempt sends it.
@@ -88,8 +90,11 @@
 pub struct UploadProgress {
     /// When a frame was last passed on towards a server; initially, when the body began.
     pub last_progress_at: Cell<Nanos>,
-    /// How long forwarding may stall. At least the time that the reader allows the client for its next frame.
-    pub stall_timeout: Nanos,
+    /// Bytes passed on towards a server.
+    pub forwarded_bytes: Cell<u64>,
+    /// How long forwarding may stall, beside the time in which the server reads what was forwarded. At least the
+    /// time that the reader allows the client for its next frame.
+    pub stall_timeout: Duration,
     /// When the last byte arrived or the body was cut off.
     pub ended_at: Cell<Option<Nanos>>,
     /// The client failed to deliver the body; a failure of the attempt then does not count against the
@@ -99,14 +104,27 @@
 
 impl UploadProgress {
     /// The progress of a body that begins at `now`.
-    pub fn new(now: Nanos, stall_timeout: Nanos) -> Self {
+    pub fn new(now: Nanos, stall_timeout: Duration) -> Self {
         UploadProgress {
             last_progress_at: Cell::new(now),
+            forwarded_bytes: Cell::new(0),
             stall_timeout,
             ended_at: Cell::new(None),
             client_failed: Cell::new(false),
         }
     }
+
+    /// Notes that a frame of this length is passed on towards a server.
+    pub fn record_forwarded(&self, now: Nanos, bytes: u64) {
+        self.last_progress_at.set(now);
+        self.forwarded_bytes.set(self.forwarded_bytes.get() + bytes);
+    }
+
+    /// When forwarding counts as stalled unless another frame is passed on.
+    pub fn stalled_at(&self) -> Nanos {
+        let timeout = write_stall_timeout(self.stall_timeout, self.forwarded_bytes.get());
+        self.last_progress_at.get().saturating_add(timeout.as_nanos() as Nanos)
+    }
 }
 
 impl Upload {
--- a/crates/plan/src/config/schema.rs
+++ b/crates/plan/src/config/schema.rs
@@ -186,7 +186,8 @@
     idle_timeout: Text(&DURATION), Value("\"90s\""),
         "How long a client connection may be idle.";
     stall_timeout: Text(&DURATION), Value("\"20s\""),
-        "How long the transfer of a body may make no progress, to or from clients and servers.";
+        "How long the transfer of a body may make no progress, to or from clients and servers. Up to twice \
+         as long to a peer that may still be reading what it was sent.";
 }
 
 table! { LISTENER, "An address on which clients connect.",
--- a/crates/plan/src/limits.rs
+++ b/crates/plan/src/limits.rs
@@ -2,6 +2,7 @@
 
 use std::cell::Cell;
 use std::rc::Rc;
+use std::time::Duration;
 
 /// The longest body of a request or of an answer.
 pub const MAX_BODY_BYTES: u64 = 32 << 20;
@@ -22,6 +23,17 @@
 /// A body whose declared length is at most this is small. With overhead it may use up to twice as much.
 const MAX_SMALL_BODY_BYTES: u64 = 64 << 10;
 
+/// A peer that reads at this rate or faster does not count as stalled.
+const MIN_READ_BYTES_PER_SECOND: u64 = 64_000;
+
+/// How long a message may make no progress once `written_bytes` of it have been written: the stall timeout, and up to
+/// as much again in which the peer reads what was written. The peer's kernel makes room in steps of a sixteenth of its
+/// receive buffer, which has grown to megabytes where the peer read fast before.
+pub fn write_stall_timeout(stall_timeout: Duration, written_bytes: u64) -> Duration {
+    let read_time = Duration::from_secs_f64(written_bytes as f64 / MIN_READ_BYTES_PER_SECOND as f64);
+    stall_timeout + read_time.min(stall_timeout)
+}
+
 #[derive(Clone, Copy, Debug)]
 struct BudgetLimits {
     clients: usize,
--- a/crates/proxy/src/http1/client_connection.rs
+++ b/crates/proxy/src/http1/client_connection.rs
@@ -121,6 +121,7 @@
             since_first_byte: since(self.socket.first_byte_at.get()),
             since_accept: since(self.awaiting_first_request_since.get()),
             since_progress: Duration::from_nanos(now.saturating_sub(self.last_progress_at.get())),
+            written_bytes: self.socket.written_bytes.get(),
         }
     }
 
--- a/crates/proxy/src/http1/close_policy.rs
+++ b/crates/proxy/src/http1/close_policy.rs
@@ -1,6 +1,7 @@
 //! Decides whether a client's connection may be closed. The decision is made once when a close is requested
 //! and again when it is carried out, because bytes may arrive in between.
 
+use corkhollow_plan::limits::write_stall_timeout;
 use std::time::Duration;
 
 /// Progress of the current request on a connection.
@@ -58,6 +59,8 @@
     pub since_accept: Option<Duration>,
     /// Time since bytes last moved in either direction, as of the last periodic check.
     pub since_progress: Duration,
+    /// Bytes written to the client since its current request began.
+    pub written_bytes: u64,
 }
 
 impl ConnectionState {
@@ -113,7 +116,8 @@
             timed_out && !has_unread()
         }
         CloseReason::Stalled => {
-            let stalled = !between_requests && state.since_progress >= limits.stall_timeout;
+            let timeout = write_stall_timeout(limits.stall_timeout, state.written_bytes);
+            let stalled = !between_requests && state.since_progress >= timeout;
             // While an answer is awaited or written the socket is not read, so pending bytes are not
             // progress.
             let reads_request = matches!(state.stage, RequestStage::Idle | RequestStage::ReadingBody);
--- a/crates/proxy/src/http1/upload.rs
+++ b/crates/proxy/src/http1/upload.rs
@@ -71,6 +71,11 @@
         .map_or(stalled_at, |pace| pace.next_byte_deadline(started_at, received_bytes).min(stalled_at))
 }
 
+/// The length of a frame's data.
+fn frame_bytes(frame: &Frame<Bytes>) -> u64 {
+    frame.data_ref().map_or(0, |data| data.len() as u64)
+}
+
 /// Receives a request body: buffers it whole if it is short enough, or returns a stream of it.
 pub(super) async fn receive_body(
     mut body: Incoming,
@@ -96,7 +101,7 @@
             let next = next.map_err(|_| UploadError::TimedOut)?;
             let Some(frame) = next else { return Ok(Payload::Buffered(Rc::new(buffer.finish()))) };
             let frame = frame.map_err(|_| UploadError::Incomplete)?;
-            received_bytes += frame.data_ref().map_or(0, |data| data.len() as u64);
+            received_bytes += frame_bytes(&frame);
             if received_bytes > limits.max_bytes {
                 return Err(UploadError::TooLarge);
             }
@@ -116,7 +121,7 @@
         read_lease = Some(lease);
         buffered.into_iter().rev().for_each(|data| read_frames.push_front(Frame::data(data)));
     }
-    let progress = Rc::new(UploadProgress::new(clock.now(), limits.forward_stall_timeout.as_nanos() as u64));
+    let progress = Rc::new(UploadProgress::new(clock.now(), limits.forward_stall_timeout));
     let streamed_body = StreamedBody {
         read_frames,
         read_lease,
@@ -191,7 +196,7 @@
     loop {
         match timeout_at(next_frame_deadline(limits, started_at, received_bytes), body.frame()).await {
             Ok(None) => return true,
-            Ok(Some(Ok(frame))) => received_bytes += frame.data_ref().map_or(0, |data| data.len() as u64),
+            Ok(Some(Ok(frame))) => received_bytes += frame_bytes(&frame),
             Ok(Some(Err(_))) | Err(_) => return false,
         }
         if received_bytes > limits.max_bytes {
@@ -229,7 +234,7 @@
     fn poll_frame(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<Option<BodyFrame>> {
         let this = self.get_mut();
         if let Some(frame) = this.read_frames.pop_front() {
-            this.progress.last_progress_at.set(this.clock.now());
+            this.progress.record_forwarded(this.clock.now(), frame_bytes(&frame));
             return Poll::Ready(Some(Ok(frame)));
         }
         this.read_lease = None;
@@ -238,8 +243,8 @@
             Poll::Ready(Some(Ok(frame))) => {
                 let is_last_frame = body.is_end_stream();
                 this.stall_timer_armed = false;
-                this.progress.last_progress_at.set(this.clock.now());
-                this.received_bytes += frame.data_ref().map_or(0, |data| data.len() as u64);
+                this.progress.record_forwarded(this.clock.now(), frame_bytes(&frame));
+                this.received_bytes += frame_bytes(&frame);
                 if this.received_bytes > this.limits.max_bytes {
                     this.mark_ended(true);
                     return Poll::Ready(Some(Err(IncompleteBody)));
--- a/crates/proxy/src/socket.rs
+++ b/crates/proxy/src/socket.rs
@@ -29,6 +29,8 @@
     pub first_byte_at: Cell<Option<Instant>>,
     /// Whether bytes were read or written since the node last cleared this.
     pub had_traffic: Cell<bool>,
+    /// Bytes written since the first byte of the current message arrived.
+    pub written_bytes: Cell<u64>,
     write_progress: Cell<WriteProgress>,
     /// When the last byte of the request was written.
     written_at: Cell<Option<Instant>>,
@@ -50,6 +52,10 @@
     read_ahead: RefCell<Vec<u8>>,
 }
 
+/// How many bytes the kernel takes ahead of what it can send. By default it takes megabytes, and reports the socket
+/// writable only when a third of them has left: a peer that reads slowly then seems to read nothing for minutes.
+const MAX_UNSENT_BYTES: u32 = 64 * 1024;
+
 const MAX_READ_AHEAD_BYTES: usize = 16 * 1024;
 
 /// At least the longest accepted head; otherwise a `Content-Length` could go unnoticed behind the kept part.
@@ -92,10 +98,12 @@
 impl Socket {
     pub fn new(stream: TcpStream) -> Rc<Self> {
         let _ = stream.set_nodelay(true);
+        let _ = socket2::SockRef::from(&stream).set_tcp_notsent_lowat(MAX_UNSENT_BYTES);
         Rc::new(Socket {
             stream: RefCell::new(stream),
             first_byte_at: Cell::new(None),
             had_traffic: Cell::new(true),
+            written_bytes: Cell::default(),
             write_progress: Cell::default(),
             written_at: Cell::default(),
             forwards: RefCell::default(),
@@ -115,6 +123,7 @@
         let mut head = self.head.borrow_mut();
         if self.first_byte_at.get().is_none() {
             self.first_byte_at.set(Some(Instant::now()));
+            self.written_bytes.set(0);
             head.clear();
             self.received.set(0);
             self.head_start.set(0);
@@ -332,6 +341,7 @@
         self.0.flushed.set(false);
         let written = ready!(Pin::new(&mut *self.0.stream.borrow_mut()).poll_write_vectored(cx, slices))?;
         self.0.had_traffic.set(true);
+        self.0.written_bytes.set(self.0.written_bytes.get() + written as u64);
         let (mut write_progress, mut left) = (self.0.write_progress.get(), written);
         for slice in slices {
             let part = left.min(slice.len());
