--- a/crates/balance/src/balancer/health.rs
+++ b/crates/balance/src/balancer/health.rs
@@ -5,8 +5,8 @@
 
 /// No failure but a failed connection ejects a server while this fraction of its zone is ejected.
 const MAX_EJECTED_FRACTION: f64 = 0.5;
-/// Longest give-up time that ejection times scale with: servers do not recover later because clients wait
-/// longer.
+/// Longest give-up time that ejection times scale with, since the platform counts longer deadlines as 3 s:
+/// servers do not recover later because clients wait longer.
 const MAX_GIVE_UP_FOR_EJECTION: Nanos = 3_000_000_000;
 /// Least weight of a new sample in a server's lag.
 const MIN_LAG_WEIGHT: f64 = 0.15;
--- a/crates/balance/src/balancer/server_list.rs
+++ b/crates/balance/src/balancer/server_list.rs
@@ -11,7 +11,8 @@
 const NODES_PER_SERVER: f64 = 3.0;
 /// Least capacity of the servers that a node ranks in a zone, in warm servers.
 const MIN_WINDOW_CAPACITY: f64 = 2.0;
-/// Half of the mean delay before the first renewal of a lost subscription.
+/// Half of the mean delay before the first renewal of a lost subscription. It does not depend on the
+/// deadlines: a missed change counts as notified within 6 s, whatever they are.
 const RESUBSCRIBE_BASE_NANOS: f64 = 0.5e9;
 
 impl Balancer {
@@ -64,7 +65,8 @@
         let capacities: Vec<_> = order.iter().map(|&index| self.warm_fraction(now, index)).collect();
         let mean = order.iter().map(|&index| self.servers[index].size).sum::<f64>() / count as f64;
         // A window includes a server if it starts at it, or so far before it that the capacity in between is
-        // less than the window's. The second round starts with the sum with which the first has ended.
+        // less than the window's: among cold servers these are more. The second round starts with the sum with
+        // which the first has ended.
         let (mut before, mut preceding) = (0.0, 0);
         for k in (0..2 * count).map(|k| k % count) {
             self.servers[order[k]].window_coverage = (preceding + 1) as f64 * mean;
--- a/crates/plan/src/limits.rs
+++ b/crates/plan/src/limits.rs
@@ -7,7 +7,7 @@
 /// The longest body of a request or of an answer.
 pub const MAX_BODY_BYTES: u64 = 32 << 20;
 /// Descriptors that no client or server connection may use: 20 for standard streams, listeners, pollers, locks and
-/// discovery, and 8 for operators.
+/// discovery, and 8 for operators. On a small node each further one costs a connection.
 const RESERVED_DESCRIPTORS: usize = 28;
 /// The fraction of the unreserved descriptors that client connections may use; server connections get the rest.
 /// Clients get more, because their connections may be idle while a server connection carries a request.
--- a/crates/plan/src/platform.rs
+++ b/crates/plan/src/platform.rs
@@ -19,14 +19,16 @@
 
 /// A request body is buffered for retries up to the memory limit divided by this.
 const REPLAY_BUFFER_MEMORY_DIVISOR: u64 = 16;
-/// The longest head, which is also the smallest read buffer of a connection.
+/// The longest head, which is also the smallest read buffer of a connection: it bounds the memory that 1,000
+/// connections hold.
 const MAX_HEADER_BYTES: usize = 16 * 1024;
 /// The 2 s that the platform allows a client for a head, and a margin for network delay.
 const HEADER_TIMEOUT: Nanos = 2_200_000_000;
 const CLIENT_IDLE_TIMEOUT: Nanos = 90_000_000_000;
 /// A slow client makes some progress within this time; one that makes none is disconnected.
 const STALL_TIMEOUT: Nanos = 20_000_000_000;
-/// The longest deadline of a class that is awaited after SIGTERM.
+/// The longest deadline of a class that is awaited after SIGTERM: SIGKILL follows after the longest deadline, which
+/// the platform counts as 3 s where it is longer, and [`DRAIN_MARGIN`].
 const MAX_DRAIN_DEADLINE: Nanos = 3_000_000_000;
 /// The time from the longest deadline after SIGTERM until the platform sends SIGKILL.
 const DRAIN_MARGIN: Nanos = 700_000_000;
--- a/crates/proxy/src/upstream/discovery.rs
+++ b/crates/proxy/src/upstream/discovery.rs
@@ -31,7 +31,8 @@
 const CALL_TIMEOUT: Duration = Duration::from_secs(3);
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 /// While no call is answered, another one is started at this interval, so that a recent call is open when an
-/// agent that pushes lists starts to answer again.
+/// agent that pushes lists starts to answer again: what it has then counts as notified at once. Calls to an agent
+/// cost discovery nothing.
 const CALL_INTERVAL: Duration = Duration::from_millis(100);
 /// Calls open at a time: the oldest, in case its answer is only slow, and the newest.
 const MAX_OPEN_CALLS: usize = 4;
@@ -41,7 +42,7 @@
 const MAX_REOPEN_DELAY_SECS: f64 = 1.0;
 /// A subscribed watch that lasted for longer than this is reopened without asking the decision module, after
 /// a random delay of up to [`REOPEN_DELAY_FRACTION`] of it: the watches of all nodes may have broken
-/// together.
+/// together. The delay is short, because what the watch misses counts as notified soon.
 const STABLE_WATCH_AGE: Duration = Duration::from_secs(1);
 const REOPEN_DELAY_FRACTION: f64 = 0.2;
 /// A list that has not continued for this long is checked for being truncated.
--- a/crates/proxy/src/upstream/pool.rs
+++ b/crates/proxy/src/upstream/pool.rs
@@ -28,7 +28,8 @@
 const FILE_CHECK_INTERVAL: Duration = Duration::from_millis(250);
 
 /// How long requests wait after the start for the first list from a discovery agent that pushes lists.
-/// Without one, the cached list is used.
+/// What the agent has counts as notified from the first moment of a process, and it answers at once unless it is
+/// silent: then the cached list is used. A new drain must be obeyed within the same time.
 const FIRST_LIST_TIMEOUT: Nanos = 250_000_000;
 
 /// A pool with a cached list is ready after this time, even without an answer from discovery.
