--- a/crates/balance/src/balancer/server_list.rs
+++ b/crates/balance/src/balancer/server_list.rs
@@ -65,8 +65,8 @@
         let capacities: Vec<_> = order.iter().map(|&index| self.warm_fraction(now, index)).collect();
         let mean = order.iter().map(|&index| self.servers[index].size).sum::<f64>() / count as f64;
         // A window includes a server if it starts at it, or so far before it that the capacity in between is
-        // less than the window's: among cold servers these are more. The second round starts with the sum with
-        // which the first has ended.
+        // less than the window's: among cold servers these are more. The second round starts with the sum
+        // with which the first has ended.
         let (mut before, mut preceding) = (0.0, 0);
         for k in (0..2 * count).map(|k| k % count) {
             self.servers[order[k]].window_coverage = (preceding + 1) as f64 * mean;
