--- a/crates/balance/src/balancer/settings_update.rs
+++ b/crates/balance/src/balancer/settings_update.rs
@@ -93,7 +93,8 @@
         }
     }
 
-    /// Returns an index for a new class: one that is neither held nor in use by an open request, or a new one.
+    /// Returns an index for a new class: one that is neither held nor in use by an open request, or a new
+    /// one.
     fn allocate_class(&mut self, table: &mut Vec<Class>, class: &Class) -> usize {
         let is_open =
             |index: &usize| self.pending.values().any(|pending| usize::from(pending.request.class) == *index);
--- a/crates/plan/src/limits.rs
+++ b/crates/plan/src/limits.rs
@@ -171,7 +171,7 @@
 }
 
 impl Lease {
-    /// Counts one more block of memory, unless the limit forbids it; true if it was counted. A small body may use all free
+    /// Counts one more block, unless the limit forbids it; true if it was counted. A small body may use all free
     /// bytes. A large one may hold at most as much as remains free for large bodies, so that each gets less the more
     /// there are.
     pub fn grow(&mut self, bytes: usize) -> bool {
