Test each half of the fixes for slow readers and small pieces by itself

Cause: no test failed with the additional time of write_stall_timeout taken out, nor with the copy of short frames taken out of streamed requests, and two tests of size.rs shared their set-up line by line.

Change: tests of the stall of answers and of requests by what was written, and of a streamed request's frames; one function runs the slow peers of both tests in size.rs.

--- a/crates/corkhollow/tests/size.rs
+++ b/crates/corkhollow/tests/size.rs
@@ -74,7 +74,16 @@
     Ok(())
 }
 
-fn assert_memory_limit_holds(node: &Node) {
+/// Runs a client in each of [`SLOW_PEERS`] threads, against a node with little memory that must hold its limit.
+fn with_slow_peers(servers: &Servers, client: impl Fn(&Node) + Sync) {
+    let discovery = Discovery::new(vec![servers.list_json(1)], true);
+    let node = Node::start(discovery.address, &NodeOptions { memory_mb: 48, ..NodeOptions::default() });
+    node.wait_until_ready();
+    std::thread::scope(|scope| {
+        for _ in 0..SLOW_PEERS {
+            scope.spawn(|| client(&node));
+        }
+    });
     assert!(node.peak_resident_bytes() < 48 << 20, "{} bytes resident", node.peak_resident_bytes());
     wait_until("the memory of all bodies is released", || node.metric("gw_body_bytes") == Some(0.0));
 }
@@ -83,21 +92,12 @@
 /// in.
 #[test]
 fn request_bodies_in_small_pieces_stay_within_the_memory_limit() {
-    let servers = servers_answering_the_body_length(SLOW_PEERS);
-    let discovery = Discovery::new(vec![servers.list_json(1)], true);
-    let node = Node::start(discovery.address, &NodeOptions { memory_mb: 48, ..NodeOptions::default() });
-    node.wait_until_ready();
-    std::thread::scope(|scope| {
-        for _ in 0..SLOW_PEERS {
-            scope.spawn(|| {
-                let mut client = node.connect();
-                write_in_pieces(&mut client, &post_request("/once/1", &[b'x'; SLOW_BODY_BYTES])).unwrap();
-                let answer = read_message(&mut client).expect("an upload got no answer");
-                assert_eq!((answer.status(), answer.body), (200, SLOW_BODY_BYTES.to_string().into_bytes()));
-            });
-        }
+    with_slow_peers(&servers_answering_the_body_length(SLOW_PEERS), |node| {
+        let mut client = node.connect();
+        write_in_pieces(&mut client, &post_request("/once/1", &[b'x'; SLOW_BODY_BYTES])).unwrap();
+        let answer = read_message(&mut client).expect("an upload got no answer");
+        assert_eq!((answer.status(), answer.body), (200, SLOW_BODY_BYTES.to_string().into_bytes()));
     });
-    assert_memory_limit_holds(&node);
 }
 
 /// The same for answers, which are held until they are whole.
@@ -108,18 +108,10 @@
             let _ = write_in_pieces(stream, &response("200 OK", "", &[b'x'; SLOW_BODY_BYTES]));
         }))
     });
-    let discovery = Discovery::new(vec![servers.list_json(1)], true);
-    let node = Node::start(discovery.address, &NodeOptions { memory_mb: 48, ..NodeOptions::default() });
-    node.wait_until_ready();
-    std::thread::scope(|scope| {
-        for _ in 0..SLOW_PEERS {
-            scope.spawn(|| {
-                let answer = node.get("/safe/1", "").expect("a request got no answer");
-                assert_eq!((answer.status(), answer.body.len()), (200, SLOW_BODY_BYTES));
-            });
-        }
+    with_slow_peers(&servers, |node| {
+        let answer = node.get("/safe/1", "").expect("a request got no answer");
+        assert_eq!((answer.status(), answer.body.len()), (200, SLOW_BODY_BYTES));
     });
-    assert_memory_limit_holds(&node);
 }
 
 /// The upload is completed and answered, and its connection closed.
--- a/crates/engine/tests/body.rs
+++ b/crates/engine/tests/body.rs
@@ -1,8 +1,9 @@
-//! Bodies held in memory: what they keep, and what the budget counts.
+//! Bodies: what those in memory keep and what the budget counts, and how long a streamed one may stall.
 
 use bytes::Bytes;
-use corkhollow_engine::BodyBuffer;
+use corkhollow_engine::{BodyBuffer, UploadProgress};
 use corkhollow_plan::limits::Budget;
+use std::time::Duration;
 
 const MEMORY_BYTES: u64 = 48 << 20;
 /// Lengths of the buffers that connections are read into.
@@ -69,3 +70,16 @@
     assert_eq!(body.len(), 1_000 * pieces as u64);
     assert!(contents(body.finish()) == bytes[..1_000 * pieces]);
 }
+
+/// Guards against a request cut off while its server reads it: the server's kernel takes no more until the server has
+/// read megabytes.
+#[test]
+fn a_server_that_was_sent_much_has_time_to_read_it_before_the_request_counts_as_stalled() {
+    const SECOND: u64 = 1_000_000_000;
+    let progress = UploadProgress::new(SECOND, Duration::from_secs(20));
+    assert_eq!(progress.stalled_at(), 21 * SECOND);
+    for (forwarded_bytes, stalled_after_secs) in [(640_000, 30), (640_000, 40), (30_000_000, 40)] {
+        progress.record_forwarded(2 * SECOND, forwarded_bytes);
+        assert_eq!(progress.stalled_at(), (2 + stalled_after_secs) * SECOND, "{forwarded_bytes} bytes more");
+    }
+}
--- a/crates/proxy/src/http1/mod.rs
+++ b/crates/proxy/src/http1/mod.rs
@@ -3,6 +3,8 @@
 mod client_connection;
 mod client_connections;
 mod close_policy;
+#[cfg(test)]
+mod close_policy_tests;
 mod general;
 mod platform;
 mod respond;
