--- a/review/stubs-2/src/bin/a_late_second_answer.rs
+++ b/review/stubs-2/src/bin/a_late_second_answer.rs
@@ -52,7 +52,10 @@
     if COPIES.fetch_add(1, Ordering::SeqCst) >= DETAILS {
         return;
     }
-    while unacknowledged_bytes(stream) > 0 && !is_readable(stream) && answered_at.elapsed() < Duration::from_secs(1) {
+    while unacknowledged_bytes(stream) > 0
+        && !is_readable(stream)
+        && answered_at.elapsed() < Duration::from_secs(1)
+    {
         thread::sleep(Duration::from_micros(200));
     }
     let seen = answered_at.elapsed();
@@ -126,7 +129,8 @@
 fn main() {
     limit_time(Duration::from_secs(110));
     let behaviour = Arc::new(serve);
-    let hosts = (0..SERVERS).map(|k| Host::active(&format!("s-{k}"), server::start(k, behaviour.clone()))).collect();
+    let hosts =
+        (0..SERVERS).map(|k| Host::active(&format!("s-{k}"), server::start(k, behaviour.clone()))).collect();
     let discovery = Discovery::start(hosts);
     let gateway = Gateway::start(&Options::default(), discovery.address);
     let (address, end) = (gateway.address, Instant::now() + LENGTH);
@@ -140,7 +144,11 @@
         .iter()
         .take(DETAILS)
         .for_each(|(id, runs)| note(&format!("{id}, which may not be repeated, ran {runs} times")));
-    note(&format!("requests that may not be repeated: {} ran, {} of them more than once", runs.len(), twice.len()));
+    note(&format!(
+        "requests that may not be repeated: {} ran, {} of them more than once",
+        runs.len(),
+        twice.len()
+    ));
     note(&format!(
         "requests {}, served {}, other answers {}, second answers {}, served with the answer to another request {}",
         count(&REQUESTS),
--- a/review/stubs-2/src/bin/a_long_upload.rs
+++ b/review/stubs-2/src/bin/a_long_upload.rs
@@ -59,9 +59,11 @@
             }
         })
     };
-    let hosts = (0..SERVERS).map(|k| Host::active(&format!("s-{k}"), server::start(k, behaviour.clone()))).collect();
+    let hosts =
+        (0..SERVERS).map(|k| Host::active(&format!("s-{k}"), server::start(k, behaviour.clone()))).collect();
     let discovery = Discovery::start(hosts);
-    let gateway = Gateway::start(&Options { memory_mb: 32, sockets: 256, ..Options::default() }, discovery.address);
+    let gateway =
+        Gateway::start(&Options { memory_mb: 32, sockets: 256, ..Options::default() }, discovery.address);
 
     let mut stream = client::connect(gateway.address).expect("the gateway listens");
     let head = format!(
--- a/review/stubs-2/src/bin/a_trailer.rs
+++ b/review/stubs-2/src/bin/a_trailer.rs
@@ -67,7 +67,8 @@
             }
         })
     };
-    let hosts = (0..SERVERS).map(|k| Host::active(&format!("s-{k}"), server::start(k, behaviour.clone()))).collect();
+    let hosts =
+        (0..SERVERS).map(|k| Host::active(&format!("s-{k}"), server::start(k, behaviour.clone()))).collect();
     let discovery = Discovery::start(hosts);
     let gateway = Gateway::start(&Options::default(), discovery.address);
     for count in 0..5 {
--- a/review/stubs-2/src/bin/an_open_id.rs
+++ b/review/stubs-2/src/bin/an_open_id.rs
@@ -64,7 +64,8 @@
             }
         })
     };
-    let hosts = (0..SERVERS).map(|k| Host::active(&format!("s-{k}"), server::start(k, behaviour.clone()))).collect();
+    let hosts =
+        (0..SERVERS).map(|k| Host::active(&format!("s-{k}"), server::start(k, behaviour.clone()))).collect();
     let discovery = Discovery::start(hosts);
     let gateway = Gateway::start(&Options::default(), discovery.address);
     let address = gateway.address;
@@ -77,7 +78,8 @@
     note(&format!("second client, before the answer begins: {status}"));
     let outstanding = |gateway: &Gateway| {
         let (_, page) = gateway.call(gateway.operator, "GET", "/-/metrics").unwrap_or_default();
-        let line = page.lines().find(|line| line.starts_with("gw_outstanding")).unwrap_or("no metrics").to_owned();
+        let line =
+            page.lines().find(|line| line.starts_with("gw_outstanding")).unwrap_or("no metrics").to_owned();
         note(&format!("the gateway's page of metrics: {line}"));
     };
     if has_trouble() {
--- a/review/stubs-2/src/bin/half_requests.rs
+++ b/review/stubs-2/src/bin/half_requests.rs
@@ -28,7 +28,9 @@
 /// Sends half a head and stays until the gateway answers or closes; then comes again.
 fn run_bad_client(gateway: SocketAddr, end: Instant) {
     while Instant::now() < end {
-        let Ok(mut stream) = client::connect(gateway) else { return thread::sleep(Duration::from_millis(50)) };
+        let Ok(mut stream) = client::connect(gateway) else {
+            return thread::sleep(Duration::from_millis(50));
+        };
         let connected_at = Instant::now();
         let _ = stream.write_all(b"GET /status HTTP/1.1\r\nHost: app.svc\r\nX-Request-");
         let _ = stream.set_read_timeout(Some(Duration::from_secs(15)));
@@ -99,9 +101,11 @@
             }
         }
     });
-    let hosts = (0..SERVERS).map(|k| Host::active(&format!("s-{k}"), server::start(k, behaviour.clone()))).collect();
+    let hosts =
+        (0..SERVERS).map(|k| Host::active(&format!("s-{k}"), server::start(k, behaviour.clone()))).collect();
     let discovery = Discovery::start(hosts);
-    let gateway = Gateway::start(&Options { memory_mb: 64, sockets: 256, ..Options::default() }, discovery.address);
+    let gateway =
+        Gateway::start(&Options { memory_mb: 64, sockets: 256, ..Options::default() }, discovery.address);
     let (address, end) = (gateway.address, Instant::now() + LENGTH);
     if has_trouble() {
         note(&format!("{BAD_CLIENTS} bad clients send half a request and stay"));
--- a/review/stubs-2/src/discovery.rs
+++ b/review/stubs-2/src/discovery.rs
@@ -7,7 +7,7 @@
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::{Arc, Condvar, Mutex};
 use std::thread;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 /// An entry of the list.
 #[derive(Clone, Debug)]
@@ -56,20 +56,10 @@
     }
 }
 
-/// What becomes of a call.
-#[derive(Clone, Copy)]
-pub enum Turn {
-    /// It is answered after this wait.
-    Answer(Duration),
-    /// It has waited for this long, and fails with 503.
-    Fail(Duration),
-}
-
-/// The agent, or the service that nodes ask.
+/// The agent.
 pub struct Discovery {
     /// Where it listens.
     pub address: SocketAddr,
-    state: Arc<(Mutex<State>, Condvar)>,
 }
 
 impl Discovery {
@@ -77,43 +67,17 @@
     pub fn start(hosts: Vec<Host>) -> Self {
         let hosts = hosts.into_iter().map(|host| (host.name.clone(), (1, host))).collect();
         let state = Arc::new((Mutex::new(State { seq: 1, hosts }), Condvar::new()));
-        let address = listen(state.clone(), |_| Turn::Answer(Duration::ZERO));
-        Discovery { address, state }
-    }
-
-    /// Opens another address of the same service. `turn` says what becomes of its calls, which it numbers from 0.
-    pub fn open_address(&self, turn: impl Fn(usize) -> Turn + Send + 'static) -> SocketAddr {
-        listen(self.state.clone(), turn)
-    }
-
-    /// Changes or adds an entry, and tells all watches. Returns when the change was made.
-    pub fn change(&self, host: Host) -> Instant {
-        let mut state = self.state.0.lock().expect("no thread panics");
-        state.seq += 1;
-        let seq = state.seq;
-        state.hosts.insert(host.name.clone(), (seq, host));
-        self.state.1.notify_all();
-        Instant::now()
+        Discovery { address: listen(state) }
     }
 }
 
-fn listen(state: Arc<(Mutex<State>, Condvar)>, turn: impl Fn(usize) -> Turn + Send + 'static) -> SocketAddr {
+fn listen(state: Arc<(Mutex<State>, Condvar)>) -> SocketAddr {
     let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
     let address = listener.local_addr().expect("a bound address");
     thread::spawn(move || {
-        for (call, mut stream) in listener.incoming().flatten().enumerate() {
-            let (state, turn) = (state.clone(), turn(call));
-            thread::spawn(move || match turn {
-                Turn::Answer(wait) => {
-                    thread::sleep(wait);
-                    serve(stream, &state);
-                }
-                Turn::Fail(wait) => {
-                    thread::sleep(wait);
-                    let _ = Reader::new(stream.try_clone().expect("descriptors are left")).read_message();
-                    let _ = stream.write_all(b"HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n");
-                }
-            });
+        for stream in listener.incoming().flatten() {
+            let state = state.clone();
+            thread::spawn(move || serve(stream, &state));
         }
     });
     address
@@ -134,7 +98,8 @@
         let _ = writer.write_all(answer.as_bytes());
         return;
     }
-    let mut send = |line: &str| writer.write_all(format!("{:x}\r\n{line}\n\r\n", line.len() + 1).as_bytes()).is_ok();
+    let mut send =
+        |line: &str| writer.write_all(format!("{:x}\r\n{line}\n\r\n", line.len() + 1).as_bytes()).is_ok();
     let mut line = {
         let state = lock();
         let list = state.list(since);
--- a/review/stubs-2/src/gateway.rs
+++ b/review/stubs-2/src/gateway.rs
@@ -52,8 +52,6 @@
     pub connect_timeout_ms: u64,
     /// Second copies allowed.
     pub second_copies: bool,
-    /// `automatic`: lists are pushed. `subscribe`: discovery is asked.
-    pub registry_mode: &'static str,
 }
 
 impl Default for Options {
@@ -64,7 +62,6 @@
             classes: SITE_CLASSES.to_vec(),
             connect_timeout_ms: 120,
             second_copies: true,
-            registry_mode: "automatic",
         }
     }
 }
@@ -83,7 +80,7 @@
     format!(
         r#"{{"name":"n0","listen":"{listen}","operator":"{operator}","discovery":"{discovery}","seed":"8c1f30d27a5be964",
 "limits":{{"cores":1.0,"memory_mb":{},"sockets":{}}},"known":null,
-"settings":{{"groupSize":1,"ordinal":0,"registryMode":"{}","zone":0,"zones":["belmont"],"skus":["std-1"],
+"settings":{{"groupSize":1,"ordinal":0,"registryMode":"automatic","zone":0,"zones":["belmont"],"skus":["std-1"],
 "classes":[{}],"weightSource":"nominal",
 "caps":{{"cancelling":true,"connIdleNs":10000000000,"connectTimeoutNs":{},"maxAttempts":3,"maxStreams":1,
 "maxRetryAfterNs":2000000000,"mayProbe":false,"peers":false,"retryAfter":true,"secondCopies":{}}},
@@ -91,7 +88,6 @@
 "rampTimeNs":23000000000,"stopSendingWithinNs":250000000,"tipMultiple":3.0}}}}}}"#,
         options.memory_mb,
         options.sockets,
-        options.registry_mode,
         classes.join(","),
         options.connect_timeout_ms * 1_000_000,
         options.second_copies,
@@ -151,7 +147,8 @@
             .stdout(Stdio::null())
             .stderr(log)
             .spawn();
-        let child = child.unwrap_or_else(|error| crate::cannot_run(&format!("the gateway does not start: {error}")));
+        let child =
+            child.unwrap_or_else(|error| crate::cannot_run(&format!("the gateway does not start: {error}")));
         if let Ok(mut started) = STARTED.lock() {
             started.push(child.id());
             let ids: String = started.iter().map(|id| format!("{id}\n")).collect();
@@ -188,31 +185,13 @@
         !matches!(self.child.try_wait(), Ok(None))
     }
 
-    /// Replaces the configuration by one that names another address of discovery, and sends SIGHUP.
-    pub fn move_discovery(&self, options: &Options, discovery: SocketAddr) -> Instant {
-        let (path, draft) = (self.folder.join("config.json"), self.folder.join("config.new"));
-        std::fs::write(&draft, config(options, self.address, self.operator, discovery)).expect("a writable folder");
-        std::fs::rename(&draft, &path).expect("a writable folder");
-        self.signal(1);
-        Instant::now()
-    }
-
-    /// Sends a signal to the process.
-    pub fn signal(&self, signal: i32) {
-        // SAFETY: kill(2) takes two integers, and the process is a child that has not been waited for.
-        unsafe { kill(self.child.id() as i32, signal) };
-    }
-
-    /// The process's id.
-    pub fn pid(&self) -> u32 {
-        self.child.id()
-    }
-
     /// Copies the last lines of the gateway's log to the record.
     pub fn note_log(&self) {
         let log = std::fs::read_to_string(self.folder.join("gateway.log")).unwrap_or_default();
         let lines: Vec<_> = log.lines().collect();
-        lines[lines.len().saturating_sub(20)..].iter().for_each(|line| note(&format!("gateway's log: {line}")));
+        lines[lines.len().saturating_sub(20)..]
+            .iter()
+            .for_each(|line| note(&format!("gateway's log: {line}")));
     }
 }
 
--- a/review/stubs-2/src/http.rs
+++ b/review/stubs-2/src/http.rs
@@ -71,7 +71,9 @@
         let mut bytes = [0; 65536];
         loop {
             match self.stream.read(&mut bytes) {
-                Ok(0) if self.buffer.is_empty() && self.first_byte_at.is_none() => return Err(ReadError::Closed),
+                Ok(0) if self.buffer.is_empty() && self.first_byte_at.is_none() => {
+                    return Err(ReadError::Closed)
+                }
                 Ok(0) => return Err(ReadError::Broken),
                 Ok(count) => {
                     self.first_byte_at.get_or_insert_with(Instant::now);
@@ -105,7 +107,8 @@
             return Err(ReadError::Malformed);
         }
         let headers = lines.filter_map(|line| line.split_once(':'));
-        let headers = headers.map(|(name, value)| (name.trim().to_owned(), value.trim().to_owned())).collect();
+        let headers =
+            headers.map(|(name, value)| (name.trim().to_owned(), value.trim().to_owned())).collect();
         Ok(Head { first_line, headers })
     }
 
--- a/review/stubs-2/src/server.rs
+++ b/review/stubs-2/src/server.rs
@@ -1,7 +1,6 @@
 //! Servers as the protocol page describes them.
 
 use crate::http::{Head, ReadError, Reader};
-use crate::sockets::limit_receive_buffer;
 use std::io::Write;
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::Arc;
@@ -23,13 +22,7 @@
 /// Starts a server with a thread for each connection, and returns its address. Its connections have the system's
 /// default options.
 pub fn start(server: usize, behaviour: Arc<dyn Behaviour>) -> SocketAddr {
-    start_with(server, None, behaviour)
-}
-
-/// Starts a server whose connections have a receive buffer of this size.
-pub fn start_with(server: usize, receive_buffer: Option<i32>, behaviour: Arc<dyn Behaviour>) -> SocketAddr {
     let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
-    receive_buffer.inspect(|bytes| limit_receive_buffer(&listener, *bytes));
     let address = listener.local_addr().expect("a bound address");
     thread::spawn(move || {
         for stream in listener.incoming().flatten() {
--- a/review/stubs-2/src/sockets.rs
+++ b/review/stubs-2/src/sockets.rs
@@ -1,24 +1,14 @@
-//! Socket options and queues that the standard library does not offer. The numbers are those of Linux, on x86-64 and
-//! on arm64 alike.
+//! Queues of sockets that the standard library does not show. The number is that of Linux, on x86-64 and on arm64 alike.
 
 use std::net::TcpStream;
 use std::os::fd::AsRawFd;
 
-const SOL_SOCKET: i32 = 1;
-const SO_RCVBUF: i32 = 8;
 const TIOCOUTQ: u64 = 0x5411;
 
 extern "C" {
-    fn setsockopt(fd: i32, level: i32, name: i32, value: *const i32, length: u32) -> i32;
     fn ioctl(fd: i32, request: u64, value: *mut i32) -> i32;
 }
 
-/// Limits what the kernel receives ahead of the program. On a listener it holds for the connections it accepts.
-pub fn limit_receive_buffer(socket: &impl AsRawFd, bytes: i32) {
-    // SAFETY: the descriptor is open, and the option takes an int.
-    unsafe { setsockopt(socket.as_raw_fd(), SOL_SOCKET, SO_RCVBUF, &bytes, 4) };
-}
-
 /// How many bytes that were written to the connection the peer's machine has not acknowledged.
 pub fn unacknowledged_bytes(socket: &impl AsRawFd) -> i32 {
     let mut bytes = 0;
