Wait for the gateway's end before a case ends

The process was killed at the end of a case but could still be seen for a moment after run.sh had ended.

--- a/review/stubs-2/src/gateway.rs
+++ b/review/stubs-2/src/gateway.rs
@@ -101,16 +101,22 @@
 
 extern "C" {
     fn kill(pid: i32, signal: i32) -> i32;
+    fn waitpid(pid: i32, status: *mut i32, options: i32) -> i32;
 }
 
 /// The processes that were started, by their ids. They are children of this process and waited for by nobody else.
 static STARTED: Mutex<Vec<u32>> = Mutex::new(Vec::new());
 
-/// Kills all processes that were started.
+/// Kills all processes that were started, and waits until they have ended.
 pub fn kill_all() {
     if let Ok(mut started) = STARTED.lock() {
-        // SAFETY: kill(2) takes two integers.
-        started.drain(..).for_each(|id| _ = unsafe { kill(id as i32, 9) });
+        for id in started.drain(..) {
+            // SAFETY: both take integers, and waitpid(2) no place for the status; the process is a child.
+            unsafe {
+                kill(id as i32, 9);
+                waitpid(id as i32, std::ptr::null_mut(), 0);
+            }
+        }
     }
 }
 
