Reject a request's id until some time after its answer was passed on

Cause: the engine freed an id when the request was over for it: when a streamed answer began, and when the attempt for a client that had left was cancelled.

The handle of a request lives until hyper has taken or dropped its answer. The random histories now send ids again.

--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -76,7 +76,17 @@
 }
 
 type PoolCommand = Command<Rc<Message>, Answer>;
-type PoolRequests = Requests<HeaderValue, Rc<Message>, Answer>;
+type PoolRequests = Requests<RequestKey, Rc<Message>, Answer>;
+
+/// A client's request id in a short form of fixed size.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+struct RequestKey(u64);
+
+impl RequestKey {
+    fn new(client_request_id: &HeaderValue) -> Self {
+        RequestKey(corkhollow_plan::stable_hash(client_request_id.as_bytes()))
+    }
+}
 
 /// The requests of one pool, driven by sockets and timers: see the module's documentation.
 pub struct Engine {
@@ -194,8 +204,9 @@
         }
     }
 
-    /// Accepts a request. Dropping the returned handle before the answer signals that the client has left.
-    /// Returns `None` if another active request has the same `client_request_id`.
+    /// Accepts a request. The returned handle is kept until the answer has been passed on; dropping it before
+    /// the answer signals that the client has left. Returns `None` if the `client_request_id` is taken: see
+    /// [`Requests::submit`].
     pub fn submit(
         self: &Rc<Self>,
         client_request_id: Option<HeaderValue>,
@@ -212,7 +223,8 @@
         let request = Request { give_up_at: message.deadline, ..request };
         self.record(id, Event::Received(recorded_id));
         let accepted = self.step(|requests, now, commands| {
-            requests.submit(now, client_request_id, request, Rc::new(message), commands)
+            let key = client_request_id.as_ref().map(RequestKey::new);
+            requests.submit(now, key, request, Rc::new(message), commands)
         });
         if accepted.is_none() {
             self.waiting_clients.borrow_mut().remove(&id);
@@ -300,6 +312,10 @@
         self.step(|requests, now, commands| requests.on_client_left(now, request, commands));
     }
 
+    fn on_delivery_ended(&self, request: RequestId) {
+        self.requests.borrow_mut().on_delivery_ended(self.clock.now(), request);
+    }
+
     /// Handles a message from discovery. The transport must know the servers first, as attempts may be sent
     /// at once.
     pub fn on_server_list(self: &Rc<Self>, kind: ListKind, servers: Vec<Server>) {
@@ -398,7 +414,8 @@
     }
 }
 
-/// The pending answer to a submitted request. Dropping it before the answer cancels the request.
+/// A submitted request. Dropped when its answer has been passed on; dropping it before the answer cancels the
+/// request.
 pub struct PendingAnswer {
     engine: Rc<Engine>,
     id: RequestId,
@@ -417,8 +434,9 @@
 
 impl Drop for PendingAnswer {
     fn drop(&mut self) {
-        if self.is_pending {
-            self.engine.on_client_left(self.id);
+        match self.is_pending {
+            true => self.engine.on_client_left(self.id),
+            false => self.engine.on_delivery_ended(self.id),
         }
     }
 }
--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -9,6 +9,7 @@
 mod engine;
 mod log;
 mod message;
+mod request_ids;
 mod requests;
 pub mod rules;
 
@@ -20,4 +21,5 @@
     Answer, AttemptId, BodyFrame, ClientBody, IncompleteBody, InterimHandler, Message, Payload, Upload,
     UploadProgress,
 };
+pub use request_ids::ID_RETENTION;
 pub use requests::{Command, DiscoveryCall, FinalAnswer, RequestMessage, Requests};
--- a/crates/engine/src/requests.rs
+++ b/crates/engine/src/requests.rs
@@ -3,6 +3,7 @@
 //! execute them on a simulated network.
 
 use crate::message::AttemptId;
+use crate::request_ids::RequestIds;
 use crate::rules::{self, AttemptState, Denial, RequestState, RetryPolicy, SentAttempt};
 use corkhollow_balance::interface::{
     Action, Ending, Event, ListKind, Nanos, Quotas, Refusal, Request, RequestId, Server, ServerId, Settings,
@@ -10,7 +11,7 @@
 };
 use corkhollow_balance::{Balancer, Knowledge};
 use std::cmp::Reverse;
-use std::collections::{BinaryHeap, HashMap, HashSet};
+use std::collections::{BinaryHeap, HashMap};
 use std::hash::Hash;
 
 /// A call to discovery.
@@ -128,9 +129,10 @@
 }
 
 struct ActiveRequest<C, M, A> {
-    /// The client's own request ID, also in [`Requests::client_request_ids`], if it must be unique among
-    /// active requests.
+    /// The client's own request ID, also in [`Requests::client_request_ids`], if it must be unique.
     client_request_id: Option<C>,
+    /// Whether nothing more of an answer is to be passed on to the client.
+    is_delivered: bool,
     message: M,
     give_up_at: Nanos,
     /// Time allowed from the end of the request body.
@@ -161,8 +163,8 @@
     /// Bounded by the number of client connections, each with one request; attempts outlive it until its
     /// deadline at most.
     active: HashMap<RequestId, ActiveRequest<C, M, A>>,
-    /// The clients' IDs of the active requests; a second request with the same ID would be a duplicate.
-    client_request_ids: HashSet<C>,
+    /// The clients' IDs of active and recent requests; a second request with the same ID would be a duplicate.
+    client_request_ids: RequestIds<C>,
     /// Bounded by the request rate times the longest timeout, as entries stay until they are due.
     timers: BinaryHeap<Reverse<(Nanos, Timer)>>,
     /// A reused buffer, empty between events.
@@ -183,7 +185,7 @@
         Ok(Requests {
             balancer: Balancer::new(settings, seed)?,
             active: HashMap::new(),
-            client_request_ids: HashSet::new(),
+            client_request_ids: RequestIds::new(),
             timers: BinaryHeap::new(),
             actions: Vec::new(),
             next_id: 0,
@@ -213,7 +215,8 @@
     }
 
     /// Accepts a request, which will get one answer by `give_up_at`. Returns `None` and accepts nothing if
-    /// another active request has the same `client_request_id`.
+    /// another request has or had the same `client_request_id`: one that is active, one whose answer is still
+    /// passed on, or one that may have run in the last [`ID_RETENTION`](crate::ID_RETENTION).
     pub fn submit(
         &mut self,
         now: Nanos,
@@ -222,10 +225,7 @@
         message: M,
         commands: &mut Vec<Command<M, A>>,
     ) -> Option<RequestId> {
-        if client_request_id
-            .as_ref()
-            .is_some_and(|client_request_id| !self.client_request_ids.insert(client_request_id.clone()))
-        {
+        if client_request_id.as_ref().is_some_and(|id| !self.client_request_ids.claim(now, id)) {
             return None;
         }
         let (id, give_up_at) = (self.next_id, request.give_up_at.min(self.shutdown_at));
@@ -234,6 +234,7 @@
         let class = settings.classes.get(usize::from(request.class));
         let entry = ActiveRequest {
             client_request_id,
+            is_delivered: false,
             message,
             give_up_at,
             timeout: give_up_at.saturating_sub(now),
@@ -370,7 +371,16 @@
         if was_awaited {
             self.handle_event(now, Event::ClientGone { request }, commands);
             self.cancel_unsent(request, commands);
-            self.remove_if_over(request);
+            self.remove_if_over(now, request);
+        }
+        self.on_delivery_ended(now, request);
+    }
+
+    /// Handles the end of an answer: it has been passed on to the client, or the client does not read it.
+    pub fn on_delivery_ended(&mut self, now: Nanos, request: RequestId) {
+        match self.active.get_mut(&request) {
+            Some(entry) => entry.is_delivered = true,
+            None => self.client_request_ids.end_delivery(now, request),
         }
     }
 
@@ -515,14 +525,14 @@
         // Answered before the attempts end: at a shutdown the balancer still assumes the original deadline
         // and would retry.
         let (was_awaited, attempt_count) = (entry.is_awaited, entry.attempts.len() as u8);
-        self.answer_client(request, FinalAnswer::Failed { timed_out: true }, commands);
+        self.answer_client(now, request, FinalAnswer::Failed { timed_out: true }, commands);
         for number in 0..attempt_count {
             self.end_attempt(now, AttemptId { request, number }, Ending::TimedOut, commands);
         }
         if was_awaited {
             self.handle_event(now, Event::ClientGone { request }, commands);
         }
-        self.remove_if_over(request);
+        self.remove_if_over(now, request);
     }
 
     /// Ends an open attempt, counts it and reports its outcome to the balancer.
@@ -549,20 +559,24 @@
             commands.push(Command::Abandon(id));
         }
         self.handle_event(now, event, commands);
-        self.remove_if_over(id.request);
+        self.remove_if_over(now, id.request);
     }
 
     /// Removes a request that no client awaits and that has no open attempt.
-    fn remove_if_over(&mut self, request: RequestId) {
+    fn remove_if_over(&mut self, now: Nanos, request: RequestId) {
         let is_over = |entry: &ActiveRequest<C, M, A>| {
             !entry.is_awaited && entry.attempts.iter().all(|attempt| !attempt.record.is_open())
         };
-        if self.active.get(&request).is_some_and(is_over) {
-            if let Some(client_request_id) =
-                self.active.remove(&request).and_then(|entry| entry.client_request_id)
-            {
-                self.client_request_ids.remove(&client_request_id);
-            }
+        if !self.active.get(&request).is_some_and(is_over) {
+            return;
+        }
+        let Some(entry) = self.active.remove(&request) else { return };
+        let may_have_run = entry.attempts.iter().any(|attempt| attempt.record.may_have_run());
+        match entry.client_request_id {
+            Some(id) if !may_have_run => self.client_request_ids.release(&id),
+            Some(id) if entry.is_delivered => self.client_request_ids.retire(now, id),
+            Some(id) => self.client_request_ids.hold_for_delivery(request, id),
+            None => {}
         }
     }
 
@@ -582,11 +596,11 @@
                 self.send_attempt(now, request, server, timeout, commands)
             }
             Action::Refuse { request, retry_after, reason } => {
-                self.refuse_or_fail(request, FinalAnswer::Refused { retry_after, reason }, commands);
+                self.refuse_or_fail(now, request, FinalAnswer::Refused { retry_after, reason }, commands);
             }
             Action::Fail { request } => {
                 let timed_out = self.active.get(&request).is_some_and(|entry| entry.give_up_at <= now);
-                self.answer_client(request, FinalAnswer::Failed { timed_out }, commands);
+                self.answer_client(now, request, FinalAnswer::Failed { timed_out }, commands);
             }
             Action::Cancel { request, attempt } => {
                 self.end_attempt(now, AttemptId { request, number: attempt }, Ending::Cancelled, commands);
@@ -641,6 +655,7 @@
     /// Refuses a request, or fails it if a retry by the client could run it twice.
     fn refuse_or_fail(
         &mut self,
+        now: Nanos,
         request: RequestId,
         refusal: FinalAnswer<A>,
         commands: &mut Vec<Command<M, A>>,
@@ -651,15 +666,16 @@
             })
         };
         if self.active.get(&request).is_none_or(may_refuse) {
-            return self.answer_client(request, refusal, commands);
+            return self.answer_client(now, request, refusal, commands);
         }
         commands.push(Command::ProposalDenied { request, denial: Denial::RefusalNotHarmless });
-        self.answer_client(request, FinalAnswer::Failed { timed_out: false }, commands);
+        self.answer_client(now, request, FinalAnswer::Failed { timed_out: false }, commands);
     }
 
     /// Gives the client its final answer, preferring a server's error answer to the given one.
     fn answer_client(
         &mut self,
+        now: Nanos,
         request: RequestId,
         answer: FinalAnswer<A>,
         commands: &mut Vec<Command<M, A>>,
@@ -671,6 +687,6 @@
                 self.cancel_unsent(request, commands);
             }
         }
-        self.remove_if_over(request);
+        self.remove_if_over(now, request);
     }
 }
--- a/crates/laboratory/src/histories.rs
+++ b/crates/laboratory/src/histories.rs
@@ -1,6 +1,6 @@
 //! Runs the request engine through random histories on a simulated clock, network and fleet, and checks its
-//! guarantees: each request is answered once and in time, nothing is sent to a draining server, and unsafe
-//! requests run at most once. [`Fault`] injects errors that the checks must detect. The same seed gives the
+//! guarantees: each request is answered once and in time, nothing is sent to a draining server, unsafe
+//! requests run at most once, and the id of a request that may have run is not accepted again. [`Fault`] injects errors that the checks must detect. The same seed gives the
 //! same history.
 
 use corkhollow_balance::interface::*;
@@ -19,6 +19,11 @@
 /// How long after its deadline a request may still be answered.
 const ANSWER_MARGIN: Nanos = MS;
 
+/// The longest time in which an answer is passed on to its client.
+const MAX_DELIVERY_TIME: Nanos = 1_500 * MS;
+/// The longest time after which a request's id comes again.
+const MAX_REPETITION_DELAY: Nanos = 3_000 * MS;
+
 /// A request message without content: the index of its client.
 #[derive(Clone, Debug, PartialEq)]
 struct TestMessage(u32);
@@ -100,6 +105,10 @@
     ServerDies(u64),
     /// The node begins to shut down, with a deadline for all requests.
     ShutDown,
+    /// The answer to a request has been passed on to its client.
+    Delivered(RequestId),
+    /// A request with the id of this client's request arrives.
+    RepeatedId(u32),
 }
 
 type AttemptKey = (RequestId, u8);
@@ -122,6 +131,8 @@
 
 struct Simulation {
     rng: Pcg64Mcg,
+    /// Draws how long answers are passed on and when ids come again.
+    id_rng: Pcg64Mcg,
     now: Nanos,
     fault: Fault,
     races: bool,
@@ -177,6 +188,7 @@
         let requests = Requests::new(now, random_settings(&mut rng), seed).expect("valid settings");
         let mut simulation = Simulation {
             rng,
+            id_rng: Pcg64Mcg::seed_from_u64(!seed),
             now,
             fault,
             races,
@@ -285,6 +297,8 @@
                 client.answers += answer_count;
                 let (answers, is_late) = (client.answers, self.now > client.deadline + ANSWER_MARGIN);
                 self.served += u32::from(matches!(answer, FinalAnswer::FromServer(_)));
+                let delivery_time = random_below(&mut self.id_rng, MAX_DELIVERY_TIME);
+                self.schedule(delivery_time, ScheduledEvent::Delivered(request));
                 if answers > 1 {
                     self.record_violation(format!("request {request} has {answers} answers"));
                 }
@@ -329,6 +343,10 @@
             let submitted = r.submit(now, Some(number), request, TestMessage(number), sink);
             assert_eq!(submitted, Some(id));
         });
+        if random_below(&mut self.id_rng, 4) == 0 {
+            let gap = random_below(&mut self.id_rng, MAX_REPETITION_DELAY);
+            self.schedule(gap, ScheduledEvent::RepeatedId(number));
+        }
         if random_below(&mut self.rng, if self.races { 6 } else { 30 }) == 0 {
             let gap = random_below(&mut self.rng, 200) * MS;
             self.schedule(gap, ScheduledEvent::ClientLeft(id));
@@ -339,6 +357,23 @@
         }
     }
 
+    /// The id of a client's request comes again. It must be rejected if the first request may have run.
+    fn repeat_id(&mut self, client: u32) {
+        if self.clients[client as usize].run_count == 0 {
+            return;
+        }
+        let mut accepted = None;
+        let request = Request::new(0, self.now + MAX_REPETITION_DELAY);
+        self.call_engine(|r, now, sink| {
+            accepted = r.submit(now, Some(client), request, TestMessage(client), sink);
+        });
+        if accepted.is_some() {
+            self.record_violation(format!(
+                "the id of client {client} is accepted again after it may have run"
+            ));
+        }
+    }
+
     /// An attempt is connected: checks whether it may still be sent, sends it and draws its outcome.
     fn on_connected(&mut self, key: AttemptKey) {
         let Some(&OpenAttempt { server, client, .. }) = self.open_attempts.get(&key) else { return };
@@ -469,6 +504,8 @@
                     .for_each(|client| client.deadline = client.deadline.min(shutdown_deadline));
                 self.requests.set_shutdown_deadline(shutdown_deadline);
             }
+            ScheduledEvent::Delivered(request) => self.requests.on_delivery_ended(self.now, request),
+            ScheduledEvent::RepeatedId(client) => self.repeat_id(client),
             ScheduledEvent::ServerDrains(server) => self.set_phase(server, Phase::Draining),
             ScheduledEvent::ServerDies(server) => {
                 self.dead.insert(ServerId(server));
--- a/crates/proxy/src/http1/client_connection.rs
+++ b/crates/proxy/src/http1/client_connection.rs
@@ -3,6 +3,7 @@
 use super::close_policy::{should_close, CloseLimits, CloseReason, ConnectionState, RequestStage};
 use crate::socket::Socket;
 use corkhollow_balance::interface::Nanos;
+use corkhollow_engine::PendingAnswer;
 use corkhollow_operate::{ClassMetrics, RequestTracker};
 use corkhollow_plan::limits::Slot;
 use hyper::body::Incoming;
@@ -71,6 +72,8 @@
     pub(super) close_signal: Notify,
     /// Counts the current request; `None` until its class is known.
     pub(super) tracker: RefCell<Option<RequestTracker>>,
+    /// The current request at its pool while its answer is passed on.
+    pub(super) answered_request: RefCell<Option<PendingAnswer>>,
     /// Remainder of a request body that was forwarded in part and is no longer wanted by any attempt.
     pub(super) unread_body: RefCell<Option<Incoming>>,
     /// Holds the connection's place in the budget.
@@ -103,6 +106,7 @@
             request_left_unread: Cell::new(false),
             close_signal: Notify::new(),
             tracker: RefCell::default(),
+            answered_request: RefCell::default(),
             unread_body: RefCell::default(),
             _slot: slot,
         })
--- a/crates/proxy/src/http1/platform.rs
+++ b/crates/proxy/src/http1/platform.rs
@@ -160,8 +160,8 @@
     if is_buffered && service.clock.now() > deadline + LATE_ANSWER_SLACK {
         service.metrics.count_late_answer();
     }
+    client.answered_request.replace(Some(pending_answer));
     // The body has been read to its end, or its unread remainder has been returned to the connection.
-    drop(pending_answer);
     let unread_body = client.unread_body.take();
     let body_consumed = match unread_body {
         Some(unread_body) => upload::discard_body(unread_body, &limits).await,
--- a/crates/proxy/src/http1/respond.rs
+++ b/crates/proxy/src/http1/respond.rs
@@ -52,6 +52,7 @@
 impl Drop for TrackedAnswerBody {
     fn drop(&mut self) {
         self.client.tracker.take();
+        self.client.answered_request.take();
         self.client.unread_body.take();
         self.client.stage.set(RequestStage::Idle);
         self.client.idle_since.set(self.service.clock.now());
