Exchange request ids between the two processes of an upgrade

What callers saw: an id that came again at the other process of an upgrade ran twice.

Cause: each process knew its own ids only, and the hand-over held none.

Change: while two processes accept from one listening socket, each appends the ids that it accepts to a file and reads all records before its own first. The file system orders the records, so one of two processes that accept the same id learns of the other. The file begins with the ids that the predecessor holds, and is written before the hand-over that the successor waits for. What the two do for each other moves from run.rs to takeover.rs.

--- a/crates/corkhollow/src/commands/mod.rs
+++ b/crates/corkhollow/src/commands/mod.rs
@@ -7,6 +7,7 @@
 mod membership;
 mod reload;
 pub mod run;
+mod takeover;
 
 use corkhollow_plan::config::{self, CheckedConfig, Diagnostic};
 use corkhollow_plan::stable_read;
--- a/crates/corkhollow/src/commands/run.rs
+++ b/crates/corkhollow/src/commands/run.rs
@@ -2,12 +2,13 @@
 
 use super::membership::{self, Membership};
 use super::reload::{load_first_plan, ConfigSource, ReloadTarget, Reloader};
+use super::takeover::{self, RequestIdSharing, SUCCESSOR_POLL_INTERVAL};
 use super::CommandError;
 use crate::cli::RunArgs;
 use crate::succession::{self, SuccessionLocks};
 use corkhollow_engine::{log, Clock, LogLimiter};
 use corkhollow_fleet::GroupPosition;
-use corkhollow_operate::{FleetHandover, Handover, Metrics, MetricsError, SharedLifecycle};
+use corkhollow_operate::{Metrics, MetricsError, SharedLifecycle};
 use corkhollow_plan::limits::Budget;
 use corkhollow_plan::plan::Plan;
 use corkhollow_plan::platform::{Config, ConfigError};
@@ -41,14 +42,6 @@
 const MAX_SERVERS_COUNTED_EACH_UPDATE: usize = 1_000;
 /// Number of state updates per count of many servers.
 const UPDATES_PER_LARGE_COUNT: u32 = 20;
-/// How often the process checks whether there is a predecessor or successor to share the limits with.
-const SUCCESSION_CHECK_INTERVAL: Duration = Duration::from_millis(100);
-/// How often a process with a successor rewrites the handover.
-const HANDOVER_WRITE_INTERVAL: Duration = Duration::from_millis(250);
-/// How long a successor that is ready waits for the handover.
-const HANDOVER_TIMEOUT: Duration = Duration::from_millis(500);
-/// How often a successor checks for the handover, and whether it may accept connections.
-const SUCCESSOR_POLL_INTERVAL: Duration = Duration::from_millis(10);
 /// How often idle tenants are forgotten.
 const TENANT_CLEANUP_INTERVAL: Duration = Duration::from_secs(60);
 /// How often a draining node closes idle connections.
@@ -316,12 +309,13 @@
         let fleet = membership.fleet.clone();
         OperatorServer { lifecycle, metrics, clock, lifecycle_changed, fleet }.start(operator_listener)?;
     }
+    let request_id_sharing = RequestIdSharing::default();
     if let Some(locks) = &locks {
         budget.set_limit_share(locks.succession().limit_share());
         tokio::select! {
             // No connection has been accepted yet.
             _ = terminate.recv() => return Ok(()),
-            fleet_handover = take_over(locks, &first_plan, clock, &lifecycle) => {
+            fleet_handover = takeover::take_over(locks, &first_plan, clock, &lifecycle, &request_id_sharing) => {
                 if let Some(handover) = &fleet_handover {
                     let group = GroupPosition { ordinal: handover.ordinal, size: handover.size };
                     membership.set_group(&current_plan, group, &mut LogLimiter::new(1, 0.0)).await;
@@ -357,12 +351,13 @@
                 () = tokio::time::sleep(SUCCESSOR_POLL_INTERVAL) => {}
             }
         }
-        spawn_local(update_limit_share(locks.clone(), budget.clone()));
-        spawn_local(write_handovers(
+        spawn_local(takeover::update_limit_share(locks.clone(), budget.clone()));
+        spawn_local(takeover::write_handovers(
             locks.clone(),
             current_plan.clone(),
             lifecycle.clone(),
             membership.clone(),
+            request_id_sharing,
         ));
     }
     listeners.start(&first_plan.plan, bound, &clients)?;
@@ -451,39 +446,6 @@
     }
 }
 
-/// Adjusts the budget to this process's share of the node's limits.
-async fn update_limit_share(locks: Rc<SuccessionLocks>, budget: Rc<Budget>) {
-    loop {
-        budget.set_limit_share(locks.succession().limit_share());
-        tokio::time::sleep(SUCCESSION_CHECK_INTERVAL).await;
-    }
-}
-
-/// Writes the handover periodically while there is a successor.
-async fn write_handovers(
-    locks: Rc<SuccessionLocks>,
-    current_plan: Rc<CurrentPlan>,
-    lifecycle: SharedLifecycle,
-    membership: Membership,
-) {
-    let mut last_failed = false;
-    loop {
-        let has_successor = locks.succession().has_successor;
-        if has_successor {
-            let is_draining = lifecycle.lock().is_draining();
-            let handover =
-                Handover { fleet: membership.handover(), ..current_plan.get().handover(is_draining) };
-            let written = locks.write_handover(&handover);
-            if let (Err(error), false) = (&written, last_failed) {
-                log(format_args!("cannot write the handover: {error}; the successor starts cold"));
-            }
-            last_failed = written.is_err();
-        }
-        tokio::time::sleep(if has_successor { HANDOVER_WRITE_INTERVAL } else { SUCCESSION_CHECK_INTERVAL })
-            .await;
-    }
-}
-
 /// Tells the other members of the fleet whether the node is draining.
 async fn report_draining_to_fleet(fleet: FleetCell, lifecycle: SharedLifecycle) {
     loop {
@@ -497,45 +459,6 @@
     }
 }
 
-/// Waits for this process's turn if there is a predecessor, and then until the pools know their servers and
-/// the handover has been read, or [`HANDOVER_TIMEOUT`] has passed. Returns the fleet part of the handover.
-async fn take_over(
-    locks: &SuccessionLocks,
-    first_plan: &ActivePlan,
-    clock: Clock,
-    lifecycle: &SharedLifecycle,
-) -> Option<FleetHandover> {
-    if !locks.succession().has_predecessor {
-        return None;
-    }
-    while locks.succession().is_queued {
-        tokio::time::sleep(SUCCESSOR_POLL_INTERVAL).await;
-    }
-    locks.start_turn();
-    loop {
-        let handover = locks.read_handover(clock.now()).filter(|_| first_plan.is_ready());
-        if handover.as_ref().is_some_and(|handover| handover.drains) {
-            log(format_args!("starting drained, as the predecessor is draining; POST /-/resume ends that"));
-            lifecycle.lock().drain(clock.now());
-        }
-        if let Some(handover) = handover {
-            match first_plan.import_knowledge(&handover) {
-                0 => log(format_args!("starting cold: none of the predecessor's knowledge applies here")),
-                known => log(format_args!("starting with the predecessor's knowledge of {known} servers")),
-            }
-            return handover.fleet;
-        }
-        // If the predecessor has exited, this process must serve its clients, ready or not.
-        if !locks.succession().has_predecessor
-            || (first_plan.is_ready() && locks.turn_age() > HANDOVER_TIMEOUT)
-        {
-            log(format_args!("starting cold: no handover from the predecessor"));
-            return None;
-        }
-        tokio::time::sleep(SUCCESSOR_POLL_INTERVAL).await;
-    }
-}
-
 /// Closes idle connections that the lifecycle does not allow any more; returns how many connections are still
 /// open.
 fn close_idle(clients: &ClientConnections, lifecycle: &SharedLifecycle, clock: Clock) -> usize {
--- a/crates/corkhollow/src/main.rs
+++ b/crates/corkhollow/src/main.rs
@@ -2,6 +2,7 @@
 
 mod cli;
 mod commands;
+mod request_id_log;
 mod succession;
 
 use clap::Parser;
--- a/crates/corkhollow/src/succession.rs
+++ b/crates/corkhollow/src/succession.rs
@@ -18,6 +18,8 @@
 const SERVING_LOCK: &str = "corkhollow-serving";
 /// The handover that the serving process writes for its successor.
 const HANDOVER_FILE: &str = "corkhollow-knowledge";
+/// The request ids that processes have claimed while they overlap.
+const REQUEST_ID_FILE: &str = "corkhollow-request-ids";
 /// Lock file held by the successor until the serving process has exited; further successors queue for it.
 const SUCCESSOR_LOCK: &str = "corkhollow-successor";
 /// SD_LISTEN_FDS_START of systemd's protocol.
@@ -57,6 +59,8 @@
 /// This process's position among the processes that share its listening sockets.
 pub struct SuccessionLocks {
     handover_path: PathBuf,
+    /// Where the processes exchange the ids of requests.
+    pub request_ids_path: PathBuf,
     successor_lock_path: PathBuf,
     /// When this process joined, or left the queue of successors.
     turn_started_at: Cell<Instant>,
@@ -85,6 +89,7 @@
         let successor = options.open(path(SUCCESSOR_LOCK))?;
         let locks = SuccessionLocks {
             handover_path: path(HANDOVER_FILE),
+            request_ids_path: path(REQUEST_ID_FILE),
             successor_lock_path: path(SUCCESSOR_LOCK),
             turn_started_at: Cell::new(Instant::now()),
             state: Arc::default(),
@@ -216,6 +221,7 @@
         serving_lock.lock().unwrap();
         let first = SuccessionLocks {
             handover_path: folder.join("none"),
+            request_ids_path: folder.join("none"),
             successor_lock_path: folder.join(format!("{SUCCESSOR_LOCK}-{address}")),
             turn_started_at: Cell::new(Instant::now()),
             state: Arc::default(),
--- a/crates/corkhollow/tests/request_ids.rs
+++ b/crates/corkhollow/tests/request_ids.rs
@@ -83,3 +83,53 @@
         assert_eq!(node.send_raw(&request).unwrap().status(), 503);
     }
 }
+
+/// Guards against a request that runs twice: its id came again at the other process of an upgrade. The old
+/// process has one request before the new one starts and another one after that.
+#[test]
+fn an_id_is_rejected_by_the_successor_of_the_process_that_has_it() {
+    let (finish, finished) = channel::<()>();
+    let finished = std::sync::Arc::new(Mutex::new(finished));
+    let servers = Servers::new(2, move |_, message| {
+        let finished = finished.clone();
+        match message.head.starts_with("POST /once/") {
+            true => Reply::Custom(Box::new(move |_| {
+                let _ = finished.lock().unwrap().recv();
+            })),
+            false => ok_reply("fine"),
+        }
+    });
+    let discovery = Discovery::new(vec![servers.list_json(1)], true);
+    let folder = TempFolder::new("upgraded-ids");
+    let socket = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    let start = || Node::start_with_listener(&socket, &folder.0, discovery.address, &NodeOptions::default());
+    let is_ready = |node: &Node| node.call_operator("GET", "/-/ready").is_some_and(|m| m.status() == 200);
+    let received_count = || {
+        let requests = servers.requests.lock().unwrap();
+        requests.iter().filter(|request| request.head.starts_with("POST /once/")).count()
+    };
+
+    let old = start();
+    wait_until("the old process is ready", || is_ready(&old));
+    let requests = [post_request("/once/1", b"body"), post_request("/once/2", b"body")];
+    let _first_client = send(&old, &requests[0]);
+    wait_until("the first request is at a server", || received_count() == 1);
+    let mut second_client = send(&old, &get_request("/safe/1", ""));
+    assert_eq!(read_message(&mut second_client).unwrap().status(), 200);
+    let new = start();
+    wait_until("the new process is ready", || is_ready(&new));
+    second_client.write_all(&requests[1]).unwrap();
+    wait_until("the second request is at a server", || received_count() == 2);
+
+    old.signal("-TERM");
+    wait_until("the new process accepts alone", || {
+        let before = new.metric("gw_succeeded{service=\"safe\"}").unwrap_or(0.0);
+        let answered = (0..10).filter(|_| new.get("/safe/1", "").is_some_and(|m| m.status() == 200)).count();
+        answered == 10 && new.metric("gw_succeeded{service=\"safe\"}").unwrap_or(0.0) >= before + 10.0
+    });
+    for request in &requests {
+        assert_eq!(new.send_raw(request).unwrap().status(), 409);
+    }
+    assert_eq!(received_count(), 2);
+    drop(finish);
+}
--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -8,6 +8,7 @@
 use crate::clock::Clock;
 use crate::log::log;
 use crate::message::{Answer, AttemptId, Message};
+use crate::request_ids::{RequestKey, SharedIds};
 use crate::requests::{Command, DiscoveryCall, FinalAnswer, RequestMessage, Requests};
 use crate::rules::Denial;
 use corkhollow_balance::interface::{
@@ -78,16 +79,6 @@
 type PoolCommand = Command<Rc<Message>, Answer>;
 type PoolRequests = Requests<RequestKey, Rc<Message>, Answer>;
 
-/// A client's request id in a short form of fixed size.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
-struct RequestKey(u64);
-
-impl RequestKey {
-    fn new(client_request_id: &HeaderValue) -> Self {
-        RequestKey(corkhollow_plan::stable_hash(client_request_id.as_bytes()))
-    }
-}
-
 /// The requests of one pool, driven by sockets and timers: see the module's documentation.
 pub struct Engine {
     clock: Clock,
@@ -97,6 +88,8 @@
     /// The channels on which clients await their final answers.
     waiting_clients: RefCell<HashMap<RequestId, oneshot::Sender<Answer>>>,
     running_attempts: RefCell<HashMap<AttemptId, Box<dyn RunningAttempt>>>,
+    /// Set while another process accepts from the same listening socket.
+    shared_ids: RefCell<Option<Box<dyn SharedIds>>>,
     /// A reused buffer, empty between events.
     commands: RefCell<Vec<PoolCommand>>,
     /// When the timer task wakes next.
@@ -124,6 +117,7 @@
             metrics,
             waiting_clients: RefCell::default(),
             running_attempts: RefCell::default(),
+            shared_ids: RefCell::default(),
             commands: RefCell::default(),
             next_wake_at: Cell::new(Nanos::MAX),
             wake_changed: Notify::new(),
@@ -223,7 +217,7 @@
         let request = Request { give_up_at: message.deadline, ..request };
         self.record(id, Event::Received(recorded_id));
         let accepted = self.step(|requests, now, commands| {
-            let key = client_request_id.as_ref().map(RequestKey::new);
+            let key = client_request_id.as_ref().map(|id| self.claim_shared_id(requests, now, id));
             requests.submit(now, key, request, Rc::new(message), commands)
         });
         if accepted.is_none() {
@@ -232,6 +226,26 @@
         accepted.map(|id| PendingAnswer { engine: self.clone(), id, answer, is_pending: true })
     }
 
+    /// The key of a request id. If other processes have claimed it before this one, `requests` reject it.
+    fn claim_shared_id(&self, requests: &mut PoolRequests, now: Nanos, id: &HeaderValue) -> RequestKey {
+        let key = RequestKey(corkhollow_plan::stable_hash(id.as_bytes()));
+        if let Some(shared_ids) = &mut *self.shared_ids.borrow_mut() {
+            let claimed_elsewhere = shared_ids.claim(key);
+            claimed_elsewhere.into_iter().for_each(|key| requests.reject_client_request_id(now, key));
+        }
+        key
+    }
+
+    /// Starts or ends the exchange of request ids with the other process on the listening socket.
+    pub fn set_shared_ids(&self, shared_ids: Option<Box<dyn SharedIds>>) {
+        self.shared_ids.replace(shared_ids);
+    }
+
+    /// The request ids that are not accepted again at present.
+    pub fn rejected_request_ids(&self) -> Vec<RequestKey> {
+        self.requests.borrow().rejected_client_request_ids().copied().collect()
+    }
+
     /// Handles an attempt that ended without an answer for the client.
     pub fn on_attempt_ended(self: &Rc<Self>, id: AttemptId, ending: Ending) {
         self.running_attempts.borrow_mut().remove(&id);
--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -21,5 +21,5 @@
     Answer, AttemptId, BodyFrame, ClientBody, IncompleteBody, InterimHandler, Message, Payload, Upload,
     UploadProgress,
 };
-pub use request_ids::ID_RETENTION;
+pub use request_ids::{RequestKey, SharedIds, ID_RETENTION};
 pub use requests::{Command, DiscoveryCall, FinalAnswer, RequestMessage, Requests};
--- a/crates/engine/src/request_ids.rs
+++ b/crates/engine/src/request_ids.rs
@@ -10,6 +10,17 @@
 /// At most this many ids of requests that are over; the oldest are forgotten first.
 const MAX_RETIRED_IDS: usize = 1 << 16;
 
+/// A client's request id in a short form of fixed size.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub struct RequestKey(pub u64);
+
+/// The ids that this process and others have claimed, while several processes accept from one listening socket.
+pub trait SharedIds {
+    /// Claims an id, and returns the ids that other processes have claimed before that and that were not
+    /// returned yet. Of two processes that claim the same id, one gets it returned.
+    fn claim(&mut self, key: RequestKey) -> Vec<RequestKey>;
+}
+
 /// The ids of open and recent requests.
 pub(crate) struct RequestIds<C> {
     /// All ids that are rejected.
@@ -31,6 +42,18 @@
         self.claimed.insert(id.clone())
     }
 
+    /// Rejects an id from now on that another process has claimed.
+    pub(crate) fn reject(&mut self, now: Nanos, id: C) {
+        if self.claimed.insert(id.clone()) {
+            self.retire(now, id);
+        }
+    }
+
+    /// All ids that are rejected.
+    pub(crate) fn claimed(&self) -> impl Iterator<Item = &C> {
+        self.claimed.iter()
+    }
+
     /// Frees the id of a request that no server can have run.
     pub(crate) fn release(&mut self, id: &C) {
         self.claimed.remove(id);
--- a/crates/engine/src/requests.rs
+++ b/crates/engine/src/requests.rs
@@ -249,6 +249,16 @@
         Some(id)
     }
 
+    /// Rejects an id that a client has sent to another process.
+    pub fn reject_client_request_id(&mut self, now: Nanos, id: C) {
+        self.client_request_ids.reject(now, id);
+    }
+
+    /// The ids of requests that are not accepted again at present.
+    pub fn rejected_client_request_ids(&self) -> impl Iterator<Item = &C> {
+        self.client_request_ids.claimed()
+    }
+
     /// Handles an attempt that ended without an answer for the client.
     pub fn on_attempt_ended(
         &mut self,
