Look at a deadline every 50 ms while the request's body is on its way

Cause: a deadline timer that found the body on its way set the next timer for the time at which the body would count as stalled, 20 to 40 s later. When the body ended the deadline moved to an earlier time, and no timer was due then.

Change: one function sets the timer of a deadline, at submission and when one has fired early. As long as the deadline may move it is looked at again within 50 ms. A message can tell that its body has reached this machine before it has been read (ArrivalProbe); nothing uses it yet.

--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -9,7 +9,7 @@
 use crate::log::log;
 use crate::message::{Answer, AttemptId, Message};
 use crate::request_ids::{RequestKey, SharedIds};
-use crate::requests::{Command, DiscoveryCall, FinalAnswer, RequestMessage, Requests};
+use crate::requests::{Command, DiscoveryCall, FinalAnswer, RequestMessage, Requests, UploadDeadline};
 use crate::rules::Denial;
 use corkhollow_balance::interface::{
     Ending, ListKind, Nanos, Quotas, Request, RequestId, Server, ServerId, Settings, SettingsError,
@@ -63,15 +63,17 @@
         Message::is_body_consumed(self)
     }
 
-    fn deadline(&self, timeout: Nanos) -> Option<Nanos> {
+    fn upload_deadline(&self, now: Nanos, timeout: Nanos) -> Option<UploadDeadline> {
         let progress = &self.upload()?.progress;
         let timeout_after_progress = progress.last_progress_at.get().saturating_add(timeout);
-        Some(match progress.ended_at.get() {
-            Some(at) => at.saturating_add(timeout),
+        Some(match progress.arrived_at(now) {
+            Some(at) => UploadDeadline { at: at.saturating_add(timeout), is_final: true },
             // Bounded, as a server may accept the connection and never read from it.
-            None if self.is_body_consumed() => timeout_after_progress.max(progress.stalled_at()),
+            None if self.is_body_consumed() => {
+                UploadDeadline { at: timeout_after_progress.max(progress.stalled_at()), is_final: false }
+            }
             // No attempt has a connection yet.
-            None => timeout_after_progress,
+            None => UploadDeadline { at: timeout_after_progress, is_final: false },
         })
     }
 }
--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -18,8 +18,8 @@
 pub use engine::{Engine, PendingAnswer, RunningAttempt, Transport};
 pub use log::{log, LogLimiter};
 pub use message::{
-    Answer, AttemptId, BodyFrame, ClientBody, IncompleteBody, InterimHandler, Message, Payload, Upload,
-    UploadProgress,
+    Answer, ArrivalProbe, AttemptId, BodyFrame, ClientBody, IncompleteBody, InterimHandler, Message, Payload,
+    Upload, UploadProgress,
 };
 pub use request_ids::{RequestKey, SharedIds, ID_RETENTION};
-pub use requests::{Command, DiscoveryCall, FinalAnswer, RequestMessage, Requests};
+pub use requests::{Command, DiscoveryCall, FinalAnswer, RequestMessage, Requests, UploadDeadline};
--- a/crates/engine/src/message.rs
+++ b/crates/engine/src/message.rs
@@ -85,6 +85,26 @@
     pub progress: Rc<UploadProgress>,
 }
 
+/// Tells whether all of a message has reached this machine, although it may not have been read yet.
+pub struct ArrivalProbe(Box<dyn Fn() -> bool>);
+
+impl ArrivalProbe {
+    /// A probe that calls `has_arrived`.
+    pub fn new(has_arrived: impl Fn() -> bool + 'static) -> Self {
+        ArrivalProbe(Box::new(has_arrived))
+    }
+
+    fn has_arrived(&self) -> bool {
+        (self.0)()
+    }
+}
+
+impl std::fmt::Debug for ArrivalProbe {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str("ArrivalProbe")
+    }
+}
+
 /// The progress of a streamed request body.
 #[derive(Debug)]
 pub struct UploadProgress {
@@ -95,8 +115,11 @@
     /// How long forwarding may stall, beside the time in which the server reads what was forwarded. At least the
     /// time that the reader allows the client for its next frame.
     pub stall_timeout: Duration,
-    /// When the last byte arrived or the body was cut off.
+    /// When the last byte was read or the body was cut off.
     pub ended_at: Cell<Option<Nanos>>,
+    /// When the last byte was found to have reached this machine.
+    arrived_at: Cell<Option<Nanos>>,
+    arrival_probe: Option<ArrivalProbe>,
     /// The client failed to deliver the body; a failure of the attempt then does not count against the
     /// server.
     pub client_failed: Cell<bool>,
@@ -110,10 +133,28 @@
             forwarded_bytes: Cell::new(0),
             stall_timeout,
             ended_at: Cell::new(None),
+            arrived_at: Cell::new(None),
+            arrival_probe: None,
             client_failed: Cell::new(false),
         }
     }
 
+    /// The same progress with a probe for the arrival of the body's last byte.
+    pub fn with_arrival_probe(self, probe: ArrivalProbe) -> Self {
+        UploadProgress { arrival_probe: Some(probe), ..self }
+    }
+
+    /// When the last byte reached this machine, as of `now`, or the body was cut off; `None` if it is still on
+    /// its way. A server that does not read keeps the rest of a body unread, and its client waits all the same.
+    pub fn arrived_at(&self, now: Nanos) -> Option<Nanos> {
+        if self.arrived_at.get().is_none()
+            && self.arrival_probe.as_ref().is_some_and(ArrivalProbe::has_arrived)
+        {
+            self.arrived_at.set(Some(now));
+        }
+        self.arrived_at.get().or(self.ended_at.get())
+    }
+
     /// Notes that a frame of this length is passed on towards a server.
     pub fn record_forwarded(&self, now: Nanos, bytes: u64) {
         self.last_progress_at.set(now);
--- a/crates/engine/src/requests.rs
+++ b/crates/engine/src/requests.rs
@@ -28,11 +28,23 @@
     /// Whether an attempt has consumed the body, which leaves none for another attempt.
     fn is_body_consumed(&self) -> bool;
 
-    /// The present deadline if it depends on the progress of the request body; it may move later. `timeout`
-    /// counts from the end of the body.
-    fn deadline(&self, timeout: Nanos) -> Option<Nanos>;
+    /// The deadline as of `now` if it depends on the progress of the request body. `timeout` counts from the end
+    /// of the body.
+    fn upload_deadline(&self, now: Nanos, timeout: Nanos) -> Option<UploadDeadline>;
 }
 
+/// The deadline of a request whose body is streamed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct UploadDeadline {
+    /// When the request times out, as far as is known now.
+    pub at: Nanos,
+    /// Whether the body has ended. Until then the deadline may move, to a later or an earlier time.
+    pub is_final: bool,
+}
+
+/// How often the deadline of a request is looked at again while its body is on its way.
+const UPLOAD_CHECK_INTERVAL: Nanos = 50_000_000;
+
 /// The final answer to a request; there is exactly one.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum FinalAnswer<A> {
@@ -244,7 +256,7 @@
             fallback: None,
         };
         self.active.insert(id, entry);
-        self.timers.push(Reverse((give_up_at, Timer::Deadline(id))));
+        self.set_deadline_timer(now, id);
         self.handle_event(now, Event::Request(Request { id, give_up_at, ..request }), commands);
         Some(id)
     }
@@ -356,18 +368,18 @@
         let others = entry.attempts.iter().enumerate().filter(|(index, _)| *index != number);
         let others = others.map(|(_, other)| &other.record);
         let server = self.balancer.server(attempt.record.server.id);
-        rules::may_send(now, self.state_of(entry)?, others, server)
+        rules::may_send(now, self.state_of(now, entry)?, others, server)
     }
 
-    fn state_of(&self, entry: &ActiveRequest<C, M, A>) -> Result<RequestState, Denial> {
+    fn state_of(&self, now: Nanos, entry: &ActiveRequest<C, M, A>) -> Result<RequestState, Denial> {
         let policy = entry.policy.ok_or(Denial::RequestOver)?;
-        Ok(RequestState { policy, is_awaited: entry.is_awaited, deadline: self.deadline_of(entry) })
+        Ok(RequestState { policy, is_awaited: entry.is_awaited, deadline: self.deadline_of(now, entry) })
     }
 
     /// Whether the rules allow the attempt that the balancer proposes.
     fn may_send(&self, now: Nanos, entry: &ActiveRequest<C, M, A>, server: ServerId) -> Result<(), Denial> {
         let others = entry.attempts.iter().map(|attempt| &attempt.record);
-        rules::may_send(now, self.state_of(entry)?, others, self.balancer.server(server))?;
+        rules::may_send(now, self.state_of(now, entry)?, others, self.balancer.server(server))?;
         match entry.message.is_body_consumed() {
             true => Err(Denial::BodySpent),
             false => Ok(()),
@@ -520,17 +532,31 @@
     }
 
     /// The deadline of a request. For a streamed request body it depends on the body's progress.
-    fn deadline_of(&self, entry: &ActiveRequest<C, M, A>) -> Nanos {
-        entry.message.deadline(entry.timeout).unwrap_or(entry.give_up_at).min(self.shutdown_at)
+    fn deadline_of(&self, now: Nanos, entry: &ActiveRequest<C, M, A>) -> Nanos {
+        let upload_deadline = entry.message.upload_deadline(now, entry.timeout);
+        upload_deadline.map_or(entry.give_up_at, |deadline| deadline.at).min(self.shutdown_at)
     }
 
-    /// Fails a request at its deadline and ends its open attempts as timed out. If the deadline has moved,
-    /// sets a new timer instead.
+    /// Sets the timer for a request's deadline, or for the next look at a deadline that may still move.
+    fn set_deadline_timer(&mut self, now: Nanos, request: RequestId) {
+        let Some(entry) = self.active.get(&request) else { return };
+        let may_move =
+            entry.message.upload_deadline(now, entry.timeout).is_some_and(|deadline| !deadline.is_final);
+        let next_check_at = if may_move { now.saturating_add(UPLOAD_CHECK_INTERVAL) } else { Nanos::MAX };
+        let at = self.deadline_of(now, entry).min(next_check_at);
+        self.timers.push(Reverse((at, Timer::Deadline(request))));
+    }
+
+    /// Fails a request at its deadline and ends its open attempts as timed out. Before the deadline, sets a new
+    /// timer instead.
     fn expire(&mut self, now: Nanos, request: RequestId, commands: &mut Vec<Command<M, A>>) {
         let Some(entry) = self.active.get(&request) else { return };
-        let deadline = self.deadline_of(entry);
-        if entry.is_awaited && deadline > now {
-            return self.timers.push(Reverse((deadline, Timer::Deadline(request))));
+        let due_at = match entry.is_awaited {
+            true => self.deadline_of(now, entry),
+            false => self.deadline_of(now, entry).min(entry.give_up_at),
+        };
+        if due_at > now {
+            return self.set_deadline_timer(now, request);
         }
         // Answered before the attempts end: at a shutdown the balancer still assumes the original deadline
         // and would retry.
--- a/crates/engine/tests/request_ids.rs
+++ b/crates/engine/tests/request_ids.rs
@@ -3,7 +3,7 @@
 use corkhollow_balance::interface::{
     Ending, ListKind, Nanos, Request, RequestId, Server, ServerId, Settings,
 };
-use corkhollow_engine::{AttemptId, Command, RequestMessage, Requests, ID_RETENTION};
+use corkhollow_engine::{AttemptId, Command, RequestMessage, Requests, UploadDeadline, ID_RETENTION};
 
 const MS: Nanos = 1_000_000;
 const TIMEOUT: Nanos = 800 * MS;
@@ -17,7 +17,7 @@
     fn is_body_consumed(&self) -> bool {
         false
     }
-    fn deadline(&self, _: Nanos) -> Option<Nanos> {
+    fn upload_deadline(&self, _: Nanos, _: Nanos) -> Option<UploadDeadline> {
         None
     }
 }
--- a/crates/laboratory/src/histories.rs
+++ b/crates/laboratory/src/histories.rs
@@ -4,7 +4,7 @@
 //! same history.
 
 use corkhollow_balance::interface::*;
-use corkhollow_engine::{AttemptId, Command, FinalAnswer, RequestMessage, Requests};
+use corkhollow_engine::{AttemptId, Command, FinalAnswer, RequestMessage, Requests, UploadDeadline};
 use rand_core::{RngCore, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
@@ -32,7 +32,7 @@
     fn is_body_consumed(&self) -> bool {
         false
     }
-    fn deadline(&self, _: Nanos) -> Option<Nanos> {
+    fn upload_deadline(&self, _: Nanos, _: Nanos) -> Option<UploadDeadline> {
         None
     }
 }
