Notice the end of a request's body however it ends

Cause: the end of a streamed body was noted only when another frame was asked for. hyper asks for none after a trailer, nor after frames that were read ahead if nothing follows them, as with a short body that the memory for bodies has no room for. And where a server does not read, the rest of the body stays in the kernel, and the node took it for still on its way.

Change: StreamedBody looks at each frame that it hands out, and at its end when it is made. A body with a length has arrived when the kernel holds its rest (FIONREAD, through rustix, which was in the lock file already).

--- a/crates/proxy/src/http1/general.rs
+++ b/crates/proxy/src/http1/general.rs
@@ -179,6 +179,7 @@
                 min_pace: None,
                 forward_stall_timeout: Duration::from_nanos(limits.stall_timeout),
                 returns_unread: false,
+                forwards_trailers: true,
                 awaits_continue,
             };
             let Some(body) = body.take() else { return Err(Problem::malformed("no body")) };
--- a/crates/proxy/src/http1/upload.rs
+++ b/crates/proxy/src/http1/upload.rs
@@ -4,7 +4,8 @@
 use super::close_policy::RequestStage;
 use bytes::Bytes;
 use corkhollow_engine::{
-    BodyBuffer, BodyFrame, BufferedBody, ClientBody, Clock, IncompleteBody, Payload, Upload, UploadProgress,
+    ArrivalProbe, BodyBuffer, BodyFrame, BufferedBody, ClientBody, Clock, IncompleteBody, Payload, Upload,
+    UploadProgress,
 };
 use corkhollow_plan::limits::{Budget, Lease};
 use http_body_util::BodyExt;
@@ -13,7 +14,7 @@
 use std::future::Future;
 use std::pin::Pin;
 use std::rc::Rc;
-use std::task::{Context, Poll};
+use std::task::{ready, Context, Poll};
 use std::time::Duration;
 use tokio::time::{sleep, timeout, timeout_at, Instant, Sleep};
 
@@ -43,6 +44,8 @@
     pub returns_unread: bool,
     /// Longest time without progress on the way to a server; at least `stall_timeout`.
     pub forward_stall_timeout: Duration,
+    /// Whether trailers are forwarded; otherwise they are dropped.
+    pub forwards_trailers: bool,
     /// Whether to read nothing until a server asks for the body (`Expect: 100-continue`).
     pub awaits_continue: bool,
 }
@@ -90,6 +93,7 @@
     if body.size_hint().lower() > limits.max_bytes {
         return Err(UploadError::TooLarge);
     }
+    let body_length = body.size_hint().exact();
     let started_at = Instant::now();
     let mut read_frames = VecDeque::new();
     let (mut received_bytes, mut read_lease) = (0, None);
@@ -105,6 +109,9 @@
             if received_bytes > limits.max_bytes {
                 return Err(UploadError::TooLarge);
             }
+            if frame.is_trailers() && !limits.forwards_trailers {
+                continue;
+            }
             let fits = |data: &Bytes| buffer.len() + data.len() as u64 <= limits.max_buffered_bytes;
             if frame.data_ref().is_some_and(fits) {
                 let data = frame.into_data().unwrap_or_default();
@@ -121,7 +128,11 @@
         read_lease = Some(lease);
         buffered.into_iter().rev().for_each(|data| read_frames.push_front(Frame::data(data)));
     }
-    let progress = Rc::new(UploadProgress::new(clock.now(), limits.forward_stall_timeout));
+    let progress = UploadProgress::new(clock.now(), limits.forward_stall_timeout);
+    let progress = Rc::new(match body_length {
+        Some(length) => progress.with_arrival_probe(arrival_probe(client, length)),
+        None => progress,
+    });
     let streamed_body = StreamedBody {
         read_frames,
         read_lease,
@@ -135,10 +146,19 @@
         stall_timer: Box::pin(sleep(limits.stall_timeout)),
         stall_timer_armed: false,
     };
+    if streamed_body.is_drained() || streamed_body.read_frames.back().is_some_and(Frame::is_trailers) {
+        streamed_body.mark_ended(false);
+    }
     let body: ClientBody = Box::pin(streamed_body);
     Ok(Payload::Stream(Upload::new(body, progress)))
 }
 
+/// Tells whether all of a request whose body has this length has reached this machine.
+fn arrival_probe(client: &Rc<ClientConnection>, body_length: u64) -> ArrivalProbe {
+    let client = client.clone();
+    ArrivalProbe::new(move || client.socket.has_received_message(body_length))
+}
+
 /// A request body streamed from the client: frames already read, then the rest as it arrives.
 struct StreamedBody {
     read_frames: VecDeque<Frame<Bytes>>,
@@ -158,6 +178,36 @@
 }
 
 impl StreamedBody {
+    /// The next frame, from those already read or from the connection, within the client's time for it.
+    fn poll_next(&mut self, cx: &mut Context<'_>) -> Poll<Option<BodyFrame>> {
+        if let Some(frame) = self.read_frames.pop_front() {
+            return Poll::Ready(Some(Ok(frame)));
+        }
+        self.read_lease = None;
+        let Some(body) = &mut self.body else { return Poll::Ready(Some(Err(IncompleteBody))) };
+        if let Poll::Ready(frame) = Pin::new(body).poll_frame(cx) {
+            self.stall_timer_armed = false;
+            self.received_bytes +=
+                frame.as_ref().and_then(|frame| frame.as_ref().ok()).map_or(0, frame_bytes);
+            return Poll::Ready(frame.map(|frame| frame.map_err(|_| IncompleteBody)));
+        }
+        if !std::mem::replace(&mut self.stall_timer_armed, true) {
+            let deadline = next_frame_deadline(&self.limits, self.started_at, self.received_bytes);
+            self.stall_timer.as_mut().reset(deadline);
+        }
+        self.stall_timer.as_mut().poll(cx).map(|()| Some(Err(IncompleteBody)))
+    }
+
+    /// Whether the connection has no further frame of the body.
+    fn is_drained(&self) -> bool {
+        self.body.as_ref().is_none_or(Incoming::is_end_stream)
+    }
+
+    /// Whether the body ends with this frame, which has just been taken. Nobody asks for another frame then.
+    fn is_last(&self, frame: &Frame<Bytes>) -> bool {
+        frame.is_trailers() || (self.read_frames.is_empty() && self.is_drained())
+    }
+
     /// Handles the end of the body. Returns false if the client has already left: the body must then not be
     /// completed towards the server, which would start to process the request.
     fn finish(&self) -> bool {
@@ -222,6 +272,7 @@
         forward_stall_timeout: DISCARD_TIMEOUT,
         min_pace: None,
         returns_unread: false,
+        forwards_trailers: false,
         awaits_continue: false,
     };
     timeout(DISCARD_TIMEOUT, discard_body(unread_body, &limits)).await.unwrap_or(false)
@@ -233,54 +284,25 @@
 
     fn poll_frame(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<Option<BodyFrame>> {
         let this = self.get_mut();
-        if let Some(frame) = this.read_frames.pop_front() {
-            this.progress.record_forwarded(this.clock.now(), frame_bytes(&frame));
-            return Poll::Ready(Some(Ok(frame)));
+        let frame = ready!(this.poll_next(cx));
+        if let Some(Ok(frame)) = &frame {
+            this.progress.record_forwarded(this.clock.now(), frame_bytes(frame));
         }
-        this.read_lease = None;
-        let Some(body) = &mut this.body else { return Poll::Ready(Some(Err(IncompleteBody))) };
-        match Pin::new(&mut *body).poll_frame(cx) {
-            Poll::Ready(Some(Ok(frame))) => {
-                let is_last_frame = body.is_end_stream();
-                this.stall_timer_armed = false;
-                this.progress.record_forwarded(this.clock.now(), frame_bytes(&frame));
-                this.received_bytes += frame_bytes(&frame);
-                if this.received_bytes > this.limits.max_bytes {
-                    this.mark_ended(true);
-                    return Poll::Ready(Some(Err(IncompleteBody)));
-                }
-                if is_last_frame && !this.finish() {
-                    return Poll::Ready(Some(Err(IncompleteBody)));
-                }
-                Poll::Ready(Some(Ok(frame)))
-            }
-            Poll::Ready(Some(Err(_))) => {
-                this.mark_ended(true);
-                Poll::Ready(Some(Err(IncompleteBody)))
-            }
-            Poll::Ready(None) => match this.finish() {
-                true => Poll::Ready(None),
-                false => Poll::Ready(Some(Err(IncompleteBody))),
-            },
-            Poll::Pending => {
-                if !std::mem::replace(&mut this.stall_timer_armed, true) {
-                    this.stall_timer.as_mut().reset(next_frame_deadline(
-                        &this.limits,
-                        this.started_at,
-                        this.received_bytes,
-                    ));
-                }
-                if this.stall_timer.as_mut().poll(cx).is_ready() {
-                    this.mark_ended(true);
-                    return Poll::Ready(Some(Err(IncompleteBody)));
-                }
-                Poll::Pending
-            }
+        let is_intact = match &frame {
+            Some(Ok(_)) if this.received_bytes > this.limits.max_bytes => false,
+            Some(Ok(last)) if !this.is_last(last) => return Poll::Ready(frame),
+            Some(Ok(_)) | None => this.finish(),
+            Some(Err(_)) => false,
+        };
+        if !is_intact {
+            this.mark_ended(true);
+            return Poll::Ready(Some(Err(IncompleteBody)));
         }
+        Poll::Ready(frame)
     }
 
     fn is_end_stream(&self) -> bool {
-        self.read_frames.is_empty() && self.body.as_ref().is_none_or(Incoming::is_end_stream)
+        self.read_frames.is_empty() && self.is_drained()
     }
 
     fn size_hint(&self) -> SizeHint {
--- a/crates/proxy/src/socket.rs
+++ b/crates/proxy/src/socket.rs
@@ -271,6 +271,15 @@
         }
     }
 
+    /// Whether all of the current message, whose body has this length, has reached this machine: it has been
+    /// read, or the kernel holds the rest of it. False if that is not known.
+    pub fn has_received_message(&self, body_bytes: u64) -> bool {
+        let Some(head_end) = self.head_end.get() else { return false };
+        let unread = rustix::io::ioctl_fionread(&*self.stream.borrow()).unwrap_or(0);
+        let arrived = self.received.get() + self.read_ahead.borrow().len() as u64 + unread;
+        arrived >= head_end + body_bytes
+    }
+
     /// Whether the kernel holds unread bytes.
     pub fn has_unread_bytes(&self) -> bool {
         let mut byte = [MaybeUninit::uninit()];
