Answer a client that stops in the middle of a long body without a second wait

What callers saw: a client that stops in the middle of a body that is passed on gets its answer and the close after 4.4 s, where 3 s is the limit.

Cause: the time for its next bytes ran twice: on the way to the server, and once more when the rest of the body was discarded before the answer.

Change: nothing is discarded for a client whose body has failed.

Evidence: the new test on the code before: 4.40 s for a body with a length. It passes now for all three framings.

--- a/crates/corkhollow/tests/upload_deadlines.rs
+++ b/crates/corkhollow/tests/upload_deadlines.rs
@@ -168,3 +168,23 @@
     });
     drop(unfinished);
 }
+
+/// Guards against a client that holds its place for twice the time: when it stopped in the middle of a long body,
+/// the node waited for the rest once for the server and once more before its answer.
+#[test]
+fn a_client_that_stops_in_the_middle_of_a_long_body_is_disconnected_in_time() {
+    const MAX_TIME: Duration = Duration::from_secs(3);
+    let servers = Servers::new(1, |_, _| Reply::NoAnswer);
+    let (node, _discovery) = start_node(&servers.addresses);
+    for framing in FRAMINGS {
+        let mut client = node.connect();
+        let (first, _) = request_in_parts(framing, &[b'x'; LONG_BODY_BYTES]);
+        let connected_at = Instant::now();
+        client.write_all(&first).unwrap();
+        let answer = read_message(&mut client).expect("the client gets an error");
+        assert!(answer.status() >= 400, "{framing:?}: {}", answer.head);
+        assert_eq!(client.read(&mut [0]).unwrap(), 0, "{framing:?}: the connection is closed");
+        assert!(connected_at.elapsed() < MAX_TIME, "{framing:?}: {:?}", connected_at.elapsed());
+    }
+    assert_eq!(servers.request_count(), 0);
+}
--- a/crates/proxy/src/http1/platform.rs
+++ b/crates/proxy/src/http1/platform.rs
@@ -150,6 +150,7 @@
         _ => head.uri,
     };
     let message = Message { method: head.method, uri, headers, payload, deadline, interim_handler: None };
+    let upload_progress = message.upload().map(|upload| upload.progress.clone());
     pool.wait_for_servers().await;
     let Some(mut pending_answer) = pool.engine.submit(Some(id), request, message) else {
         return with_connection_close(text_response(
@@ -164,8 +165,10 @@
     client.answered_request.replace(Some(pending_answer));
     // The body has been read to its end, or its unread remainder has been returned to the connection.
     let unread_body = client.unread_body.take();
+    // A client that stopped in the middle of its body has had its time for the rest.
+    let client_failed = upload_progress.is_some_and(|progress| progress.client_failed.get());
     let body_consumed = match unread_body {
-        Some(unread_body) => upload::discard_body(unread_body, &limits).await,
+        Some(unread_body) => !client_failed && upload::discard_body(unread_body, &limits).await,
         None => true,
     };
     let response = match answer {
