Give no answer to a request that its server cannot have read

Cause: a server without TCP_NODELAY holds a second answer back until the first is acknowledged. The kernel here delays that by up to 40 ms, longer than a connection rests; the next request carried the acknowledgement, and the second answer came right behind it.

Change: what a server sends is acknowledged when it is read. Bytes that have arrived before a request's first byte is written end the connection, and a 200 of the platform that began before its request was written whole is not passed on. For that a chunked upload counts as written with its last chunk, no longer with its head.

Evidence: on the code before, the two new tests of a process fail (a foreign answer at the third request; the early answer is passed on).

--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -7,9 +7,14 @@
 #[cfg(test)]
 mod body_tests;
 pub mod class_indexes;
+#[cfg(test)]
+mod early_answer_tests;
 pub mod fleet;
 mod headers;
 pub mod http1;
 pub mod operator;
 mod socket;
 pub mod upstream;
+mod write_progress;
+#[cfg(test)]
+mod write_progress_tests;
--- a/crates/proxy/src/socket.rs
+++ b/crates/proxy/src/socket.rs
@@ -1,6 +1,7 @@
 //! A TCP connection shared between hyper, which reads and writes it, and the node, which observes its
 //! traffic.
 
+use crate::write_progress::{BodyFraming, WriteProgress};
 use corkhollow_operate::IntCounter;
 use memchr::memmem;
 use std::cell::{Cell, RefCell};
@@ -31,7 +32,12 @@
     pub had_traffic: Cell<bool>,
     /// Bytes written since the first byte of the current message arrived.
     pub written_bytes: Cell<u64>,
+    /// Of the current request, on a connection to a server.
     write_progress: Cell<WriteProgress>,
+    /// Whether the connection is one to a server.
+    is_upstream: bool,
+    /// Whether bytes of an answer arrived before the request was written.
+    answered_early: Cell<bool>,
     /// When the last byte of the request was written.
     written_at: Cell<Option<Instant>>,
     /// Counts a request once its last byte is written.
@@ -63,40 +69,18 @@
 
 const HEAD_END: &[u8] = b"\r\n\r\n";
 
-/// Tracks how much of a request has been handed to the kernel. Until the last byte is, the server cannot have
-/// processed the request, and even a request that is not idempotent may be sent again.
-#[derive(Clone, Copy, Debug, Default)]
-struct WriteProgress {
-    /// Bytes seen of the blank line that ends the head: 4 once the head is written.
-    blank_line_bytes: u8,
-    body_bytes_left: u64,
-}
-
-impl WriteProgress {
-    /// Whether head and body are written.
-    fn is_complete(&self) -> bool {
-        self.blank_line_bytes == 4 && self.body_bytes_left == 0
+impl Socket {
+    /// A connection to a client.
+    pub fn new(stream: TcpStream) -> Rc<Self> {
+        Self::with_role(stream, false)
     }
 
-    fn record(&mut self, bytes: &[u8]) {
-        let mut at = 0;
-        // The head ends with its blank line; only what follows is body.
-        while at < bytes.len() && self.blank_line_bytes < 4 {
-            self.blank_line_bytes = match (bytes[at], self.blank_line_bytes) {
-                (b'\r', 2) => 3,
-                (b'\r', _) => 1,
-                (b'\n', 1) => 2,
-                (b'\n', 3) => 4,
-                _ => 0,
-            };
-            at += 1;
-        }
-        self.body_bytes_left = self.body_bytes_left.saturating_sub((bytes.len() - at) as u64);
+    /// A connection to a server.
+    pub fn new_upstream(stream: TcpStream) -> Rc<Self> {
+        Self::with_role(stream, true)
     }
-}
 
-impl Socket {
-    pub fn new(stream: TcpStream) -> Rc<Self> {
+    fn with_role(stream: TcpStream, is_upstream: bool) -> Rc<Self> {
         let _ = stream.set_nodelay(true);
         let _ = socket2::SockRef::from(&stream).set_tcp_notsent_lowat(MAX_UNSENT_BYTES);
         Rc::new(Socket {
@@ -104,7 +88,9 @@
             first_byte_at: Cell::new(None),
             had_traffic: Cell::new(true),
             written_bytes: Cell::default(),
-            write_progress: Cell::default(),
+            write_progress: Cell::new(WriteProgress::new(BodyFraming::Length(0))),
+            is_upstream,
+            answered_early: Cell::new(false),
             written_at: Cell::default(),
             forwards: RefCell::default(),
             flushed: Cell::new(true),
@@ -122,6 +108,8 @@
         self.had_traffic.set(true);
         let mut head = self.head.borrow_mut();
         if self.first_byte_at.get().is_none() {
+            let is_early = self.is_upstream && !self.is_request_written();
+            self.answered_early.set(is_early || self.answered_early.get());
             self.first_byte_at.set(Some(Instant::now()));
             self.written_bytes.set(0);
             head.clear();
@@ -179,11 +167,12 @@
         memchr::memchr_iter(b'\n', &head).any(|k| k == 0 || head[k - 1] != b'\r')
     }
 
-    /// Starts to track a request that is about to be written, with a body of this length.
-    pub fn begin_request(&self, body_bytes: u64, forwards: IntCounter) {
+    /// Starts to track a request that is about to be written.
+    pub fn begin_request(&self, framing: BodyFraming, forwards: IntCounter) {
         self.forwards.replace(Some(forwards));
         self.written_at.set(None);
-        self.write_progress.set(WriteProgress { body_bytes_left: body_bytes, ..WriteProgress::default() });
+        self.answered_early.set(false);
+        self.write_progress.set(WriteProgress::new(framing));
         // Bytes received from here on belong to the answer.
         self.first_byte_at.set(None);
     }
@@ -193,6 +182,35 @@
         self.write_progress.get().is_complete()
     }
 
+    /// Whether bytes of an answer had arrived before the request was written: its server cannot have read all of
+    /// it by then, and the answer is not one to it.
+    pub fn was_answered_early(&self) -> bool {
+        self.answered_early.get()
+    }
+
+    /// Notes whether bytes of an answer have arrived before the next byte of the request is written.
+    ///
+    /// # Errors
+    /// If they have and nothing of the request is written yet: the connection cannot carry it.
+    fn check_unread_before_write(&self) -> io::Result<()> {
+        if !self.is_upstream || self.is_request_written() || !self.has_unread_bytes() {
+            return Ok(());
+        }
+        self.answered_early.set(true);
+        match self.write_progress.get().has_begun() {
+            true => Ok(()),
+            false => Err(io::Error::new(io::ErrorKind::ConnectionReset, "bytes that no request asked for")),
+        }
+    }
+
+    /// Acknowledges what has been read from a server. The kernel may delay that by 40 ms, and by default the server
+    /// holds back what it writes until then: bytes that no request asked for would come with the next request.
+    fn acknowledge(&self) {
+        if self.is_upstream {
+            let _ = socket2::SockRef::from(&*self.stream.borrow()).set_tcp_quickack(true);
+        }
+    }
+
     /// The time since the last byte of the request was written; `None` if it is not.
     pub fn time_since_written(&self) -> Option<Duration> {
         self.written_at.get().map(|at| at.elapsed())
@@ -331,6 +349,7 @@
         let bytes_read = &buf.filled()[before..];
         if !bytes_read.is_empty() {
             self.0.record_received(bytes_read);
+            self.0.acknowledge();
         }
         Poll::Ready(Ok(()))
     }
@@ -347,6 +366,7 @@
         slices: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
         ready!(self.0.poll_write_own_message(cx))?;
+        self.0.check_unread_before_write()?;
         self.0.flushed.set(false);
         let written = ready!(Pin::new(&mut *self.0.stream.borrow_mut()).poll_write_vectored(cx, slices))?;
         self.0.had_traffic.set(true);
@@ -385,22 +405,6 @@
 mod tests {
     use super::*;
 
-    #[test]
-    fn a_request_is_complete_with_its_last_byte_however_the_writes_are_split() {
-        for body in [&b""[..], b"body\r\n\r\nwith a blank line"] {
-            let request = [&b"POST / HTTP/1.1\r\nA: b\r\n\r\n"[..], body].concat();
-            for step in 1..=request.len() {
-                let mut out =
-                    WriteProgress { body_bytes_left: body.len() as u64, ..WriteProgress::default() };
-                for (k, part) in request.chunks(step).enumerate() {
-                    assert!(!out.is_complete(), "{} of {} bytes", k * step, request.len());
-                    out.record(part);
-                }
-                assert!(out.is_complete(), "all of {} bytes, {step} at a time", request.len());
-            }
-        }
-    }
-
     /// A close of an idle connection must be noticed before the runtime is notified of it.
     #[tokio::test]
     async fn a_connection_that_the_peer_has_closed_is_not_quiet() {
--- a/crates/proxy/src/upstream/attempt.rs
+++ b/crates/proxy/src/upstream/attempt.rs
@@ -6,6 +6,7 @@
 use crate::body::{BufferedBodyReader, RequestBody};
 use crate::headers::TIMEOUT_MS;
 use crate::socket::Socket;
+use crate::write_progress::BodyFraming;
 use corkhollow_balance::interface::{Ending, Nanos, ServerId};
 use corkhollow_engine::{AttemptId, ClientBody, Engine, Message, Payload};
 use corkhollow_plan::plan::Dialect;
@@ -107,12 +108,14 @@
         *attempt_socket.borrow_mut() = Some(connection.socket.clone());
         // A server of the platform starts to process a request when it has the last byte; any other server
         // may start when it has the head.
-        let body_bytes = match (&message.payload, upstreams.dialect) {
-            (Payload::Buffered(body), Dialect::Platform) => body.len(),
-            (Payload::Stream(_), Dialect::Platform) => declared_length(message),
-            _ => 0,
+        let framing = match (&message.payload, upstreams.dialect) {
+            (Payload::Buffered(body), Dialect::Platform) => BodyFraming::Length(body.len()),
+            (Payload::Stream(_), Dialect::Platform) => {
+                declared_length(message).map_or(BodyFraming::Chunked, BodyFraming::Length)
+            }
+            _ => BodyFraming::Length(0),
         };
-        connection.socket.begin_request(body_bytes, upstreams.forwards.clone());
+        connection.socket.begin_request(framing, upstreams.forwards.clone());
         let socket = connection.socket.clone();
         let mut awaits_write = message.upload().is_some();
         let mut response = pin!(connection.sender.try_send_request(request));
@@ -131,6 +134,12 @@
             polled
         });
         return match connection.drive(response).await {
+            // The server cannot have read the request: the answer is another one's. Without its last byte the
+            // request does not run.
+            Ok(response) if is_premature(upstreams, &response, &socket) => {
+                upstreams.with_servers(|servers| servers.record_surplus(upstreams.clock.now()));
+                Err(if socket.is_request_written() { Ending::Reset } else { Ending::ConnectFailed })
+            }
             Ok(response) => {
                 let now = upstreams.clock.now();
                 upstreams.with_servers(|servers| servers.idle_lifetime.record_use(now, idle_for, false));
@@ -174,6 +183,14 @@
     }
 }
 
+/// Whether an answer of the platform came before its request was written. A server may turn a request away
+/// before it has all of it; it begins to process a request only with the last byte.
+fn is_premature(upstreams: &Upstreams, response: &Response<Incoming>, socket: &Socket) -> bool {
+    upstreams.dialect == Dialect::Platform
+        && response.status() == StatusCode::OK
+        && socket.was_answered_early()
+}
+
 /// Forwards the answer in the server's dialect; true if the connection was read to the answer's end.
 async fn forward_answer(
     upstreams: &Upstreams,
@@ -192,11 +209,9 @@
     }
 }
 
-/// The body length from the client's `Content-Length`, or 0 without one.
-fn declared_length(message: &Message) -> u64 {
-    let length =
-        message.headers.get(header::CONTENT_LENGTH).and_then(|length| length.to_str().ok()?.parse().ok());
-    length.unwrap_or(0)
+/// The body length from the client's `Content-Length`, if there is one.
+fn declared_length(message: &Message) -> Option<u64> {
+    message.headers.get(header::CONTENT_LENGTH)?.to_str().ok()?.parse().ok()
 }
 
 /// Builds the request to send to the server; `None` if another attempt has taken the body.
--- a/crates/proxy/src/upstream/connection.rs
+++ b/crates/proxy/src/upstream/connection.rs
@@ -145,7 +145,7 @@
             Ok(Err(error)) if is_out_of_descriptors(&error) => return Err(ConnectError::NoCapacity),
             Ok(Err(_)) | Err(_) => return Err(ConnectError::Failed),
         };
-    let socket = Socket::new(stream);
+    let socket = Socket::new_upstream(stream);
     let mut builder = http1::Builder::new();
     builder.max_buf_size(upstreams.read_buffer_bytes);
     let handshake = builder.handshake(TokioIo::new(SocketIo(socket.clone()))).await;
--- a/crates/proxy/src/upstream/servers.rs
+++ b/crates/proxy/src/upstream/servers.rs
@@ -245,7 +245,7 @@
     async fn connection() -> (ServerConnection, std::net::TcpStream, SocketAddr) {
         let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
         let address = listener.local_addr().unwrap();
-        let socket = Socket::new(TcpStream::connect(address).await.unwrap());
+        let socket = Socket::new_upstream(TcpStream::connect(address).await.unwrap());
         let peer = listener.accept().unwrap().0;
         let io = TokioIo::new(SocketIo(socket.clone()));
         let (sender, driver) = http1::handshake::<_, crate::body::RequestBody>(io).await.unwrap();
