Count what connections and heads take in a node's memory

What users saw: with hundreds of clients at once that wrote slowly, stopped half way through a request, sent many short fields or read long answers slowly, a process passed its memory limit and was killed.

Cause: bodies had a budget of a third of the memory, and connections none but the number of descriptors. A client connection took 19 kB idle, a head of 95 fields 30 kB and its read buffer, a connection to a server 25 kB, and a message on its way five read buffers.

Change: heads are stored in one block, a connection has no buffers before it needs them, and nothing is read from a server before there is room for it. On the platform a node with little memory for each descriptor has smaller buffers and accepts fewer clients, a third of the descriptors at the least. The budget shares what the program and the clients leave between bodies, connections to servers and exchanges; a request without room is refused. The file of ids that an upgrade shares grows to 2 MiB at most, as files count as memory.

--- a/crates/corkhollow/src/commands/run.rs
+++ b/crates/corkhollow/src/commands/run.rs
@@ -269,8 +269,8 @@
     let clock = Clock::start();
     let locks = locks.map(Rc::new);
     let fleet_descriptors = if plan.fleet.is_some() { membership::FLEET_DESCRIPTORS } else { 0 };
-    let budget =
-        Budget::new(plan.limits.descriptors.saturating_sub(fleet_descriptors), plan.limits.memory_bytes);
+    let descriptors = plan.limits.descriptors.saturating_sub(fleet_descriptors);
+    let budget = Budget::new(descriptors, plan.limits.memory_bytes, plan.limits.read_buffer_bytes());
     let metrics = Metrics::new()?;
     let context =
         PoolContext { clock, budget: budget.clone(), metrics: metrics.clone(), engines: Engines::default() };
--- a/crates/corkhollow/src/request_id_log.rs
+++ b/crates/corkhollow/src/request_id_log.rs
@@ -11,6 +11,8 @@
 
 /// A record: the process and the key of the id, both `u64`, big endian.
 const RECORD_BYTES: usize = 16;
+/// The file grows no longer than this. Where files count as memory it is a part of the node's.
+const MAX_FILE_BYTES: u64 = 2 << 20;
 /// Records read in one call.
 const RECORDS_PER_READ: usize = 256;
 
@@ -52,6 +54,9 @@
 
     /// Appends a record and reads up to it; adds the keys of other processes to `others`.
     fn append_and_read(&mut self, key: RequestKey, others: &mut Vec<RequestKey>) -> io::Result<()> {
+        if self.offset >= MAX_FILE_BYTES {
+            return Err(io::ErrorKind::FileTooLarge.into());
+        }
         // One call, so that no other record comes in between.
         let written = self.file.write(&encode(self.process, key))?;
         if written != RECORD_BYTES {
--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -12,6 +12,7 @@
 mod request_ids;
 mod requests;
 pub mod rules;
+mod stored_headers;
 
 pub use body::{BodyBuffer, BufferedBody};
 pub use clock::Clock;
@@ -23,3 +24,4 @@
 };
 pub use request_ids::{RequestKey, SharedIds, ID_RETENTION};
 pub use requests::{Command, DiscoveryCall, FinalAnswer, RequestMessage, Requests, UploadDeadline};
+pub use stored_headers::StoredHeaders;
--- a/crates/engine/src/message.rs
+++ b/crates/engine/src/message.rs
@@ -2,6 +2,7 @@
 //! [`Transport`](crate::Transport).
 
 use crate::body::BufferedBody;
+use crate::stored_headers::StoredHeaders;
 use bytes::Bytes;
 use corkhollow_balance::interface::{Nanos, RequestId};
 use corkhollow_plan::limits::write_stall_timeout;
@@ -21,7 +22,7 @@
     /// Path and query.
     pub uri: Uri,
     /// The end-to-end headers; hop-by-hop headers are removed.
-    pub headers: HeaderMap,
+    pub headers: StoredHeaders,
     /// The request body.
     pub payload: Payload,
     /// When the client gives up waiting.
--- a/crates/plan/src/limits.rs
+++ b/crates/plan/src/limits.rs
@@ -18,6 +18,27 @@
 /// allocator's headers.
 const BLOCK_OVERHEAD_BYTES: usize = 128;
 
+/// What a process takes without any connection: its program and what the runtime and the pools begin with.
+const BASE_MEMORY_BYTES: usize = 8 << 20;
+/// What a client connection takes beside its buffers.
+const CLIENT_CONNECTION_BYTES: usize = 12 << 10;
+/// How many read buffers' worth of a request a client connection holds at most: what is being read, and what waits to be
+/// taken.
+const BUFFERS_PER_CLIENT: usize = 2;
+/// The fraction of the memory that client connections may take. On a node with little memory for each descriptor it
+/// limits their number, to no less than a third of the descriptors.
+const CLIENT_MEMORY_FRACTION: f64 = 0.33;
+/// What a header field takes while its request is under way, beside its bytes: the field as stored, and as parsed for a
+/// server.
+pub const HEADER_FIELD_BYTES: usize = 320;
+/// What a connection to a server takes beside its read buffer: most of it are the HTTP library's queues.
+const SERVER_CONNECTION_BYTES: usize = 28 << 10;
+/// How many read buffers' worth of a message is on its way between two connections at most: in the two queues between
+/// them and in the write queue, which is flushed once it holds more than one.
+const BUFFERS_PER_EXCHANGE: usize = 4;
+/// However little memory there is, this many exchanges with servers have room.
+const MIN_EXCHANGES: usize = 8;
+
 /// The fraction of the body memory that large bodies may use; the rest is reserved for small ones.
 const LARGE_BODY_FRACTION: f64 = 0.75;
 /// A body whose declared length is at most this is small. With overhead it may use up to twice as much.
@@ -39,51 +60,95 @@
     clients: usize,
     servers: usize,
     bytes: usize,
+    /// What bodies and connections to servers may take together.
+    shared_bytes: usize,
 }
 
-/// Counts connections and body bytes in use, and limits them.
+/// Counts connections, exchanges with servers and body bytes in use, and limits them. Bodies, connections to servers and
+/// exchanges share the memory that the program and the client connections leave.
 #[derive(Debug)]
 pub struct Budget {
+    memory_bytes: usize,
+    /// What a client connection takes.
+    client_bytes: usize,
+    /// What a connection to a server takes.
+    server_bytes: usize,
+    /// What a message takes that is passed on between a client and a server.
+    exchange_bytes: usize,
     /// The limits that the configuration allows.
     configured: BudgetLimits,
     /// The limits in force; see [`Budget::set_limit_share`].
     limits: Cell<BudgetLimits>,
     clients: Cell<usize>,
     servers: Cell<usize>,
+    exchanges: Cell<usize>,
     bytes: Cell<usize>,
 }
 
 impl Budget {
-    /// Divides descriptors and memory between clients, servers and bodies.
-    pub fn new(descriptors: usize, memory_bytes: u64) -> Rc<Self> {
+    /// Divides descriptors and memory between clients, servers and bodies. `read_buffer_bytes` is the size of a
+    /// connection's read buffer.
+    pub fn new(descriptors: usize, memory_bytes: u64, read_buffer_bytes: usize) -> Rc<Self> {
         let available = descriptors.saturating_sub(RESERVED_DESCRIPTORS).max(8);
-        // An eighth of the client connections is reserved for clients that are refused with an answer.
+        let client_bytes = CLIENT_CONNECTION_BYTES + BUFFERS_PER_CLIENT * read_buffer_bytes;
         let clients = (available as f64 * CLIENT_FRACTION) as usize;
-        let configured = BudgetLimits {
-            clients: (clients - clients / 8).max(1),
-            servers: available - clients,
-            bytes: (memory_bytes as f64 * BODY_MEMORY_FRACTION) as usize,
-        };
-        Rc::new(Budget {
-            configured,
-            limits: Cell::new(configured),
+        let servers = available - clients;
+        let clients_in_memory = (memory_bytes as f64 * CLIENT_MEMORY_FRACTION) as usize / client_bytes;
+        let clients = clients.min(clients_in_memory).max(1);
+        let mut budget = Budget {
+            memory_bytes: memory_bytes as usize,
+            server_bytes: SERVER_CONNECTION_BYTES + read_buffer_bytes,
+            exchange_bytes: BUFFERS_PER_EXCHANGE * read_buffer_bytes,
+            client_bytes,
+            configured: BudgetLimits {
+                // An eighth of the client connections is reserved for clients that are refused with an answer.
+                clients: (clients - clients / 8).max(1),
+                servers,
+                bytes: (memory_bytes as f64 * BODY_MEMORY_FRACTION) as usize,
+                shared_bytes: 0,
+            },
+            limits: Cell::new(BudgetLimits { clients: 0, servers: 0, bytes: 0, shared_bytes: 0 }),
             clients: Cell::new(0),
             servers: Cell::new(0),
+            exchanges: Cell::new(0),
             bytes: Cell::new(0),
-        })
+        };
+        let shared_bytes = budget.shared_bytes(1.0);
+        budget.configured.shared_bytes = shared_bytes;
+        // Half at least is left for exchanges with servers.
+        budget.configured.bytes = budget.configured.bytes.min(shared_bytes / 2);
+        budget.limits.set(budget.configured);
+        Rc::new(budget)
+    }
+
+    /// What is left for bodies and connections to servers of this share of the memory if all client connections are
+    /// open. The program itself is not shared.
+    fn shared_bytes(&self, share: f64) -> usize {
+        let max_clients = self.configured.clients + self.configured.clients / 8;
+        let variable_bytes = self.memory_bytes as f64 - (max_clients * self.client_bytes) as f64;
+        let left = (variable_bytes * share) as usize;
+        left.saturating_sub(BASE_MEMORY_BYTES).max(MIN_EXCHANGES * (self.server_bytes + self.exchange_bytes))
     }
 
     /// Sets the limits to a fraction of the configured ones. What is in use beyond them stays until it is released.
     pub fn set_limit_share(&self, share: f64) {
         let scale = |limit: usize| ((limit as f64 * share) as usize).max(1);
-        let BudgetLimits { clients, servers, bytes } = self.configured;
+        let BudgetLimits { clients, servers, bytes, .. } = self.configured;
         self.limits.set(BudgetLimits {
             clients: scale(clients),
             servers: scale(servers),
             bytes: scale(bytes),
+            shared_bytes: self.shared_bytes(share),
         });
     }
 
+    /// Whether the shared memory has room for this much more.
+    fn has_room(&self, more_bytes: usize) -> bool {
+        let connection_bytes = self.servers.get() * self.server_bytes;
+        let exchange_bytes = self.exchanges.get() * self.exchange_bytes;
+        self.bytes.get() + connection_bytes + exchange_bytes + more_bytes <= self.limits.get().shared_bytes
+    }
+
     /// The number of connections that may be open to servers.
     pub fn max_server_connections(&self) -> usize {
         self.limits.get().servers
@@ -109,9 +174,17 @@
         Slot::acquire(self, |b| &b.clients)
     }
 
-    /// Counts one more server connection, unless the limit is reached.
+    /// Counts one more server connection, unless the limit is reached or the memory has no room for it.
     pub fn server_slot(self: &Rc<Self>) -> Option<Slot> {
-        (self.servers.get() < self.limits.get().servers).then(|| Slot::acquire(self, |b| &b.servers))
+        let servers = self.servers.get();
+        let has_room = servers < MIN_EXCHANGES || self.has_room(self.server_bytes);
+        (servers < self.limits.get().servers && has_room).then(|| Slot::acquire(self, |b| &b.servers))
+    }
+
+    /// Counts one more exchange with a server, unless the memory has no room for it.
+    pub fn exchange_slot(self: &Rc<Self>) -> Option<Slot> {
+        let has_room = self.exchanges.get() < MIN_EXCHANGES || self.has_room(self.exchange_bytes);
+        has_room.then(|| Slot::acquire(self, |b| &b.exchanges))
     }
 
     /// The number of client connections, and its limit.
@@ -140,7 +213,7 @@
     }
 }
 
-/// A counted connection, released when dropped.
+/// A counted connection or exchange, released when dropped.
 #[derive(Debug)]
 pub struct Slot {
     budget: Rc<Budget>,
@@ -180,7 +253,10 @@
         let limit = self.budget.limits.get().bytes;
         let large_limit = (limit as f64 * LARGE_BODY_FRACTION) as usize;
         let is_small = self.is_small && held as u64 <= 2 * MAX_SMALL_BODY_BYTES;
-        if total > limit || (!is_small && held > large_limit.saturating_sub(total)) {
+        if total > limit
+            || !self.budget.has_room(cost)
+            || (!is_small && held > large_limit.saturating_sub(total))
+        {
             return false;
         }
         self.budget.bytes.set(total);
@@ -208,7 +284,7 @@
 
     #[test]
     fn two_hundred_uploads_leave_room_for_short_requests() {
-        let budget = Budget::new(1024, 48 << 20);
+        let budget = Budget::new(1024, 48 << 20, 12 << 10);
         let mut uploads: Vec<_> = (0..200).map(|_| budget.lease_for(Some(3 << 20))).collect();
         // A single upload may use all of the platform's replay buffer, a sixteenth of the memory.
         assert_eq!(grow_to(&mut uploads[0], 3 << 20), 3 << 20);
@@ -221,7 +297,7 @@
 
     #[test]
     fn released_bytes_can_be_used_again() {
-        let budget = Budget::new(1024, 48 << 20);
+        let budget = Budget::new(1024, 48 << 20, 12 << 10);
         for _ in 0..100 {
             let mut uploads: Vec<_> = (0..3).map(|_| budget.lease_for(Some(2 << 20))).collect();
             assert!(uploads.iter_mut().all(|upload| grow_to(upload, 2 << 20) == 2 << 20));
@@ -235,7 +311,7 @@
         /// After any sequence of growth and release, the total is exact and within the limits.
         #[test]
         fn body_bytes_stay_within_the_limits(steps in proptest::collection::vec((0..30usize, 0..400_000usize, any::<bool>()), 1..300)) {
-            let budget = Budget::new(1024, 32 << 20);
+            let budget = Budget::new(1024, 32 << 20, 8 << 10);
             let limit = budget.limits.get().bytes;
             let mut leases: Vec<Lease> = Vec::new();
             for (index, bytes, release) in steps {
--- a/crates/plan/src/plan.rs
+++ b/crates/plan/src/plan.rs
@@ -142,11 +142,16 @@
     /// The size of a connection's read buffer: large enough for a head, and otherwise limited by the memory that all
     /// connections share.
     pub fn read_buffer_bytes(&self) -> usize {
-        let share = self.memory_bytes / READ_BUFFER_MEMORY_DIVISOR / (self.descriptors as u64).max(1);
+        let share = connection_buffer_share(self.memory_bytes, self.descriptors);
         (share.min(MAX_READ_BUFFER_BYTES) as usize).max(self.header_bytes)
     }
 }
 
+/// The memory that a connection's read buffer may take if all descriptors are in use.
+pub(crate) fn connection_buffer_share(memory_bytes: u64, descriptors: usize) -> u64 {
+    memory_bytes / READ_BUFFER_MEMORY_DIVISOR / (descriptors as u64).max(1)
+}
+
 /// An address that clients connect to, and how their requests are read.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Listener {
--- a/crates/plan/src/platform.rs
+++ b/crates/plan/src/platform.rs
@@ -4,7 +4,10 @@
 pub use crate::raw_config::RawConfig;
 
 use crate::discovery_list::HostList;
-use crate::plan::{Dialect, Discovery, Limits as PlanLimits, Listener, Plan, Pool, RequestClass, Source};
+use crate::plan::{
+    connection_buffer_share, Dialect, Discovery, Limits as PlanLimits, Listener, Plan, Pool, RequestClass,
+    Source,
+};
 use crate::routes::{PathPattern, PathRules, Route, RouteAction, RouteTable};
 use crate::tenants::Tenants;
 use crate::version::Version;
@@ -22,6 +25,8 @@
 /// The longest head, which is also the smallest read buffer of a connection: it bounds the memory that 1,000
 /// connections hold.
 const MAX_HEADER_BYTES: usize = 16 * 1024;
+/// The longest head on a node with little memory for each descriptor: a connection's buffer holds a head.
+const MIN_HEADER_BYTES: usize = 8 * 1024;
 /// The 2 s that the platform allows a client for a head, and a margin for network delay.
 const HEADER_TIMEOUT: Nanos = 2_200_000_000;
 const CLIENT_IDLE_TIMEOUT: Nanos = 90_000_000_000;
@@ -286,7 +291,7 @@
                 descriptors: self.limits.sockets,
                 memory_bytes: self.limits.memory_mb << 20,
                 replay_buffer_bytes: (self.limits.memory_mb << 20) / REPLAY_BUFFER_MEMORY_DIVISOR,
-                header_bytes: MAX_HEADER_BYTES,
+                header_bytes: max_header_bytes(self.limits.memory_mb << 20, self.limits.sockets),
                 header_timeout: HEADER_TIMEOUT,
                 idle_timeout: CLIENT_IDLE_TIMEOUT,
                 stall_timeout: STALL_TIMEOUT,
@@ -327,6 +332,11 @@
     }
 }
 
+/// The longest head of a request or answer.
+fn max_header_bytes(memory_bytes: u64, descriptors: usize) -> usize {
+    (connection_buffer_share(memory_bytes, descriptors) as usize).clamp(MIN_HEADER_BYTES, MAX_HEADER_BYTES)
+}
+
 #[cfg(test)]
 mod tests {
     use super::*;
--- a/crates/proxy/src/http1/client_connections.rs
+++ b/crates/proxy/src/http1/client_connections.rs
@@ -217,7 +217,8 @@
         .max_buf_size(service.current_plan.get().plan.limits.read_buffer_bytes())
         .timer(hyper_util::rt::TokioTimer::new())
         .header_read_timeout(None);
-    let handler = service_fn(|request| respond(service, &client, request));
+    // Boxed, so that a connection without a request has no memory for one.
+    let handler = service_fn(|request| Box::pin(respond(service, &client, request)));
     let io = TokioIo::new(SocketIo(client.socket.clone()));
     let mut connection = pin!(builder.serve_connection(io, handler));
     let active_plan = service.current_plan.get();
@@ -261,8 +262,10 @@
     };
     service.record_close(&client, reason, false);
     if client.request_left_unread.get() {
+        // Boxed for its buffer, which few connections need.
+        let lingering_close = Box::pin(client.socket.lingering_close(LINGER_SILENCE_TIMEOUT, MAX_LINGER));
         tokio::select! {
-            () = client.socket.lingering_close(LINGER_SILENCE_TIMEOUT, MAX_LINGER) => {}
+            () = lingering_close => {}
             () = client.close_signal.notified() => {}
         }
     }
--- a/crates/proxy/src/http1/general.rs
+++ b/crates/proxy/src/http1/general.rs
@@ -10,7 +10,7 @@
 use crate::headers::strip_hop_by_hop;
 use bytes::Bytes;
 use corkhollow_balance::interface::{self, Nanos};
-use corkhollow_engine::{Answer, InterimHandler, Message, Payload};
+use corkhollow_engine::{Answer, InterimHandler, Message, Payload, StoredHeaders};
 use corkhollow_plan::plan::Listener;
 use corkhollow_plan::routes::path::normalise;
 use corkhollow_plan::routes::{Host, RequestHead, Rewrite, RouteAction};
@@ -171,6 +171,7 @@
             set_request_headers(&mut headers, listener, client, &authority, service);
             headers.insert(header::HOST, rewrite.host.clone().unwrap_or(authority));
             rewrite.request.apply(&mut headers);
+            let mut headers = StoredHeaders::new(&headers);
             let limits = &active_plan.plan.limits;
             let body_limits = upload::BodyLimits {
                 max_buffered_bytes: limits.replay_buffer_bytes,
@@ -199,10 +200,10 @@
                     UploadError::Incomplete => Problem::malformed("the body broke off or cannot be read"),
                 })?;
             if let Payload::Buffered(body) = &payload {
-                if !headers.contains_key(header::CONTENT_LENGTH) && !body.is_empty() {
-                    headers.insert(header::CONTENT_LENGTH, HeaderValue::from(body.len()));
+                if !headers.contains(&header::CONTENT_LENGTH) && !body.is_empty() {
+                    headers.push(&header::CONTENT_LENGTH, &HeaderValue::from(body.len()));
                 }
-                headers.remove(header::EXPECT);
+                headers.remove(&header::EXPECT);
             }
             let settings = &active_plan.plan.pools[*pool].settings;
             let (pool, class_indexes) = (&active_plan.pools[*pool], &active_plan.class_indexes[*pool]);
--- a/crates/proxy/src/http1/mod.rs
+++ b/crates/proxy/src/http1/mod.rs
@@ -7,6 +7,7 @@
 mod close_policy_tests;
 mod general;
 mod platform;
+mod platform_head;
 mod respond;
 mod responses;
 mod service;
--- a/crates/proxy/src/http1/platform.rs
+++ b/crates/proxy/src/http1/platform.rs
@@ -2,20 +2,20 @@
 
 use super::client_connection::ClientConnection;
 use super::close_policy::RequestStage;
+use super::platform_head::PlatformHead;
 use super::responses::with_connection_close;
 use super::service::Service;
 use super::upload::{self, BodyLimits, MinPace, UploadError};
 use crate::active_plan::ActivePlan;
 use crate::body::{AnswerBody, BufferedBodyReader};
-use crate::headers::{strip_hop_by_hop, REQUEST_ID, TIMEOUT_MS};
 use bytes::Bytes;
-use corkhollow_balance::interface::{self, Nanos, Settings};
+use corkhollow_balance::interface::{Nanos, Settings};
 use corkhollow_engine::{Answer, Message, Payload};
 use corkhollow_plan::limits::MAX_BODY_BYTES;
 use corkhollow_plan::routes::{RequestHead, RouteAction};
 use hyper::body::{Body, Incoming};
-use hyper::header::{self, HeaderMap, HeaderName, HeaderValue};
-use hyper::{Method, Request, Response, StatusCode, Uri};
+use hyper::header::{self, HeaderMap, HeaderValue};
+use hyper::{Method, Request, Response, StatusCode};
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -73,7 +73,10 @@
         forwards_trailers: false,
         awaits_continue: false,
     };
-    if client.over_limit {
+    let head = PlatformHead::parse(head, &active_plan.plan.tenants);
+    let mut head_lease = service.budget.small_lease();
+    let has_room = head.as_ref().map_or(true, |head| head_lease.grow(head.headers.memory_bytes()));
+    if client.over_limit || !has_room {
         // Answer 503 with `Retry-After`, but only after reading the body, so that the client sees the answer.
         if body.size_hint().lower() <= MAX_BODY_BYTES {
             upload::discard_body(body, &limits).await;
@@ -95,27 +98,13 @@
             return with_connection_close(text_response(StatusCode::BAD_REQUEST, "the body broke off\n"))
         }
     };
-    let mut headers = head.headers;
-    strip_hop_by_hop(&mut headers);
-    headers.remove(header::EXPECT);
-    headers.remove(header::TRAILER);
-    // Servers use the id to deduplicate requests.
-    let Some(id) = single_header(&headers, REQUEST_ID).filter(|id| !id.is_empty()).cloned() else {
-        return with_connection_close(text_response(StatusCode::BAD_REQUEST, "one X-Request-ID is needed\n"));
+    let mut head = match head {
+        Ok(head) => head,
+        Err(text) => return with_connection_close(text_response(StatusCode::BAD_REQUEST, text)),
     };
-    let max_time = settings.classes[class].give_up;
     // A timeout longer than the class allows would only hold memory.
-    let time_left =
-        match single_header(&headers, TIMEOUT_MS).map(|v| v.to_str().ok()?.trim().parse::<u64>().ok()) {
-            Some(Some(ms)) => ms.saturating_mul(1_000_000).min(max_time),
-            None if !headers.contains_key(TIMEOUT_MS) => max_time,
-            _ => {
-                return with_connection_close(text_response(
-                    StatusCode::BAD_REQUEST,
-                    "X-Timeout-Ms is no whole number\n",
-                ))
-            }
-        };
+    let max_time = settings.classes[class].give_up;
+    let time_left = head.timeout.unwrap_or(max_time).min(max_time);
     // The client's timeout includes the time that its connection spent in the backlog.
     let time_left = time_left.saturating_sub(client.effective_backlog_wait());
     client.stage.set(RequestStage::AwaitingAnswer);
@@ -123,39 +112,23 @@
     if is_buffered {
         client.mark_request_received(service.clock.now());
     }
-    let now = service.clock.now();
-    let deadline = now + time_left;
-    let number = |name: &str| headers.get(name).and_then(|v| v.to_str().ok()?.trim().parse::<f64>().ok());
-    let tenant = active_plan.plan.tenants.number(headers.get(&active_plan.plan.tenants.header));
-    let request = interface::Request {
-        class: active_plan.class_indexes[pool_index][class],
-        tenant: tenant.unwrap_or(u32::MAX),
-        key: headers.get("x-route-key").map_or(0, |k| parse_route_key(k.as_bytes())),
-        work_hint: number("x-cost").filter(|us| *us > 0.0).map(|us| (us * 1000.0) as Nanos),
-        is_retry: headers.get("x-retried").is_some_and(|v| v == "1"),
-        is_write: headers
-            .get("x-attrs")
-            .is_some_and(|v| v.to_str().unwrap_or_default().split(',').any(|a| a.trim() == "write=1")),
-        has_streaming_body: matches!(payload, Payload::Stream(_)),
-        ..interface::Request::new(0, deadline).with_limits_of(settings)
-    };
+    let deadline = service.clock.now() + time_left;
+    let request = head.request(active_plan.class_indexes[pool_index][class], deadline, !is_buffered);
+    let request = request.with_limits_of(settings);
     match &payload {
-        Payload::Buffered(body) if !headers.contains_key(header::CONTENT_LENGTH) && !body.is_empty() => {
-            headers.insert(header::CONTENT_LENGTH, HeaderValue::from(body.len()));
+        Payload::Buffered(body) if !head.headers.contains(&header::CONTENT_LENGTH) && !body.is_empty() => {
+            head.headers.push(&header::CONTENT_LENGTH, &HeaderValue::from(body.len()));
         }
         _ => {}
     }
-    let uri = match head.uri.path_and_query() {
-        Some(path) if head.uri.scheme().is_some() => Uri::from(path.clone()),
-        _ => head.uri,
-    };
-    let message = Message { method: head.method, uri, headers, payload, deadline, interim_handler: None };
+    let PlatformHead { method, uri, headers, id, .. } = head;
+    let message = Message { method, uri, headers, payload, deadline, interim_handler: None };
     let upload_progress = message.upload().map(|upload| upload.progress.clone());
     pool.wait_for_servers().await;
     let Some(mut pending_answer) = pool.engine.submit(Some(id), request, message) else {
         return with_connection_close(text_response(
             StatusCode::CONFLICT,
-            "a request with this X-Request-ID is open\n",
+            "a request with this X-Request-ID has been received\n",
         ));
     };
     let answer = pending_answer.answer().await;
@@ -191,18 +164,6 @@
     }
 }
 
-/// The value of a header that occurs exactly once; of two values, a server might use the other one.
-fn single_header(headers: &HeaderMap, name: HeaderName) -> Option<&HeaderValue> {
-    let mut values = headers.get_all(name).iter();
-    values.next().filter(|_| values.next().is_none())
-}
-
-/// Parses a hexadecimal routing key; hashes anything else.
-fn parse_route_key(text: &[u8]) -> u64 {
-    let hex = std::str::from_utf8(text).ok().and_then(|t| u64::from_str_radix(t, 16).ok());
-    hex.unwrap_or_else(|| corkhollow_plan::stable_hash(text))
-}
-
 fn server_response(headers: HeaderMap, body: AnswerBody) -> Response<AnswerBody> {
     let mut response = Response::new(body);
     *response.headers_mut() = headers;
--- a/crates/proxy/src/upstream/attempt.rs
+++ b/crates/proxy/src/upstream/attempt.rs
@@ -9,6 +9,7 @@
 use crate::write_progress::BodyFraming;
 use corkhollow_balance::interface::{Ending, Nanos, ServerId};
 use corkhollow_engine::{AttemptId, ClientBody, Engine, Message, Payload};
+use corkhollow_plan::limits::Slot;
 use corkhollow_plan::plan::Dialect;
 use hyper::body::Incoming;
 use hyper::header::{self, HeaderValue};
@@ -69,6 +70,7 @@
     message: &Rc<Message>,
     attempt_socket: &RefCell<Option<Rc<Socket>>>,
 ) -> Result<(), Ending> {
+    let _exchange_slot = acquire_exchange_slot(upstreams).ok_or(Ending::NotSent)?;
     let mut started_at = upstreams.clock.now();
     let mut reused = upstreams.with_servers(|servers| servers.checkout(server, started_at));
     if reused.is_none() {
@@ -183,6 +185,16 @@
     }
 }
 
+/// Makes room in memory for an exchange; `None` if that is not possible.
+fn acquire_exchange_slot(upstreams: &Upstreams) -> Option<Slot> {
+    loop {
+        let slot = upstreams.budget.exchange_slot();
+        if slot.is_some() || !upstreams.close_oldest_idle() {
+            return slot;
+        }
+    }
+}
+
 /// Whether an answer of the platform came before its request was written. A server may turn a request away
 /// before it has all of it; it begins to process a request only with the last byte.
 fn is_premature(upstreams: &Upstreams, response: &Response<Incoming>, socket: &Socket) -> bool {
@@ -211,7 +223,7 @@
 
 /// The body length from the client's `Content-Length`, if there is one.
 fn declared_length(message: &Message) -> Option<u64> {
-    message.headers.get(header::CONTENT_LENGTH)?.to_str().ok()?.parse().ok()
+    std::str::from_utf8(message.headers.get(&header::CONTENT_LENGTH)?).ok()?.parse().ok()
 }
 
 /// Builds the request to send to the server; `None` if another attempt has taken the body.
@@ -221,7 +233,7 @@
     now: Nanos,
     interim_answers: Option<InterimAnswers>,
 ) -> Option<Request<RequestBody>> {
-    let continue_received = message.headers.contains_key(header::EXPECT).then(|| Arc::new(Notify::new()));
+    let continue_received = message.headers.contains(&header::EXPECT).then(|| Arc::new(Notify::new()));
     let body = match &message.payload {
         Payload::Buffered(body) => RequestBody::Buffered(BufferedBodyReader::new(body.clone())),
         Payload::Stream(upload) => {
@@ -232,7 +244,7 @@
     let mut request = Request::new(body);
     *request.method_mut() = message.method.clone();
     *request.uri_mut() = message.uri.clone();
-    *request.headers_mut() = message.headers.clone();
+    *request.headers_mut() = message.headers.to_header_map();
     if upstreams.dialect == Dialect::Platform {
         let timeout_ms = message.deadline.saturating_sub(now).div_ceil(1_000_000).max(1);
         request.headers_mut().insert(TIMEOUT_MS, HeaderValue::from(timeout_ms));
--- a/crates/proxy/src/upstream/platform.rs
+++ b/crates/proxy/src/upstream/platform.rs
@@ -18,6 +18,8 @@
 
 /// Longer answers are streamed.
 const MAX_BUFFERED_BYTES: u64 = 64 * 1024;
+/// A map of header fields with room for more beyond those that it has is replaced.
+const MAX_SPARE_HEADER_FIELDS: usize = 32;
 /// A longer answer counts as broken.
 const MAX_ANSWER_BYTES: u64 = MAX_BODY_BYTES;
 /// A short answer whose body stalls for this long after the head counts as broken.
@@ -50,7 +52,7 @@
         engine.on_attempt_ended(id, ending);
         return is_complete;
     }
-    let mut headers = head.headers;
+    let mut headers = without_spare_capacity(head.headers);
     strip_hop_by_hop(&mut headers);
     headers.remove(header::CONTENT_LENGTH);
     headers.remove(header::TRAILER);
@@ -87,6 +89,17 @@
     Box::pin(stream_answer(engine, id, connection, headers, length, buffered, overflow, body)).await
 }
 
+/// The same fields in a map of their size. hyper parses an answer into the map that the request was sent from, which
+/// may be many times larger, and the client's connection would keep it.
+fn without_spare_capacity(headers: HeaderMap) -> HeaderMap {
+    if headers.capacity() <= MAX_SPARE_HEADER_FIELDS + headers.len() {
+        return headers;
+    }
+    let mut copy = HeaderMap::with_capacity(headers.len());
+    copy.extend(headers);
+    copy
+}
+
 /// Reads and discards the body of an unwanted answer within limits of size and time, so that the connection
 /// can be reused; true if it was read to its end.
 pub(super) async fn discard(connection: &mut ServerConnection, mut body: Incoming) -> bool {
@@ -127,30 +140,41 @@
     let (buffered, _lease) = buffered.finish().into_parts();
     let mut buffered = buffered.into_iter();
     let mut remaining_bytes = MAX_ANSWER_BYTES;
-    loop {
+    // Nothing is read before there is room for it: what waits for the client is in memory.
+    while let Ok(room) = to_client.reserve().await {
         let chunk = match buffered.next().or_else(|| overflow.take()) {
-            Some(chunk) => chunk,
-            None => {
-                match tokio::time::timeout(STREAMED_STALL_TIMEOUT, connection.drive(body.frame())).await {
-                    Ok(None) => return true,
-                    Ok(Some(Ok(frame))) => match frame.into_data() {
-                        Ok(data) => data,
-                        Err(_) => continue,
-                    },
-                    Ok(Some(Err(_))) | Err(_) => {
-                        let _ = to_client.send(Err(IncompleteBody)).await;
-                        return false;
-                    }
-                }
-            }
+            Some(chunk) => Some(chunk),
+            None => match next_chunk(connection, &mut body).await {
+                Ok(Some(chunk)) => Some(chunk),
+                Ok(None) => return true,
+                Err(IncompleteBody) => None,
+            },
         };
-        let Some(rest) = remaining_bytes.checked_sub(chunk.len() as u64) else {
-            let _ = to_client.send(Err(IncompleteBody)).await;
+        let rest = chunk.as_ref().and_then(|chunk| remaining_bytes.checked_sub(chunk.len() as u64));
+        let (Some(chunk), Some(rest)) = (chunk, rest) else {
+            room.send(Err(IncompleteBody));
             return false;
         };
         remaining_bytes = rest;
-        if to_client.send(Ok(Frame::data(chunk))).await.is_err() {
-            return false;
+        room.send(Ok(Frame::data(chunk)));
+    }
+    false
+}
+
+/// The next data of a streamed answer; `None` at its end.
+async fn next_chunk(
+    connection: &mut ServerConnection,
+    body: &mut Incoming,
+) -> Result<Option<Bytes>, IncompleteBody> {
+    loop {
+        match tokio::time::timeout(STREAMED_STALL_TIMEOUT, connection.drive(body.frame())).await {
+            Ok(None) => return Ok(None),
+            Ok(Some(Ok(frame))) => {
+                if let Ok(data) = frame.into_data() {
+                    return Ok(Some(data));
+                }
+            }
+            Ok(Some(Err(_))) | Err(_) => return Err(IncompleteBody),
         }
     }
 }
--- a/crates/proxy/src/upstream/servers.rs
+++ b/crates/proxy/src/upstream/servers.rs
@@ -255,7 +255,7 @@
             driver: Some(Box::new(driver)),
             interim_answers: Default::default(),
             has_surplus_bytes: false,
-            _slot: Budget::new(100, 100).server_slot().unwrap(),
+            _slot: Budget::new(100, 100, 100).server_slot().unwrap(),
             _permit: super::super::upstreams::ConnectionPermit::unlimited(),
         };
         (connection, peer, address)
--- a/crates/test-support/src/program.rs
+++ b/crates/test-support/src/program.rs
@@ -266,7 +266,8 @@
         self.status("VmHWM:")
     }
 
-    fn status(&self, field: &str) -> u64 {
+    /// A field of the process status, in bytes.
+    pub fn status(&self, field: &str) -> u64 {
         let status = std::fs::read_to_string(format!("/proc/{}/status", self.child.id())).unwrap();
         let line = status.lines().find_map(|line| line.strip_prefix(field)).unwrap();
         line.trim().trim_end_matches(" kB").parse::<u64>().unwrap() * 1024
