Pass a slow answer on instead of cutting it off

What callers saw: 502 about 250 ms after the head of an answer that its server was still writing, or 504 at their deadline while it was arriving.

Cause: a short answer, or one of unknown length, is held back until it is whole. It counted as broken when it stood still for 250 ms, also where no other attempt could follow, and was given up at the deadline.

--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -296,6 +296,16 @@
         }
     }
 
+    /// When the answer to an attempt's request is due: see [`Requests::answer_deadline`].
+    pub fn answer_deadline(&self, id: AttemptId) -> Option<Nanos> {
+        self.requests.borrow().answer_deadline(self.clock.now(), id)
+    }
+
+    /// Whether an attempt whose answer stands still is given up: see [`Requests::should_replace_stalled`].
+    pub fn should_replace_stalled(&self, id: AttemptId) -> bool {
+        self.requests.borrow().should_replace_stalled(self.clock.now(), id)
+    }
+
     /// Whether an attempt may still be written: see [`Requests::may_begin`].
     pub fn may_begin(&self, id: AttemptId) -> bool {
         let allowed = self.requests.borrow().may_begin(self.clock.now(), id);
--- a/crates/engine/src/requests.rs
+++ b/crates/engine/src/requests.rs
@@ -354,6 +354,24 @@
             .map(|entry| &entry.message)
     }
 
+    /// When the answer to an attempt's request is due, if its client awaits it.
+    pub fn answer_deadline(&self, now: Nanos, id: AttemptId) -> Option<Nanos> {
+        let entry = self.active.get(&id.request).filter(|entry| entry.is_awaited)?;
+        Some(self.deadline_of(now, entry))
+    }
+
+    /// Whether an open attempt whose answer stands still is better given up for another one: the rules allow that,
+    /// and there is time for another attempt of twice the length.
+    pub fn should_replace_stalled(&self, now: Nanos, id: AttemptId) -> bool {
+        let Some(entry) = self.active.get(&id.request) else { return false };
+        let Some(attempt) = entry.attempts.get(usize::from(id.number)) else { return false };
+        let Ok(state) = self.state_of(now, entry) else { return false };
+        let elapsed = now.saturating_sub(attempt.record.sent_at);
+        let has_time = state.deadline.saturating_sub(now) >= elapsed.saturating_mul(2);
+        let attempts = entry.attempts.iter().map(|attempt| &attempt.record);
+        has_time && !entry.message.is_body_consumed() && rules::may_repeat_anywhere(now, state, attempts)
+    }
+
     /// Whether an attempt may still be written; to be checked right before its first byte. While the
     /// connection was being established, the client may have left, the request may have been answered, the
     /// server may have started to drain, or the idempotency window may have passed.
--- a/crates/engine/src/rules.rs
+++ b/crates/engine/src/rules.rs
@@ -172,6 +172,24 @@
     first_possible_run.map_or(Ok(()), |first| may_repeat(now, policy, first, server))
 }
 
+/// Whether a request with these attempts may be sent once more to some server, although one may have run.
+pub fn may_repeat_anywhere<'a>(
+    now: Nanos,
+    request: RequestState,
+    mut attempts: impl Iterator<Item = &'a SentAttempt> + Clone,
+) -> bool {
+    let RequestState { policy, is_awaited, deadline } = request;
+    let is_in_time = is_awaited && now < deadline;
+    let is_within_limit = attempts.clone().count() < policy.max_attempts;
+    let first_run_at = attempts.find(|attempt| attempt.may_have_run()).map_or(now, |attempt| attempt.sent_at);
+    let may_run_again = match policy.effect {
+        Effect::Safe => true,
+        Effect::Unsafe => false,
+        Effect::Keyed => now < first_run_at.saturating_add(policy.window),
+    };
+    is_in_time && is_within_limit && may_run_again
+}
+
 /// Whether a request may be repeated at `server` now, given the first attempt that may have run.
 fn may_repeat(now: Nanos, policy: RetryPolicy, first: &SentAttempt, server: &Server) -> Result<(), Denial> {
     match policy.effect {
--- a/crates/proxy/src/upstream/platform.rs
+++ b/crates/proxy/src/upstream/platform.rs
@@ -5,7 +5,7 @@
 use super::upstreams::Upstreams;
 use crate::headers::{strip_hop_by_hop, NOT_PROCESSED};
 use bytes::Bytes;
-use corkhollow_balance::interface::Ending;
+use corkhollow_balance::interface::{Ending, Nanos};
 use corkhollow_engine::{Answer, AttemptId, BodyBuffer, Engine, IncompleteBody};
 use corkhollow_plan::limits::MAX_BODY_BYTES;
 use http_body_util::BodyExt;
@@ -15,6 +15,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::sync::mpsc;
+use tokio::time::Instant;
 
 /// Longer answers are streamed.
 const MAX_BUFFERED_BYTES: u64 = 64 * 1024;
@@ -22,8 +23,12 @@
 const MAX_SPARE_HEADER_FIELDS: usize = 32;
 /// A longer answer counts as broken.
 const MAX_ANSWER_BYTES: u64 = MAX_BODY_BYTES;
-/// A short answer whose body stalls for this long after the head counts as broken.
-const BUFFERED_STALL_TIMEOUT: Duration = Duration::from_millis(250);
+/// A short answer whose body stands still for this long counts as broken if another attempt can follow.
+const REPLACEABLE_STALL_TIMEOUT: Duration = Duration::from_millis(250);
+/// A short answer whose body stands still for this long counts as broken.
+const HELD_STALL_TIMEOUT: Duration = Duration::from_secs(2);
+/// A short answer that is not whole this long before it is due is passed on as it comes.
+const PASS_ON_MARGIN: Nanos = 50_000_000;
 /// A streamed answer that stalls for this long counts as broken: a server that lost power or network never
 /// closes its connections.
 const STREAMED_STALL_TIMEOUT: Duration = Duration::from_millis(2500);
@@ -63,19 +68,16 @@
     }
     let mut buffered = BodyBuffer::new(upstreams.budget.small_lease());
     let mut overflow = None;
+    let mut progress_at = Instant::now();
     while length.is_none_or(|length| length <= MAX_BUFFERED_BYTES) {
-        match tokio::time::timeout(BUFFERED_STALL_TIMEOUT, connection.drive(body.frame())).await {
+        let wait_until = held_frame_deadline(engine, id, progress_at);
+        match tokio::time::timeout_at(wait_until, connection.drive(body.frame())).await {
             Ok(None) => {
                 engine.on_buffered_answer(id, head.status, headers, buffered.finish());
                 return true;
             }
-            // The request may have been processed. Waiting until the deadline would look to the decision
-            // module like an overloaded server.
-            Ok(Some(Err(_))) | Err(_) => {
-                engine.on_attempt_ended(id, Ending::Reset);
-                return false;
-            }
             Ok(Some(Ok(frame))) => {
+                progress_at = Instant::now();
                 let Ok(data) = frame.into_data() else { continue };
                 let fits = buffered.len() + data.len() as u64 <= MAX_BUFFERED_BYTES;
                 if !fits || !buffered.push(&data) {
@@ -83,12 +85,40 @@
                     break;
                 }
             }
+            Err(_) if is_sound(engine, id, progress_at) => break,
+            // The request may have been processed. Waiting until the deadline would look to the decision
+            // module like an overloaded server.
+            Ok(Some(Err(_))) | Err(_) => {
+                engine.on_attempt_ended(id, Ending::Reset);
+                return false;
+            }
         }
     }
     // Boxed to keep the future of the attempt small.
     Box::pin(stream_answer(engine, id, connection, headers, length, buffered, overflow, body)).await
 }
 
+/// How long a short answer may stand still while it is held back.
+fn held_stall_timeout(engine: &Engine, id: AttemptId) -> Duration {
+    match engine.should_replace_stalled(id) {
+        true => REPLACEABLE_STALL_TIMEOUT,
+        false => HELD_STALL_TIMEOUT,
+    }
+}
+
+/// Until when the next frame of a short answer is awaited: until it stands still for too long, or is due.
+fn held_frame_deadline(engine: &Engine, id: AttemptId, progress_at: Instant) -> Instant {
+    let stalled_at = progress_at + held_stall_timeout(engine, id);
+    let due_at =
+        engine.answer_deadline(id).map(|at| engine.clock().instant(at.saturating_sub(PASS_ON_MARGIN)));
+    due_at.map_or(stalled_at, |due_at| due_at.min(stalled_at))
+}
+
+/// Whether a short answer that is due and not whole has not stood still for too long.
+fn is_sound(engine: &Engine, id: AttemptId, progress_at: Instant) -> bool {
+    progress_at.elapsed() < held_stall_timeout(engine, id)
+}
+
 /// The same fields in a map of their size. hyper parses an answer into the map that the request was sent from, which
 /// may be many times larger, and the client's connection would keep it.
 fn without_spare_capacity(headers: HeaderMap) -> HeaderMap {
