--- a/crates/corkhollow/tests/floods.rs
+++ b/crates/corkhollow/tests/floods.rs
@@ -40,7 +40,7 @@
 ];
 
 /// Writes requests at full speed, and reads what comes, until `is_over`. Connects again when the node closes.
-fn flood(node: &Node, request: FloodRequest, is_over: &AtomicBool, sent: &AtomicU64) {
+fn flood(node: &Node, request: FloodRequest, is_over: &AtomicBool, next: &AtomicU64) {
     let mut answers = vec![0; 1 << 16];
     let mut batch = Vec::new();
     while !is_over.load(SeqCst) {
@@ -48,7 +48,7 @@
         client.set_nonblocking(true).unwrap();
         while !is_over.load(SeqCst) {
             if batch.is_empty() {
-                let first = sent.fetch_add(BATCH as u64, SeqCst);
+                let first = next.fetch_add(BATCH as u64, SeqCst);
                 batch = (first..first + BATCH as u64).flat_map(|k| request(k).into_bytes()).collect();
             }
             let written = client.write(&batch);
@@ -76,9 +76,9 @@
     let servers = Servers::new(4, |_, _| ok_reply("fine"));
     for (name, request) in FLOODS {
         let (node, _discovery) = Node::start_with_servers(&servers);
-        let (is_over, sent) = (AtomicBool::new(false), AtomicU64::new(0));
+        let (is_over, next) = (AtomicBool::new(false), AtomicU64::new(0));
         let slowest = std::thread::scope(|scope| {
-            scope.spawn(|| flood(&node, request, &is_over, &sent));
+            scope.spawn(|| flood(&node, request, &is_over, &next));
             let started_at = Instant::now();
             let mut slowest = Duration::ZERO;
             let mut memory_at_warm_up = None;
@@ -96,7 +96,6 @@
             is_over.store(true, SeqCst);
             let growth = node.peak_resident_bytes() - memory_at_warm_up.unwrap_or(0);
             assert!(growth < MAX_GROWTH_BYTES, "{name}: {growth} bytes more");
-            eprintln!(sent.load(SeqCst), node.peak_resident_bytes() >> 10);
             slowest
         });
         assert!(slowest < TIMEOUT + SLACK, "{name}: {slowest:?}");
