Tell servers apart by their process, not by their address

What users saw: a new process came up at the address of one that had gone and was taken for the old one; work went to the wrong place or ran twice.

Cause: the check before the first byte of an attempt did not notice that the server had restarted since it was chosen, and a server that had gone stayed in use while a new one was listed at its address.

Change: the check compares start times. A server is removed when a list tells of a process at its address that started later. Connections from before a removal are not used again. The processes of an upgrade tell their records apart by more than the process id. The tests of the table of servers move to a file of their own.

--- a/crates/corkhollow/src/request_id_log.rs
+++ b/crates/corkhollow/src/request_id_log.rs
@@ -8,6 +8,7 @@
 use std::io::{self, Write};
 use std::os::unix::fs::{FileExt, OpenOptionsExt};
 use std::path::Path;
+use std::time::{SystemTime, UNIX_EPOCH};
 
 /// A record: the process and the key of the id, both `u64`, big endian.
 const RECORD_BYTES: usize = 16;
@@ -93,9 +94,12 @@
     }
 }
 
-/// A number that no other process that overlaps with this one uses.
+/// A number that no other process that overlaps with this one uses. Process ids alone may be the same where each
+/// process has a namespace of its own.
 fn process_number() -> u64 {
-    u64::from(std::process::id())
+    let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    let process = [u64::from(std::process::id()), since_epoch.as_nanos() as u64];
+    corkhollow_plan::stable_hash(&process.map(u64::to_be_bytes).concat())
 }
 
 fn encode(process: u64, key: RequestKey) -> [u8; RECORD_BYTES] {
--- a/crates/engine/src/requests.rs
+++ b/crates/engine/src/requests.rs
@@ -374,7 +374,7 @@
 
     /// Whether an attempt may still be written; to be checked right before its first byte. While the
     /// connection was being established, the client may have left, the request may have been answered, the
-    /// server may have started to drain, or the idempotency window may have passed.
+    /// server may have started to drain or have restarted, or the idempotency window may have passed.
     ///
     /// # Errors
     /// The reason why it may not.
@@ -385,7 +385,9 @@
         let attempt = attempt.ok_or(Denial::RequestOver)?;
         let others = entry.attempts.iter().enumerate().filter(|(index, _)| *index != number);
         let others = others.map(|(_, other)| &other.record);
-        let server = self.balancer.server(attempt.record.server.id);
+        let chosen = &attempt.record.server;
+        // A server that has restarted is another process than the one that was chosen.
+        let server = self.balancer.server(chosen.id).filter(|server| server.started_at == chosen.started_at);
         rules::may_send(now, self.state_of(now, entry)?, others, server)
     }
 
--- a/crates/proxy/src/upstream/servers.rs
+++ b/crates/proxy/src/upstream/servers.rs
@@ -3,7 +3,7 @@
 use super::connection::IdleConnection;
 use super::idle_lifetime::IdleLifetime;
 use corkhollow_balance::interface::{ListKind, Nanos, Phase, Server, ServerId};
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::net::SocketAddr;
 use std::sync::Arc;
 
@@ -25,10 +25,12 @@
 struct ServerState {
     host: Arc<str>,
     address: SocketAddr,
-    /// When its process started, by the clock of another machine: only compared for equality.
-    started_at: Nanos,
-    /// When its address or start time last changed, by our own clock; 0 if never.
-    restarted_at: Nanos,
+    /// As last listed. The start time is by the clock of another machine; 0 for long ago.
+    listed: Server,
+    /// The list that first told of its process: see [`ServerTable::lists_applied`].
+    process_listed_in: u64,
+    /// Connections opened before this, by our own clock, are not to its present process.
+    connections_valid_from: Nanos,
     /// Since when it accepts no new requests: drained or removed from the list.
     closed_at: Option<Nanos>,
     /// Oldest first. The newest is reused first, so that connections beyond the need age and are closed.
@@ -38,6 +40,8 @@
 /// The listed servers by id, with their idle connections.
 pub struct ServerTable {
     servers: BTreeMap<ServerId, ServerState>,
+    /// Number of lists and changes applied.
+    lists_applied: u64,
     reuse_delay: ReuseDelay,
     /// When a server last sent bytes that no request asked for.
     surplus_at: Option<Nanos>,
@@ -77,6 +81,7 @@
     pub fn new(server_idle_timeout: Nanos, reuse_delay: ReuseDelay) -> Self {
         ServerTable {
             servers: BTreeMap::new(),
+            lists_applied: 0,
             reuse_delay,
             surplus_at: None,
             idle_lifetime: IdleLifetime::new(Self::idle_limit(server_idle_timeout)),
@@ -103,29 +108,32 @@
     /// Applies a list or changes to one, and returns the entries with their ids, as the decision module takes
     /// them.
     pub fn apply_list(&mut self, now: Nanos, kind: ListKind, entries: Vec<ListedServer>) -> Vec<Server> {
+        self.lists_applied += 1;
+        let list_number = self.lists_applied;
         let mut servers = Vec::with_capacity(entries.len());
         for entry in entries {
             let id = self.id_for_host(&entry.host);
-            let (address, started_at) = (entry.address, entry.server.started_at);
+            let (address, server) = (entry.address, Server { id, ..entry.server });
             let state = self.servers.entry(id).or_insert_with(|| ServerState {
                 host: entry.host.into(),
                 address,
-                started_at,
-                restarted_at: 0,
+                listed: server,
+                process_listed_in: list_number,
+                connections_valid_from: 0,
                 closed_at: None,
                 idle: Vec::new(),
             });
-            if state.address != address || state.started_at != started_at {
-                (state.address, state.started_at) = (address, started_at);
-                state.restarted_at = now;
-                state.idle.clear();
+            if state.address != address || state.listed.started_at != server.started_at {
+                state.address = address;
+                state.process_listed_in = list_number;
+                state.discard_connections(now);
             }
-            if entry.server.phase == Phase::Ready {
-                state.closed_at = None;
-            } else {
-                state.close(now);
+            state.listed = server;
+            match server.phase {
+                Phase::Ready => state.closed_at = None,
+                _ => state.close(now),
             }
-            servers.push(Server { id, ..entry.server });
+            servers.push(server);
         }
         if matches!(kind, ListKind::Full | ListKind::Cached) {
             let listed: BTreeSet<_> = servers.iter().map(|server| server.id).collect();
@@ -134,12 +142,35 @@
                 .filter(|(id, _)| !listed.contains(id))
                 .for_each(|(_, state)| state.close(now));
         }
+        self.remove_superseded(now, &mut servers);
         self.servers.retain(|_, state| {
             state.closed_at.is_none_or(|at| now.saturating_sub(at) < REMOVED_SERVER_RETENTION)
         });
         servers
     }
 
+    /// Closes servers whose address a process has that started later: their own processes must have gone, although
+    /// the list does not say so yet. Marks them as removed in `servers`.
+    fn remove_superseded(&mut self, now: Nanos, servers: &mut Vec<Server>) {
+        let mut successors: HashMap<SocketAddr, ProcessAge> = HashMap::new();
+        for state in self.servers.values().filter(|state| state.closed_at.is_none()) {
+            let newest = successors.entry(state.address).or_insert(state.process_age());
+            *newest = (*newest).max(state.process_age());
+        }
+        for (id, state) in &mut self.servers {
+            let newest = successors.get(&state.address).filter(|_| state.closed_at.is_none());
+            if !newest.is_some_and(|newest| newest.has_known_start() && state.process_age() < *newest) {
+                continue;
+            }
+            state.close(now);
+            let removed = Server { phase: Phase::Removed, ..state.listed };
+            match servers.iter_mut().find(|server| server.id == *id) {
+                Some(server) => *server = removed,
+                None => servers.push(removed),
+            }
+        }
+    }
+
     /// The server's name in the list.
     pub(super) fn name(&self, server: ServerId) -> Option<Arc<str>> {
         self.servers.get(&server).map(|state| state.host.clone())
@@ -193,7 +224,10 @@
     /// Keeps a connection for reuse, unless its server was closed, moved or restarted since it was opened.
     pub(super) fn checkin(&mut self, server: ServerId, address: SocketAddr, idle: IdleConnection) {
         if let Some(state) = self.servers.get_mut(&server) {
-            if state.closed_at.is_none() && state.address == address && state.restarted_at <= idle.opened_at {
+            if state.closed_at.is_none()
+                && state.address == address
+                && state.connections_valid_from <= idle.opened_at
+            {
                 state.idle.push(idle);
             }
         }
@@ -220,160 +254,41 @@
     }
 }
 
-impl ServerState {
-    /// Stops new requests to the server and closes its idle connections.
-    fn close(&mut self, now: Nanos) {
-        self.closed_at.get_or_insert(now);
-        self.idle.clear();
-    }
+/// How new a process is: by the list that first told of it, and within one list by its start time. Start times come
+/// from clocks of other machines.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct ProcessAge {
+    listed_in: u64,
+    started_at: Nanos,
 }
 
-#[cfg(test)]
-mod tests {
-    use super::super::connection::ServerConnection;
-    use super::*;
-    use crate::socket::{Socket, SocketIo};
-    use corkhollow_plan::limits::Budget;
-    use hyper::client::conn::http1;
-    use hyper_util::rt::TokioIo;
-    use std::io::Write;
-    use tokio::net::TcpStream;
-
-    const MS: Nanos = 1_000_000;
-
-    /// A connection to a peer, the peer's end of it, and its address.
-    async fn connection() -> (ServerConnection, std::net::TcpStream, SocketAddr) {
-        let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
-        let address = listener.local_addr().unwrap();
-        let socket = Socket::new_upstream(TcpStream::connect(address).await.unwrap());
-        let peer = listener.accept().unwrap().0;
-        let io = TokioIo::new(SocketIo(socket.clone()));
-        let (sender, driver) = http1::handshake::<_, crate::body::RequestBody>(io).await.unwrap();
-        let connection = ServerConnection {
-            socket,
-            sender,
-            driver: Some(Box::new(driver)),
-            interim_answers: Default::default(),
-            has_surplus_bytes: false,
-            _slot: Budget::new(100, 100, 100).server_slot().unwrap(),
-            _permit: super::super::upstreams::ConnectionPermit::unlimited(),
-        };
-        (connection, peer, address)
-    }
-
-    #[tokio::test]
-    async fn reuse_is_delayed_only_while_surplus_bytes_are_recent() {
-        let (connection, _peer, address) = connection().await;
-        let mut table = ServerTable::new(10_000 * MS, ReuseDelay::AfterSurplusBytes);
-        let entry = ListedServer { host: "s-0".into(), address, server: Server::warm(ServerId(0)) };
-        let server = table.apply_list(0, ListKind::Full, vec![entry])[0].id;
-        let checked_in_at = 100 * MS;
-        table.checkin(
-            server,
-            address,
-            IdleConnection { connection, opened_at: 0, idle_since: checked_in_at },
-        );
-        assert_eq!(table.reusable_at(server, checked_in_at), None);
-        let idle = table.checkout(server, checked_in_at).expect("it is reused without a delay");
-        table.record_surplus(checked_in_at);
-        table.checkin(server, address, IdleConnection { idle_since: checked_in_at, ..idle });
-        assert!(table.checkout(server, checked_in_at + MIN_IDLE_BEFORE_REUSE - 1).is_none());
-        assert_eq!(
-            table.reusable_at(server, checked_in_at + MIN_IDLE_BEFORE_REUSE - 1),
-            Some(checked_in_at + MIN_IDLE_BEFORE_REUSE)
-        );
-        let idle = table
-            .checkout(server, checked_in_at + MIN_IDLE_BEFORE_REUSE)
-            .expect("it is reused after the delay");
-        let later = checked_in_at + SURPLUS_RETENTION;
-        table.checkin(server, address, IdleConnection { idle_since: later, ..idle });
-        assert!(table.checkout(server, later).is_some(), "the surplus bytes are forgotten");
-    }
-
-    #[tokio::test]
-    async fn reuse_is_delayed_from_the_start_for_servers_that_answer_twice() {
-        let (connection, _peer, address) = connection().await;
-        let mut table = ServerTable::new(10_000 * MS, ReuseDelay::Always);
-        let entry = ListedServer { host: "s-0".into(), address, server: Server::warm(ServerId(0)) };
-        let server = table.apply_list(0, ListKind::Full, vec![entry])[0].id;
-        let checked_in_at = 100 * MS;
-        table.checkin(
-            server,
-            address,
-            IdleConnection { connection, opened_at: 0, idle_since: checked_in_at },
-        );
-        assert!(table.checkout(server, checked_in_at + MIN_IDLE_BEFORE_REUSE - 1).is_none());
-        assert_eq!(table.reusable_at(server, checked_in_at), Some(checked_in_at + MIN_IDLE_BEFORE_REUSE));
-        assert!(table.checkout(server, checked_in_at + MIN_IDLE_BEFORE_REUSE).is_some());
+impl ProcessAge {
+    fn has_known_start(&self) -> bool {
+        self.started_at > 0
     }
+}
 
-    /// Start times come from another machine's clock, which may be ahead. Only a change of the start time
-    /// closes connections.
-    #[tokio::test]
-    async fn connections_are_reused_unless_the_listed_start_time_changes() {
-        let far_ahead = 3_600_000 * MS;
-        let mut table = ServerTable::new(10_000 * MS, ReuseDelay::AfterSurplusBytes);
-        let (first, _peer, address) = connection().await;
-        let list = |started_at| {
-            let server = Server { started_at, ..Server::warm(ServerId(0)) };
-            vec![ListedServer { host: "s-0".into(), address, server }]
-        };
-        let server = table.apply_list(100 * MS, ListKind::Full, list(far_ahead))[0].id;
-        table.checkin(
-            server,
-            address,
-            IdleConnection { connection: first, opened_at: 200 * MS, idle_since: 200 * MS },
-        );
-        let idle = table.checkout(server, 200 * MS).expect("it is reused");
-        table.apply_list(300 * MS, ListKind::Changes, list(far_ahead - MS));
-        table.checkin(server, address, idle);
-        assert!(table.checkout(server, 300 * MS).is_none(), "it was opened to the previous process");
-        let (second, _peer, _) = connection().await;
-        table.checkin(
-            server,
-            address,
-            IdleConnection { connection: second, opened_at: 400 * MS, idle_since: 400 * MS },
-        );
-        assert!(table.checkout(server, 400 * MS).is_some());
+impl ServerState {
+    fn process_age(&self) -> ProcessAge {
+        ProcessAge { listed_in: self.process_listed_in, started_at: self.listed.started_at }
     }
 
-    /// Unread bytes would be taken for the answer to the next request, and a close would lose that request.
-    /// The runtime may not have been notified of either yet.
-    #[tokio::test]
-    async fn an_idle_connection_with_unread_bytes_or_a_close_is_not_reused() {
-        for bytes in [&b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"[..], b""] {
-            let (connection, mut peer, address) = connection().await;
-            let socket = connection.socket.clone();
-            let mut table = ServerTable::new(10_000 * MS, ReuseDelay::AfterSurplusBytes);
-            let entry = ListedServer { host: "s-0".into(), address, server: Server::warm(ServerId(0)) };
-            let server = table.apply_list(0, ListKind::Full, vec![entry])[0].id;
-            table.checkin(server, address, IdleConnection { connection, opened_at: 0, idle_since: 0 });
-            let idle = table.checkout(server, 0).expect("a quiet connection is reused");
-            table.checkin(server, address, idle);
-            peer.write_all(bytes).unwrap();
-            drop(peer);
-            let start = std::time::Instant::now();
-            while socket.is_quiet() {
-                assert!(start.elapsed().as_secs() < 20, "neither bytes nor a close arrived");
-            }
-            assert!(table.checkout(server, 0).is_none(), "{} bytes and a close", bytes.len());
+    /// Stops new requests to the server and discards its connections: should it be listed again, another process may
+    /// have its address.
+    fn close(&mut self, now: Nanos) {
+        if self.closed_at.is_none() {
+            self.closed_at = Some(now);
+            self.discard_connections(now);
         }
     }
 
-    /// All nodes must derive the same ids, and a server's address may differ between nodes.
-    #[test]
-    fn server_ids_depend_on_the_name_and_not_on_the_address() {
-        let list = |addresses: [&str; 2]| {
-            let entry = |(k, address): (usize, &&str)| ListedServer {
-                host: format!("s-{k}"),
-                address: address.parse().unwrap(),
-                server: Server::warm(ServerId(0)),
-            };
-            let entries = addresses.iter().enumerate().map(entry).collect();
-            ServerTable::new(1, ReuseDelay::Always).apply_list(0, ListKind::Full, entries)
-        };
-        let (first, second) = (list(["127.0.0.1:1", "127.0.0.1:2"]), list(["127.0.0.2:9", "127.0.0.1:1"]));
-        assert_eq!(first, second);
-        assert_ne!(first[0].id, first[1].id);
+    /// Closes the idle connections; those in use are not kept.
+    fn discard_connections(&mut self, now: Nanos) {
+        self.connections_valid_from = now;
+        self.idle.clear();
     }
 }
+
+#[cfg(test)]
+#[path = "servers_tests.rs"]
+mod tests;
