Leave out of a server's health what ended at its earlier process

Cause: a restart resets what the balancer knows of a server, but attempts that were under way at the old process counted for the new one when they ended. Two resets, which the old one's end causes, ejected the new one.

Change: the end of an attempt that was sent before the restart was listed says nothing of the server.

--- a/crates/balance/src/balancer/attempts.rs
+++ b/crates/balance/src/balancer/attempts.rs
@@ -81,7 +81,10 @@
         if attempt.is_outstanding {
             self.end_work(attempt.server, attempt.weight);
         }
-        self.record_ending(now, attempt, &request, ending, sink);
+        // The end of an attempt at an earlier process says nothing of the server's present one.
+        if attempt.sent_at >= self.servers[attempt.server].restart_listed_at {
+            self.record_ending(now, attempt, &request, ending, sink);
+        }
         match self.pending.get(&id) {
             Some(pending) if finished || pending.closed => self.close(id, sink),
             Some(pending) if pending.open_attempts() > 0 && now < pending.request.give_up_at => {}
--- a/crates/balance/src/balancer/server_list.rs
+++ b/crates/balance/src/balancer/server_list.rs
@@ -122,6 +122,7 @@
             pacing_jitter: 1.0,
             window_coverage: size,
             left_at: now,
+            restart_listed_at: 0,
             start: None,
         };
         // A state that was reusable may have been taken by another server of the same list.
@@ -142,6 +143,9 @@
         // back.
         let is_restarted = server.started_at != self.servers[index].entry.started_at;
         let is_new = self.servers[index].entry.phase != Phase::Ready;
+        if is_restarted {
+            self.servers[index].restart_listed_at = now;
+        }
         if server.phase != Phase::Ready || server.zone != self.servers[index].entry.zone {
             self.stop_serving(now, index, server.phase);
         }
