Take the commands and the active request out of the engine's largest module

What it tells its executor stands in command.rs, what it keeps of a request in active_request.rs, with the questions that were asked of it in several places.

--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -4,12 +4,14 @@
 //! Everything runs on one thread. The state is borrowed only while it handles an event, never across an await
 //! or while its commands are executed.
 
+use crate::active_request::{RequestMessage, UploadDeadline};
 use crate::body::BufferedBody;
 use crate::clock::Clock;
+use crate::command::{Command, DiscoveryCall, FinalAnswer};
 use crate::log::log;
 use crate::message::{Answer, AttemptId, Message};
 use crate::request_ids::{RequestKey, SharedIds};
-use crate::requests::{Command, DiscoveryCall, FinalAnswer, RequestMessage, Requests, UploadDeadline};
+use crate::requests::Requests;
 use crate::rules::Denial;
 use corkhollow_balance::interface::{
     Ending, ListKind, Nanos, Quotas, Request, RequestId, Server, ServerId, Settings, SettingsError,
--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -4,8 +4,10 @@
 //! The engine holds no connections. The client side submits requests ([`Engine::submit`]); a [`Transport`]
 //! sends attempts to servers and reports their results.
 
+mod active_request;
 mod body;
 mod clock;
+mod command;
 mod engine;
 mod log;
 mod message;
@@ -14,8 +16,10 @@
 pub mod rules;
 mod stored_headers;
 
+pub use active_request::{RequestMessage, UploadDeadline};
 pub use body::{BodyBuffer, BufferedBody};
 pub use clock::Clock;
+pub use command::{Command, DiscoveryCall, FinalAnswer};
 pub use engine::{Engine, PendingAnswer, RunningAttempt, Transport};
 pub use log::{log, LogLimiter};
 pub use message::{
@@ -23,5 +27,5 @@
     Upload, UploadProgress,
 };
 pub use request_ids::{RequestKey, SharedIds, ID_RETENTION};
-pub use requests::{Command, DiscoveryCall, FinalAnswer, RequestMessage, Requests, UploadDeadline};
+pub use requests::Requests;
 pub use stored_headers::StoredHeaders;
--- a/crates/engine/src/requests.rs
+++ b/crates/engine/src/requests.rs
@@ -2,162 +2,22 @@
 //! the commands that follow from it. [`Engine`](crate::Engine) executes them on sockets; tests
 //! execute them on a simulated network.
 
+use crate::active_request::{ActiveRequest, Attempt, RequestMessage};
+use crate::command::{Command, DiscoveryCall, FinalAnswer};
 use crate::message::AttemptId;
 use crate::request_ids::RequestIds;
 use crate::rules::{self, AttemptState, Denial, RequestState, RetryPolicy, SentAttempt};
 use corkhollow_balance::interface::{
-    Action, Ending, Event, ListKind, Nanos, Quotas, Refusal, Request, RequestId, Server, ServerId, Settings,
+    Action, Ending, Event, ListKind, Nanos, Quotas, Request, RequestId, Server, ServerId, Settings,
     SettingsError,
 };
 use corkhollow_balance::{Balancer, Knowledge};
 use std::cmp::Reverse;
 use std::collections::{BinaryHeap, HashMap};
 use std::hash::Hash;
-
-/// A call to discovery.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum DiscoveryCall {
-    /// Open a watch on the server list.
-    Subscribe,
-    /// Fetch the server list once.
-    Fetch,
-}
-
-/// A request as attempts send it: a handle that is cheap to clone.
-pub trait RequestMessage: Clone {
-    /// Whether an attempt has consumed the body, which leaves none for another attempt.
-    fn is_body_consumed(&self) -> bool;
-
-    /// The deadline as of `now` if it depends on the progress of the request body. `timeout` counts from the end
-    /// of the body.
-    fn upload_deadline(&self, now: Nanos, timeout: Nanos) -> Option<UploadDeadline>;
-}
-
-/// The deadline of a request whose body is streamed.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct UploadDeadline {
-    /// When the request times out, as far as is known now.
-    pub at: Nanos,
-    /// Whether the body has ended. Until then the deadline may move, to a later or an earlier time.
-    pub is_final: bool,
-}
-
 /// How often the deadline of a request is looked at again while its body is on its way.
 const UPLOAD_CHECK_INTERVAL: Nanos = 50_000_000;
 
-/// The final answer to a request; there is exactly one.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum FinalAnswer<A> {
-    /// A server's answer.
-    FromServer(A),
-    /// Refused without effect; the client may safely retry.
-    Refused {
-        /// Advised delay before a retry (`Retry-After`); 0 for none.
-        retry_after: Nanos,
-        /// The reason for the refusal.
-        reason: Refusal,
-    },
-    /// Failed; the request may or may not have taken effect.
-    Failed {
-        /// The request's deadline passed.
-        timed_out: bool,
-    },
-}
-
-impl<A> FinalAnswer<A> {
-    /// The name used on the events page; for a refusal, its reason.
-    pub fn name(&self) -> &'static str {
-        match self {
-            FinalAnswer::FromServer(_) => "by-server",
-            FinalAnswer::Refused { reason, .. } => reason.name(),
-            FinalAnswer::Failed { timed_out: true } => "out-of-time",
-            FinalAnswer::Failed { timed_out: false } => "failed",
-        }
-    }
-}
-
-/// A command for the executor. Commands are executed in order.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum Command<M, A> {
-    /// Start an attempt.
-    Send {
-        /// The attempt.
-        id: AttemptId,
-        /// The server to send to.
-        server: ServerId,
-        /// The request to send.
-        message: M,
-        /// Whether another attempt of the request is still open.
-        hedge: bool,
-    },
-    /// The attempt's result is no longer needed.
-    Abandon(AttemptId),
-    /// The request is over. An attempt whose last byte has not been written is cancelled and ends with
-    /// [`Ending::NotSent`]; one that has been written continues.
-    CancelUnsent(AttemptId),
-    /// Give the client its final answer. Issued once per request, unless the client disconnects first.
-    Answer {
-        /// The request.
-        request: RequestId,
-        /// The final answer.
-        answer: FinalAnswer<A>,
-    },
-    /// Call discovery.
-    CallDiscovery(DiscoveryCall),
-    /// Write a line to the log.
-    Log {
-        /// The server that the line is about, if any.
-        server: Option<ServerId>,
-        /// The text of the line.
-        text: String,
-    },
-    /// For metrics: an attempt has ended.
-    AttemptEnded {
-        /// The attempt.
-        id: AttemptId,
-        /// How it ended.
-        ending: Ending,
-    },
-    /// For metrics: a request gets another attempt, as a retry or a hedge.
-    AttemptRepeated {
-        /// How the previous attempt ended; `None` for a hedge.
-        after: Option<Ending>,
-    },
-    /// For metrics: the rules denied an action of the balancer, and it was not carried out.
-    ProposalDenied {
-        /// The request.
-        request: RequestId,
-        /// The reason.
-        denial: Denial,
-    },
-}
-
-struct Attempt {
-    record: SentAttempt,
-    /// Time from the request's last byte to the head of the answer, once that has arrived.
-    latency: Option<Nanos>,
-    /// False if the rules denied the attempt.
-    was_sent: bool,
-}
-
-struct ActiveRequest<C, M, A> {
-    /// The client's own request ID, also in [`Requests::client_request_ids`], if it must be unique.
-    client_request_id: Option<C>,
-    /// Whether nothing more of an answer is to be passed on to the client.
-    is_delivered: bool,
-    message: M,
-    give_up_at: Nanos,
-    /// Time allowed from the end of the request body.
-    timeout: Nanos,
-    /// Whether the client is still waiting for its final answer.
-    is_awaited: bool,
-    attempts: Vec<Attempt>,
-    /// The policy in force when the request was accepted; `None` if its class was unknown.
-    policy: Option<RetryPolicy>,
-    /// A server's error answer, given to the client unless a later attempt yields a better one.
-    fallback: Option<A>,
-}
-
 /// What a timer is for. The order of the variants decides between timers that are due at the same time.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 enum Timer {
@@ -368,8 +228,8 @@
         let Ok(state) = self.state_of(now, entry) else { return false };
         let elapsed = now.saturating_sub(attempt.record.sent_at);
         let has_time = state.deadline.saturating_sub(now) >= elapsed.saturating_mul(2);
-        let attempts = entry.attempts.iter().map(|attempt| &attempt.record);
-        has_time && !entry.message.is_body_consumed() && rules::may_repeat_anywhere(now, state, attempts)
+        let may_repeat = rules::may_repeat_anywhere(now, state, entry.sent_attempts());
+        has_time && may_repeat && !entry.message.is_body_consumed()
     }
 
     /// Whether an attempt may still be written; to be checked right before its first byte. While the
@@ -398,8 +258,8 @@
 
     /// Whether the rules allow the attempt that the balancer proposes.
     fn may_send(&self, now: Nanos, entry: &ActiveRequest<C, M, A>, server: ServerId) -> Result<(), Denial> {
-        let others = entry.attempts.iter().map(|attempt| &attempt.record);
-        rules::may_send(now, self.state_of(now, entry)?, others, self.balancer.server(server))?;
+        let (state, others) = (self.state_of(now, entry)?, entry.sent_attempts());
+        rules::may_send(now, state, others, self.balancer.server(server))?;
         match entry.message.is_body_consumed() {
             true => Err(Denial::BodySpent),
             false => Ok(()),
@@ -620,14 +480,11 @@
 
     /// Removes a request that no client awaits and that has no open attempt.
     fn remove_if_over(&mut self, now: Nanos, request: RequestId) {
-        let is_over = |entry: &ActiveRequest<C, M, A>| {
-            !entry.is_awaited && entry.attempts.iter().all(|attempt| !attempt.record.is_open())
-        };
-        if !self.active.get(&request).is_some_and(is_over) {
+        if !self.active.get(&request).is_some_and(ActiveRequest::is_over) {
             return;
         }
         let Some(entry) = self.active.remove(&request) else { return };
-        let may_have_run = entry.attempts.iter().any(|attempt| attempt.record.may_have_run());
+        let may_have_run = entry.may_have_run();
         match entry.client_request_id {
             Some(id) if !may_have_run => self.client_request_ids.release(&id),
             Some(id) if entry.is_delivered => self.client_request_ids.retire(now, id),
@@ -717,9 +574,7 @@
         commands: &mut Vec<Command<M, A>>,
     ) {
         let may_refuse = |entry: &ActiveRequest<C, M, A>| {
-            entry.policy.is_none_or(|policy| {
-                rules::may_refuse(policy, entry.attempts.iter().map(|attempt| &attempt.record))
-            })
+            entry.policy.is_none_or(|policy| rules::may_refuse(policy, entry.sent_attempts()))
         };
         if self.active.get(&request).is_none_or(may_refuse) {
             return self.answer_client(now, request, refusal, commands);
