Read on behind a long body before its end is sent, if anything is there

Cause: the close was still on its way, behind the bytes that the client had sent after the body.

Change: on the platform, where a client sends nothing before it is answered, the end of a body that is passed on is held back for 10 ms if bytes are there behind it, and these are read on up to the close. The end of a body wakes the task that looks out for a close from then on.

--- a/crates/proxy/src/http1/client_connection.rs
+++ b/crates/proxy/src/http1/client_connection.rs
@@ -12,7 +12,7 @@
 use std::future::poll_fn;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::task::Poll;
+use std::task::{Context, Poll};
 use std::time::{Duration, Instant};
 use tokio::net::TcpStream;
 use tokio::sync::Notify;
@@ -155,6 +155,8 @@
     /// Notes that the last byte of the current request has been received.
     pub(super) fn mark_request_received(&self, now: Nanos) {
         self.request_complete.set(true);
+        // The serving task looks out for the client's close from now on.
+        self.close_signal.notify_one();
         if let Some(tracker) = &mut *self.tracker.borrow_mut() {
             tracker.mark_received(now);
         }
@@ -173,6 +175,12 @@
         .await
     }
 
+    /// Completes when a client that sends one request at a time has closed the connection, also behind bytes that it
+    /// should not have sent.
+    pub(super) fn poll_peer_closed(&self, cx: &mut Context<'_>) -> Poll<()> {
+        self.socket.poll_peer_closed(cx, Some(&self.close_after_answer))
+    }
+
     /// Requests a close and wakes the task that serves the connection, which would otherwise keep the
     /// descriptor until the client leaves.
     pub(super) fn request_close(&self, reason: CloseReason) {
--- a/crates/proxy/src/http1/general.rs
+++ b/crates/proxy/src/http1/general.rs
@@ -180,6 +180,7 @@
                 min_pace: None,
                 forward_stall_timeout: Duration::from_nanos(limits.stall_timeout),
                 returns_unread: false,
+                one_request_at_a_time: false,
                 forwards_trailers: true,
                 awaits_continue,
             };
--- a/crates/proxy/src/http1/platform.rs
+++ b/crates/proxy/src/http1/platform.rs
@@ -70,6 +70,7 @@
         min_pace: Some(MinPace { grace: BODY_PACE_GRACE, bytes_per_second: MIN_BODY_BYTES_PER_SECOND }),
         forward_stall_timeout: Duration::from_nanos(active_plan.plan.limits.stall_timeout),
         returns_unread: true,
+        one_request_at_a_time: true,
         forwards_trailers: false,
         awaits_continue: false,
     };
--- a/crates/proxy/src/http1/upload.rs
+++ b/crates/proxy/src/http1/upload.rs
@@ -44,6 +44,8 @@
     pub returns_unread: bool,
     /// Longest time without progress on the way to a server; at least `stall_timeout`.
     pub forward_stall_timeout: Duration,
+    /// Whether clients send no further request before they are answered.
+    pub one_request_at_a_time: bool,
     /// Whether trailers are forwarded; otherwise they are dropped.
     pub forwards_trailers: bool,
     /// Whether to read nothing until a server asks for the body (`Expect: 100-continue`).
@@ -145,6 +147,7 @@
         received_bytes,
         stall_timer: Box::pin(sleep(limits.stall_timeout)),
         stall_timer_armed: false,
+        held_end: None,
     };
     if streamed_body.is_drained() || streamed_body.read_frames.back().is_some_and(Frame::is_trailers) {
         streamed_body.mark_ended(false);
@@ -175,8 +178,18 @@
     stall_timer: Pin<Box<Sleep>>,
     /// Whether `stall_timer` is set for the frame now awaited.
     stall_timer_armed: bool,
+    held_end: Option<HeldEnd>,
 }
 
+/// The end of a body that is held back until it is known whether the client has left.
+struct HeldEnd {
+    frame: Option<BodyFrame>,
+    until: Pin<Box<Sleep>>,
+}
+
+/// How long a close may take to arrive behind bytes that the client has sent before it.
+const HIDDEN_CLOSE_WINDOW: Duration = Duration::from_millis(10);
+
 impl StreamedBody {
     /// The next frame, from those already read or from the connection, within the client's time for it.
     fn poll_next(&mut self, cx: &mut Context<'_>) -> Poll<Option<BodyFrame>> {
@@ -208,12 +221,27 @@
         frame.is_trailers() || (self.read_frames.is_empty() && self.is_drained())
     }
 
-    /// Handles the end of the body. Returns false if the client has already left: the body must then not be
-    /// completed towards the server, which would start to process the request.
-    fn finish(&self) -> bool {
-        let client_left = self.progress.ended_at.get().is_none() && self.client.socket.is_closed_by_peer();
-        self.mark_ended(client_left);
-        !client_left
+    /// Whether the client may have closed the connection behind bytes that are not read yet. Clients of the platform
+    /// send nothing before they are answered.
+    fn may_hide_close(&self) -> bool {
+        let is_new_end = self.progress.ended_at.get().is_none();
+        is_new_end && self.limits.one_request_at_a_time && self.client.socket.has_unread_bytes()
+    }
+
+    /// Hands out the end of the body, unless the client has already left: the body must then not be completed towards
+    /// the server, which would start to process the request.
+    fn finish(&self, frame: Option<BodyFrame>) -> Poll<Option<BodyFrame>> {
+        if self.progress.ended_at.get().is_none() && self.client.socket.is_closed_by_peer() {
+            return self.fail();
+        }
+        self.mark_ended(false);
+        Poll::Ready(frame)
+    }
+
+    /// Breaks off the body towards the server.
+    fn fail(&self) -> Poll<Option<BodyFrame>> {
+        self.mark_ended(true);
+        Poll::Ready(Some(Err(IncompleteBody)))
     }
 
     /// Notes that nothing more will come from the client; `failed` if the body is incomplete or the client
@@ -272,6 +300,7 @@
         forward_stall_timeout: DISCARD_TIMEOUT,
         min_pace: None,
         returns_unread: false,
+        one_request_at_a_time: false,
         forwards_trailers: false,
         awaits_continue: false,
     };
@@ -284,25 +313,37 @@
 
     fn poll_frame(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<Option<BodyFrame>> {
         let this = self.get_mut();
-        let frame = ready!(this.poll_next(cx));
-        if let Some(Ok(frame)) = &frame {
-            this.progress.record_forwarded(this.clock.now(), frame_bytes(frame));
+        if this.held_end.is_none() {
+            let frame = ready!(this.poll_next(cx));
+            if let Some(Ok(frame)) = &frame {
+                this.progress.record_forwarded(this.clock.now(), frame_bytes(frame));
+            }
+            let is_end = match &frame {
+                Some(Ok(_)) if this.received_bytes > this.limits.max_bytes => return this.fail(),
+                Some(Ok(last)) => this.is_last(last),
+                Some(Err(_)) => return this.fail(),
+                None => true,
+            };
+            if !is_end {
+                return Poll::Ready(frame);
+            }
+            if !this.may_hide_close() {
+                return this.finish(frame);
+            }
+            this.held_end = Some(HeldEnd { frame, until: Box::pin(sleep(HIDDEN_CLOSE_WINDOW)) });
         }
-        let is_intact = match &frame {
-            Some(Ok(_)) if this.received_bytes > this.limits.max_bytes => false,
-            Some(Ok(last)) if !this.is_last(last) => return Poll::Ready(frame),
-            Some(Ok(_)) | None => this.finish(),
-            Some(Err(_)) => false,
-        };
-        if !is_intact {
-            this.mark_ended(true);
-            return Poll::Ready(Some(Err(IncompleteBody)));
+        if this.client.poll_peer_closed(cx).is_ready() {
+            return this.fail();
         }
-        Poll::Ready(frame)
+        if let Some(held) = &mut this.held_end {
+            ready!(held.until.as_mut().poll(cx));
+        }
+        let frame = this.held_end.take().and_then(|held| held.frame);
+        this.finish(frame)
     }
 
     fn is_end_stream(&self) -> bool {
-        self.read_frames.is_empty() && self.is_drained()
+        self.held_end.is_none() && self.read_frames.is_empty() && self.is_drained()
     }
 
     fn size_hint(&self) -> SizeHint {
