Look for the end of a chunked body in what its server leaves unread

What callers saw: a server that stops reading a large request, and an answer 20 to 40 s later in place of the request's own time.

Cause: of a body with a length the node knows that it has arrived when the kernel holds the rest; the end of a chunked one was not known before it was read.

Change: if what is unread of a chunked body stands still and is at most 256 KiB, its end is looked for in it.

Evidence: the test of a server that stops reading now sends chunks, too; on the code before it gets no answer within 20 s, and passes now.

--- a/crates/corkhollow/tests/upload_deadlines.rs
+++ b/crates/corkhollow/tests/upload_deadlines.rs
@@ -107,20 +107,22 @@
 fn a_request_is_answered_in_time_if_its_server_stops_reading_the_body() {
     // More than the node holds itself, and less than its kernel takes of any body beyond that.
     const UNREAD_BYTES: usize = 130_000;
-    let listener = listen_with_small_buffer();
-    let (node, _discovery) = start_node(&[listener.local_addr().unwrap()]);
-    let server = std::thread::spawn(move || {
-        let mut stream = listener.accept().unwrap().0;
-        stream.read_exact(&mut vec![0; LONG_BODY_BYTES - UNREAD_BYTES]).unwrap();
-        stream
-    });
-    let mut client = node.connect();
-    // Little of the request is left in the client's kernel when it is written.
-    socket2::SockRef::from(&client).set_send_buffer_size(4_096).unwrap();
-    let (first, rest) = request_in_parts(Framing::Length, &vec![b'x'; LONG_BODY_BYTES]);
-    client.write_all(&[first, rest].concat()).unwrap();
-    assert_eq!(read_answer_in_time(&mut client, "a server that stops reading"), 504);
-    drop(server.join().unwrap());
+    for framing in [Framing::Length, Framing::Chunks] {
+        let listener = listen_with_small_buffer();
+        let (node, _discovery) = start_node(&[listener.local_addr().unwrap()]);
+        let server = std::thread::spawn(move || {
+            let mut stream = listener.accept().unwrap().0;
+            stream.read_exact(&mut vec![0; LONG_BODY_BYTES - UNREAD_BYTES]).unwrap();
+            stream
+        });
+        let mut client = node.connect();
+        // Little of the request is left in the client's kernel when it is written.
+        socket2::SockRef::from(&client).set_send_buffer_size(4_096).unwrap();
+        let (first, rest) = request_in_parts(framing, &vec![b'x'; LONG_BODY_BYTES]);
+        client.write_all(&[first, rest].concat()).unwrap();
+        assert_eq!(read_answer_in_time(&mut client, &format!("{framing:?}")), 504);
+        drop(server.join().unwrap());
+    }
 }
 
 /// A listener on whose connections the kernel holds a small part of a body.
--- a/crates/proxy/src/http1/upload.rs
+++ b/crates/proxy/src/http1/upload.rs
@@ -10,6 +10,7 @@
 use corkhollow_plan::limits::{Budget, Lease};
 use http_body_util::BodyExt;
 use hyper::body::{Body, Frame, Incoming, SizeHint};
+use std::cell::Cell;
 use std::collections::VecDeque;
 use std::future::Future;
 use std::pin::Pin;
@@ -131,10 +132,7 @@
         buffered.into_iter().rev().for_each(|data| read_frames.push_front(Frame::data(data)));
     }
     let progress = UploadProgress::new(clock.now(), limits.forward_stall_timeout);
-    let progress = Rc::new(match body_length {
-        Some(length) => progress.with_arrival_probe(arrival_probe(client, length)),
-        None => progress,
-    });
+    let progress = Rc::new(progress.with_arrival_probe(arrival_probe(client, body_length)));
     let streamed_body = StreamedBody {
         read_frames,
         read_lease,
@@ -156,10 +154,20 @@
     Ok(Payload::Stream(Upload::new(body, progress)))
 }
 
-/// Tells whether all of a request whose body has this length has reached this machine.
-fn arrival_probe(client: &Rc<ClientConnection>, body_length: u64) -> ArrivalProbe {
+/// Tells whether all of a request has reached this machine, whose body has this length or is chunked.
+fn arrival_probe(client: &Rc<ClientConnection>, body_length: Option<u64>) -> ArrivalProbe {
     let client = client.clone();
-    ArrivalProbe::new(move || client.socket.has_received_message(body_length))
+    // How much was unread at the last look, and at the last search for the end, which reads all of it.
+    let (last_unread_bytes, searched_unread_bytes) = (Cell::new(None), Cell::new(None));
+    ArrivalProbe::new(move || match body_length {
+        Some(length) => client.socket.has_received_message(length),
+        None => {
+            let unread_bytes = Some(client.socket.unread_bytes());
+            let stands_still = last_unread_bytes.replace(unread_bytes) == unread_bytes;
+            let is_searched = stands_still && searched_unread_bytes.replace(unread_bytes) == unread_bytes;
+            stands_still && !is_searched && client.socket.ends_with_last_chunk()
+        }
+    })
 }
 
 /// A request body streamed from the client: frames already read, then the rest as it arrives.
--- a/crates/proxy/src/socket.rs
+++ b/crates/proxy/src/socket.rs
@@ -5,6 +5,7 @@
 use corkhollow_operate::IntCounter;
 use memchr::memmem;
 use rustix::event::{PollFd, PollFlags, Timespec};
+use rustix::net::RecvFlags;
 use std::cell::{Cell, RefCell};
 use std::future::poll_fn;
 use std::io;
@@ -55,6 +56,8 @@
     head_end: Cell<Option<u64>>,
     /// The offset in these bytes where the kept head begins.
     head_start: Cell<u64>,
+    /// The last bytes handed to hyper.
+    received_tail: Cell<[u8; LAST_CHUNK.len()]>,
     /// Bytes that the node has read before hyper asked for them.
     read_ahead: RefCell<Vec<u8>>,
 }
@@ -70,6 +73,21 @@
 
 const HEAD_END: &[u8] = b"\r\n\r\n";
 
+/// The end of a chunked body without trailers, with the line end of the chunk before it.
+const LAST_CHUNK: &[u8] = b"\r\n0\r\n\r\n";
+
+/// At most this many unread bytes are looked at for the end of a chunked body.
+const MAX_PEEKED_BYTES: u64 = 256 * 1024;
+
+/// The last bytes of a tail and the bytes behind it.
+fn shift_in<const LENGTH: usize>(tail: [u8; LENGTH], bytes: &[u8]) -> [u8; LENGTH] {
+    let new = &bytes[bytes.len().saturating_sub(LENGTH)..];
+    let mut shifted = tail;
+    shifted.rotate_left(new.len() % LENGTH);
+    shifted[LENGTH - new.len()..].copy_from_slice(new);
+    shifted
+}
+
 impl Socket {
     /// A connection to a client.
     pub fn new(stream: TcpStream) -> Rc<Self> {
@@ -100,6 +118,7 @@
             received: Cell::default(),
             head_end: Cell::default(),
             head_start: Cell::default(),
+            received_tail: Cell::default(),
             read_ahead: RefCell::default(),
         })
     }
@@ -119,6 +138,7 @@
             self.head_end.set(None);
         }
         self.received.set(self.received.get() + bytes.len() as u64);
+        self.received_tail.set(shift_in(self.received_tail.get(), bytes));
         if !head.ends_with(HEAD_END) {
             let (room, searched) =
                 (MAX_KEPT_HEAD_BYTES - head.len(), head.len().saturating_sub(HEAD_END.len() - 1));
@@ -294,11 +314,30 @@
     /// read, or the kernel holds the rest of it. False if that is not known.
     pub fn has_received_message(&self, body_bytes: u64) -> bool {
         let Some(head_end) = self.head_end.get() else { return false };
-        let unread = rustix::io::ioctl_fionread(&*self.stream.borrow()).unwrap_or(0);
-        let arrived = self.received.get() + self.read_ahead.borrow().len() as u64 + unread;
+        let arrived = self.received.get() + self.read_ahead.borrow().len() as u64 + self.unread_bytes();
         arrived >= head_end + body_bytes
     }
 
+    /// How many bytes the kernel holds unread; 0 if that is not known.
+    pub fn unread_bytes(&self) -> u64 {
+        rustix::io::ioctl_fionread(&*self.stream.borrow()).unwrap_or(0)
+    }
+
+    /// Whether what has reached this machine ends like a chunked body without trailers. Data may look like that, too,
+    /// if the peer pauses just there. False if much is unread.
+    pub fn ends_with_last_chunk(&self) -> bool {
+        let unread_bytes = self.unread_bytes();
+        if unread_bytes > MAX_PEEKED_BYTES {
+            return false;
+        }
+        let mut unread = vec![0; unread_bytes as usize];
+        if !unread.is_empty() {
+            let peeked = rustix::net::recv(&*self.stream.borrow(), &mut unread[..], RecvFlags::PEEK);
+            unread.truncate(peeked.map_or(0, |(count, _)| count));
+        }
+        shift_in(self.received_tail.get(), &unread) == LAST_CHUNK
+    }
+
     /// Whether the kernel holds unread bytes.
     pub fn has_unread_bytes(&self) -> bool {
         let mut byte = [MaybeUninit::uninit()];
