Reject two lengths wherever the head of a request begins

What users saw: a request that is not sound was answered as served.

Cause: the length beside a transfer coding is looked for in the head as it came. Empty lines before the head were kept in its place, and of a head that came in one read with the request before it nothing is kept.

Change: empty lines are left out; a chunked request of the platform whose head is not kept from its beginning is answered 400.

Evidence: the new test on the code before: served behind two empty lines. It passes now.

--- a/crates/corkhollow/tests/platform.rs
+++ b/crates/corkhollow/tests/platform.rs
@@ -467,6 +467,36 @@
     }
 }
 
+/// Guards against a request that is not sound and is served: its two lengths went unnoticed in a head that came in one
+/// piece with the request before it, or behind empty lines.
+#[test]
+fn a_request_with_two_lengths_is_rejected_wherever_its_head_begins() {
+    let servers = Servers::new(1, |_, _| ok_reply("fine"));
+    let (node, _discovery) = Node::start_with_servers(&servers);
+    let two_lengths = |id: &str| {
+        format!(
+            "POST /once/1 HTTP/1.1\r\nX-Request-ID: {id}\r\nContent-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n\
+             5\r\nhello\r\n0\r\n\r\n"
+        )
+    };
+    let first = String::from_utf8(get_request("/safe/1", "")).unwrap();
+    for (before, answered_before) in [("", 0), ("\r\n\r\n", 0), ("\r\n\n\r\n", 0), (&first, 1)] {
+        let mut client = node.connect();
+        client.write_all(format!("{before}{}", two_lengths("two")).as_bytes()).unwrap();
+        for _ in 0..answered_before {
+            assert_eq!(read_message(&mut client).unwrap().status(), 200);
+        }
+        let answer = read_message(&mut client);
+        assert!(answer.is_none_or(|answer| answer.status() == 400), "behind {before:?}");
+    }
+    let served = servers.requests.lock().unwrap();
+    assert!(served.iter().all(|request| request.header("x-request-id") != Some("two")));
+    drop(served);
+    // Empty lines alone are no fault, and neither is a chunked body.
+    let sound = two_lengths("sound").replace("Content-Length: 5\r\n", "");
+    assert_eq!(node.send_raw(format!("\r\n{sound}").as_bytes()).unwrap().status(), 200);
+}
+
 /// Servers would treat the second request as a repeated attempt of the first. That holds when the first is over,
 /// too: the server may have run it, and may still run it.
 #[test]
--- a/crates/proxy/src/http1/platform.rs
+++ b/crates/proxy/src/http1/platform.rs
@@ -39,9 +39,14 @@
         let is_ready = service.lifecycle.lock().is_ready();
         return text_response(if is_ready { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE }, "");
     }
-    if head.headers.contains_key(header::TRANSFER_ENCODING)
-        && client.socket.head_contains("\ncontent-length:")
-    {
+    // hyper drops the length beside a transfer coding. In a head that came in one read with the request before it,
+    // where it cannot be looked for, it may be hidden.
+    let is_chunked = head.headers.contains_key(header::TRANSFER_ENCODING);
+    let may_have_length = || {
+        !client.socket.has_head_start(head.method.as_str())
+            || client.socket.head_contains("\ncontent-length:")
+    };
+    if is_chunked && may_have_length() {
         return with_connection_close(text_response(StatusCode::BAD_REQUEST, "two lengths\n"));
     }
     // The path is matched and forwarded without normalisation.
--- a/crates/proxy/src/socket.rs
+++ b/crates/proxy/src/socket.rs
@@ -139,6 +139,12 @@
         }
         self.received.set(self.received.get() + bytes.len() as u64);
         self.received_tail.set(shift_in(self.received_tail.get(), bytes));
+        // Empty lines may precede a head (RFC 9112, 2.2).
+        let is_line_end = |byte: &u8| matches!(byte, b'\r' | b'\n');
+        let skipped =
+            if head.is_empty() { bytes.iter().take_while(|byte| is_line_end(byte)).count() } else { 0 };
+        self.head_start.set(self.head_start.get() + skipped as u64);
+        let bytes = &bytes[skipped..];
         if !head.ends_with(HEAD_END) {
             let (room, searched) =
                 (MAX_KEPT_HEAD_BYTES - head.len(), head.len().saturating_sub(HEAD_END.len() - 1));
@@ -165,14 +171,16 @@
         self.head_end.set(None);
     }
 
-    /// Whether the kept bytes are the whole head of a request with this method. They are not if the head
-    /// began in the same read as the end of the previous request. A header line cannot be mistaken for the
-    /// request line, because header names contain no space.
+    /// Whether the kept bytes begin with the head of a request with this method. They do not if the head began in
+    /// the same read as the end of the previous request. A header line cannot be mistaken for the request line,
+    /// because header names contain no space.
+    pub fn has_head_start(&self, method: &str) -> bool {
+        self.head.borrow().strip_prefix(method.as_bytes()).is_some_and(|rest| rest.starts_with(b" "))
+    }
+
+    /// Whether the kept bytes are the whole head of a request with this method.
     pub fn has_whole_head(&self, method: &str) -> bool {
-        let head = self.head.borrow();
-        let has_request_line =
-            head.strip_prefix(method.as_bytes()).is_some_and(|rest| rest.starts_with(b" "));
-        has_request_line && head.ends_with(HEAD_END)
+        self.has_head_start(method) && self.head.borrow().ends_with(HEAD_END)
     }
 
     /// Whether the kept head contains the text, which must be lower case.
