Reject requests that servers would read in another way

What users saw: a request that is not sound was answered as served.

Cause: hyper accepts a body in any transfer codings if the last is chunked, chunks within chunks, two hosts and CONNECT, and the node passed these on. A sign in X-Timeout-Ms was taken for a number.

Change: the platform answers them 400; the general dialect answers other codings 501, and had the rest already.

--- a/crates/proxy/src/headers.rs
+++ b/crates/proxy/src/headers.rs
@@ -1,6 +1,6 @@
 //! Headers that the gateway reads, sets or removes.
 
-use hyper::header::{self, HeaderMap, HeaderName};
+use hyper::header::{self, HeaderMap, HeaderName, HeaderValue};
 
 /// Identifies a request on the platform, from the client to the server.
 pub const REQUEST_ID: HeaderName = HeaderName::from_static("x-request-id");
@@ -39,10 +39,17 @@
     }
 }
 
+/// Whether the body is in no transfer coding but chunks, which hyper has decoded. It would lose any other coding's name,
+/// and chunked must not be applied twice (RFC 9112, 6.1).
+pub fn has_supported_transfer_coding(headers: &HeaderMap) -> bool {
+    let mut codings = headers.get_all(header::TRANSFER_ENCODING).iter();
+    let is_chunked = |coding: &HeaderValue| coding.as_bytes().trim_ascii().eq_ignore_ascii_case(b"chunked");
+    codings.next().is_none_or(is_chunked) && codings.next().is_none()
+}
+
 #[cfg(test)]
 mod tests {
     use super::*;
-    use hyper::header::HeaderValue;
 
     #[test]
     fn hop_by_hop_headers_are_removed_and_protected_ones_kept() {
--- a/crates/proxy/src/http1/general.rs
+++ b/crates/proxy/src/http1/general.rs
@@ -7,7 +7,7 @@
 use super::upload::{self, UploadError};
 use crate::active_plan::ActivePlan;
 use crate::body::{AnswerBody, BufferedBodyReader};
-use crate::headers::strip_hop_by_hop;
+use crate::headers::{has_supported_transfer_coding, strip_hop_by_hop};
 use bytes::Bytes;
 use corkhollow_balance::interface::{self, Nanos};
 use corkhollow_engine::{Answer, InterimHandler, Message, Payload, StoredHeaders};
@@ -252,6 +252,10 @@
     {
         return Err(Problem::malformed("a length beside a transfer coding"));
     }
+    if !has_supported_transfer_coding(&head.headers) {
+        let detail = "the only transfer coding is chunked";
+        return Err(Problem { close: true, ..Problem::new(StatusCode::NOT_IMPLEMENTED, "coding", detail) });
+    }
     if client.socket.head_has_bare_line_feed() {
         return Err(Problem::malformed("a line that ends with a bare line feed"));
     }
--- a/crates/proxy/src/http1/platform.rs
+++ b/crates/proxy/src/http1/platform.rs
@@ -8,6 +8,7 @@
 use super::upload::{self, BodyLimits, MinPace, UploadError};
 use crate::active_plan::ActivePlan;
 use crate::body::{AnswerBody, BufferedBodyReader};
+use crate::headers::has_supported_transfer_coding;
 use bytes::Bytes;
 use corkhollow_balance::interface::{Nanos, Settings};
 use corkhollow_engine::{Answer, Message, Payload};
@@ -15,6 +16,7 @@
 use corkhollow_plan::routes::{RequestHead, RouteAction};
 use hyper::body::{Body, Incoming};
 use hyper::header::{self, HeaderMap, HeaderValue};
+use hyper::http::request::Parts;
 use hyper::{Method, Request, Response, StatusCode};
 use std::rc::Rc;
 use std::time::Duration;
@@ -49,6 +51,9 @@
     if is_chunked && may_have_length() {
         return with_connection_close(text_response(StatusCode::BAD_REQUEST, "two lengths\n"));
     }
+    if let Err(text) = check_form(&head) {
+        return with_connection_close(text_response(StatusCode::BAD_REQUEST, text));
+    }
     // The path is matched and forwarded without normalisation.
     let request_head = RequestHead {
         listener: 0,
@@ -170,6 +175,20 @@
     }
 }
 
+/// Rejects requests that servers could not read, or could read in another way, although hyper accepts them.
+fn check_form(head: &Parts) -> Result<(), &'static str> {
+    if !has_supported_transfer_coding(&head.headers) {
+        return Err("the only transfer coding is chunked\n");
+    }
+    if head.headers.get_all(header::HOST).iter().count() > 1 {
+        return Err("two hosts\n");
+    }
+    if head.method == Method::CONNECT {
+        return Err("this is no proxy for tunnels\n");
+    }
+    Ok(())
+}
+
 fn server_response(headers: HeaderMap, body: AnswerBody) -> Response<AnswerBody> {
     let mut response = Response::new(body);
     *response.headers_mut() = headers;
--- a/crates/proxy/src/http1/platform_head.rs
+++ b/crates/proxy/src/http1/platform_head.rs
@@ -84,12 +84,17 @@
     if !headers.contains_key(TIMEOUT_MS) {
         return Ok(None);
     }
-    let milliseconds =
-        single_header(headers, TIMEOUT_MS).and_then(|value| value.to_str().ok()?.trim().parse::<u64>().ok());
+    let milliseconds = single_header(headers, TIMEOUT_MS).and_then(parse_digits);
     let milliseconds = milliseconds.ok_or("X-Timeout-Ms is no whole number\n")?;
     Ok(Some(milliseconds.saturating_mul(NANOS_PER_MILLISECOND)))
 }
 
+/// Parses a number that has no sign.
+fn parse_digits(value: &HeaderValue) -> Option<u64> {
+    let text = value.to_str().ok()?.trim();
+    text.bytes().all(|byte| byte.is_ascii_digit()).then(|| text.parse().ok())?
+}
+
 /// Parses a hexadecimal routing key; hashes anything else.
 fn parse_route_key(text: &[u8]) -> u64 {
     let hex = std::str::from_utf8(text).ok().and_then(|t| u64::from_str_radix(t, 16).ok());
