--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -15,6 +15,7 @@
 mod requests;
 pub mod rules;
 mod stored_headers;
+mod timers;
 
 pub use active_request::{RequestMessage, UploadDeadline};
 pub use body::{BodyBuffer, BufferedBody};
--- a/crates/engine/src/requests.rs
+++ b/crates/engine/src/requests.rs
@@ -7,26 +7,17 @@
 use crate::message::AttemptId;
 use crate::request_ids::RequestIds;
 use crate::rules::{self, AttemptState, Denial, RequestState, RetryPolicy, SentAttempt};
+use crate::timers::{Timer, Timers};
 use corkhollow_balance::interface::{
     Action, Ending, Event, ListKind, Nanos, Quotas, Request, RequestId, Server, ServerId, Settings,
     SettingsError,
 };
 use corkhollow_balance::{Balancer, Knowledge};
-use std::cmp::Reverse;
-use std::collections::{BinaryHeap, HashMap};
+use std::collections::HashMap;
 use std::hash::Hash;
 /// How often the deadline of a request is looked at again while its body is on its way.
 const UPLOAD_CHECK_INTERVAL: Nanos = 50_000_000;
 
-/// What a timer is for. The order of the variants decides between timers that are due at the same time.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-enum Timer {
-    /// A timer of the balancer, by its token.
-    Balancer(u32),
-    Deadline(RequestId),
-    AttemptTimeout(RequestId, u8),
-}
-
 /// The requests, balancer and timers of one pool. `C` is the type of clients' request IDs, `M` of messages to
 /// servers, `A` of servers' answers. Deterministic: equal settings, seed, times and events yield equal
 /// commands.
@@ -37,8 +28,7 @@
     active: HashMap<RequestId, ActiveRequest<C, M, A>>,
     /// The clients' IDs of active and recent requests; a second request with the same ID would be a duplicate.
     client_request_ids: RequestIds<C>,
-    /// Bounded by the request rate times the longest timeout, as entries stay until they are due.
-    timers: BinaryHeap<Reverse<(Nanos, Timer)>>,
+    timers: Timers,
     /// A reused buffer, empty between events.
     actions: Vec<Action>,
     next_id: RequestId,
@@ -58,7 +48,7 @@
             balancer: Balancer::new(settings, seed)?,
             active: HashMap::new(),
             client_request_ids: RequestIds::new(),
-            timers: BinaryHeap::new(),
+            timers: Timers::default(),
             actions: Vec::new(),
             next_id: 0,
             last_list_at: now,
@@ -83,7 +73,7 @@
 
     /// When [`Requests::fire_timers`] is due next.
     pub fn next_timer(&self) -> Option<Nanos> {
-        self.timers.peek().map(|Reverse((at, _))| *at)
+        self.timers.next_at()
     }
 
     /// Accepts a request, which will get one answer by `give_up_at`. Returns `None` and accepts nothing if
@@ -392,8 +382,7 @@
 
     /// Fires all timers that are due.
     pub fn fire_timers(&mut self, now: Nanos, commands: &mut Vec<Command<M, A>>) {
-        while let Some(&Reverse((_, timer))) = self.timers.peek().filter(|next| next.0 .0 <= now) {
-            self.timers.pop();
+        while let Some(timer) = self.timers.pop_due(now) {
             match timer {
                 Timer::Balancer(token) => self.handle_event(now, Event::Timer { token }, commands),
                 Timer::Deadline(id) => self.expire(now, id, commands),
@@ -408,8 +397,9 @@
     /// deadline.
     pub fn set_shutdown_deadline(&mut self, at: Nanos) {
         self.shutdown_at = at;
-        let awaited = self.active.iter().filter(|(_, entry)| entry.is_awaited);
-        self.timers.extend(awaited.map(|(id, _)| Reverse((at, Timer::Deadline(*id)))));
+        for (id, _) in self.active.iter().filter(|(_, entry)| entry.is_awaited) {
+            self.timers.push(at, Timer::Deadline(*id));
+        }
     }
 
     /// The deadline of a request. For a streamed request body it depends on the body's progress.
@@ -425,7 +415,7 @@
             entry.message.upload_deadline(now, entry.timeout).is_some_and(|deadline| !deadline.is_final);
         let next_check_at = if may_move { now.saturating_add(UPLOAD_CHECK_INTERVAL) } else { Nanos::MAX };
         let at = self.deadline_of(now, entry).min(next_check_at);
-        self.timers.push(Reverse((at, Timer::Deadline(request))));
+        self.timers.push(at, Timer::Deadline(request));
     }
 
     /// Fails a request at its deadline and ends its open attempts as timed out. Before the deadline, sets a new
@@ -520,7 +510,7 @@
                 self.end_attempt(now, AttemptId { request, number: attempt }, Ending::Cancelled, commands);
             }
             Action::StartTimer { after, token } => {
-                self.timers.push(Reverse((now.saturating_add(after), Timer::Balancer(token))));
+                self.timers.push(now.saturating_add(after), Timer::Balancer(token));
             }
             Action::Subscribe => commands.push(Command::CallDiscovery(DiscoveryCall::Subscribe)),
             Action::FetchList => commands.push(Command::CallDiscovery(DiscoveryCall::Fetch)),
@@ -562,7 +552,7 @@
         commands.push(Command::Send { id, server, message: entry.message.clone(), hedge });
         if timeout > 0 {
             let timer = Timer::AttemptTimeout(request, id.number);
-            self.timers.push(Reverse((now.saturating_add(timeout), timer)));
+            self.timers.push(now.saturating_add(timeout), timer);
         }
     }
 
