Hand request ids to the pool that replaces another at a reload

Cause: a new configuration that cannot be applied to a running pool replaces it, and the new pool knew none of its ids: a request ran twice when its id came again.

Change: the new pool rejects the ids that the old one of its name rejects.

Evidence: the new test without the change: 200 where 409 is expected.

--- a/crates/corkhollow/tests/platform_reload.rs
+++ b/crates/corkhollow/tests/platform_reload.rs
@@ -208,3 +208,19 @@
     }
     assert_eq!(node.metric("gw_declined{service=\"extra\"}"), Some(0.0));
 }
+
+/// Guards against a request that runs twice: its id was forgotten with the pool that a new configuration replaced.
+#[test]
+fn an_id_is_rejected_by_the_pool_that_replaces_the_one_that_has_it() {
+    let servers = Servers::new(2, |_, _| ok_reply("fine"));
+    let (node, discovery) = Node::start_with_servers(&servers);
+    let request = post_request("/once/1", b"body");
+    assert_eq!(node.send_raw(&request).unwrap().status(), 200);
+    let config = platform_config(discovery.address, &NodeOptions::default());
+    node.reload(&config.replace("\"automatic\"", "\"subscribe\""));
+    wait_until_applied(&node, 1.0);
+    wait_until("the new pool serves", || {
+        node.get("/safe/1", "").is_some_and(|answer| answer.status() == 200)
+    });
+    assert_eq!(node.send_raw(&request).unwrap().status(), 409);
+}
--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -245,6 +245,12 @@
         self.shared_ids.replace(shared_ids);
     }
 
+    /// Rejects ids that were accepted elsewhere: see [`Requests::reject_client_request_id`].
+    pub fn reject_request_ids(&self, ids: Vec<RequestKey>) {
+        let (now, mut requests) = (self.clock.now(), self.requests.borrow_mut());
+        ids.into_iter().for_each(|id| requests.reject_client_request_id(now, id));
+    }
+
     /// The request ids that are not accepted again at present.
     pub fn rejected_request_ids(&self) -> Vec<RequestKey> {
         self.requests.borrow().rejected_client_request_ids().copied().collect()
--- a/crates/plan/src/config/schema.rs
+++ b/crates/plan/src/config/schema.rs
@@ -175,7 +175,7 @@
     descriptors: Integer(48, 1_000_000), Value("1024"),
         "The maximum number of file descriptors, for clients and servers together.";
     memory: Text(&SIZE), Value("\"192MB\""),
-        "Memory, 16MB or more. Bodies in transit may use about a third of it.";
+        "Memory, 16MB or more. Client connections may use about a third of it, bodies in transit about another.";
     replay_buffer: Text(&SIZE), Value("\"64KiB\""),
         "A request body up to this size is kept until the request is answered, so that the request can be \
          retried. A request with a longer body is sent only once.";
--- a/crates/proxy/src/active_plan.rs
+++ b/crates/proxy/src/active_plan.rs
@@ -4,6 +4,7 @@
 use crate::class_indexes::ClassIndexes;
 use crate::upstream::{CommonSettings, Pool, PoolContext};
 use corkhollow_balance::interface::SettingsError;
+use corkhollow_engine::RequestKey;
 use corkhollow_fleet::GroupPosition;
 use corkhollow_operate::{ClassMetrics, Handover, PoolHandover};
 use corkhollow_plan::change::{Change, PoolChange};
@@ -124,7 +125,11 @@
         let mut pools = Vec::with_capacity(plan.pools.len());
         for (index, pool) in change.pools.iter().enumerate() {
             pools.push(match pool {
-                PoolChange::Created => started.next().expect("it has been started"),
+                PoolChange::Created => {
+                    let (pool, class_indexes) = started.next().expect("it has been started");
+                    pool.engine.reject_request_ids(self.request_ids_of_pool(&plan.pools[index].name));
+                    (pool, class_indexes)
+                }
                 PoolChange::Reused { old_index, differences } => {
                     let (pool, class_indexes) = (&self.pools[*old_index], &self.class_indexes[*old_index]);
                     // The predecessor of a class is the old class with the same name.
@@ -149,6 +154,12 @@
         Ok(Self::from_pools(plan, shared, pools))
     }
 
+    /// The request ids that the pool of this name, if there is one, does not accept again.
+    fn request_ids_of_pool(&self, name: &str) -> Vec<RequestKey> {
+        let pool = self.plan.pools.iter().position(|pool| pool.name == name).map(|index| &self.pools[index]);
+        pool.map(|pool| pool.engine.rejected_request_ids()).unwrap_or_default()
+    }
+
     /// Servers in the lists of all pools, and how many of them are ejected.
     pub fn server_counts(&self) -> (usize, usize) {
         let counts = self.pools.iter().map(|pool| pool.engine.server_counts());
